Size the fleet by the work due and the usual load, and empty the surplus

Cause: each job asked for its own parallelism, and idle machines were kept by demand that had passed.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -31,8 +31,10 @@
 	planAt   Instant
 	returnAt Instant
 
-	level  float64 // demand for cores, smoothed
-	target float64
+	work      float64 // arrived, in core seconds, decaying
+	workAt    Instant
+	inherited bool
+	target    float64 // cores to hold
 }
 
 // option is a kind of machine that can be asked for.
@@ -233,201 +235,243 @@
 	}
 }
 
-// virtual is a machine in the plan: one that is held, or one to be rented.
-type virtual struct {
-	m          *machine
-	opt        option
-	kind       *protocol.MachineType
-	cores, ram float64
-	acc        float64
-	used       bool
+func (l *leadership) fetchTime(j *job) time.Duration {
+	rate := 0.0
+	for _, t := range l.n.catalog {
+		rate = max(rate, t.PullGBPerS)
+	}
+	if rate <= 0 {
+		return 0
+	}
+	return config.Seconds(j.spec.ImageGB / rate)
+}
+
+// demand is how many cores should be at work so that the jobs are in time:
+// whatever is due by some moment must fit in the time until then. Jobs that are
+// late already ask for little, as no speed helps them.
+func (f *fleet) demand() float64 {
+	l, n := f.l, f.l.n
+	type load struct {
+		due, each time.Duration
+		work      float64
+	}
+	var loads []load
+	for _, j := range l.jobs {
+		if j.gone {
+			continue
+		}
+		each := l.expected(j) + l.fetchTime(j)
+		work := float64(j.pending) * each.Seconds()
+		if j.bad {
+			work = min(work, each.Seconds())
+		}
+		for _, r := range j.runs {
+			work += l.remaining(r).Seconds()
+		}
+		span := l.due(j) - n.now
+		if span < each {
+			span = lateSpan * each
+		}
+		loads = append(loads, load{due: span, each: each, work: work * j.spec.Cores})
+	}
+	slices.SortFunc(loads, func(a, b load) int { return cmp.Or(cmp.Compare(a.due, b.due), cmp.Compare(a.work, b.work)) })
+	need, sum := 0.0, 0.0
+	for _, x := range loads {
+		sum += x.work
+		need = max(need, sum/x.due.Seconds())
+	}
+	return need
 }
 
-func (v *virtual) fits(j *protocol.Job) bool {
-	return fitsType(j, v.kind) && (j.Zone == "" || j.Zone == v.opt.zone) && (j.Spot || !v.opt.spot) &&
-		v.cores >= j.Cores-slack && v.ram >= j.RAM-slack && v.acc >= j.Accelerators-slack
+// lateSpan is within how many times its run time a late job's work should start.
+const lateSpan = 4
+
+// arrived counts the work that a new job brings.
+func (f *fleet) arrived(j *job) {
+	f.decay()
+	f.work += float64(j.spec.Tasks) * j.spec.Cores * f.l.expected(j).Seconds()
 }
 
-func (v *virtual) add(j *protocol.Job) {
-	v.cores -= j.Cores
-	v.ram -= j.RAM
-	v.acc -= j.Accelerators
-	v.used = true
+func (f *fleet) span() float64 { return levelSpan * f.l.n.lease().Seconds() }
+
+func (f *fleet) decay() {
+	now := f.l.n.now
+	f.work *= math.Exp(-(now - f.workAt).Seconds() / f.span())
+	f.workAt = now
 }
 
-// parallel is how many of a job's tasks should run at once for it to be in time.
-func (l *leadership) parallel(j *job) int {
-	left := j.pending + len(j.runs)
-	if left == 0 || j.gone {
-		return len(j.runs)
-	}
-	if j.bad {
-		return 1
+// usual is the usual load: the work that arrives per second, over the last
+// while. A new leader begins with what its predecessor held.
+func (f *fleet) usual() float64 {
+	f.decay()
+	if f.inherited {
+		return f.work / f.span()
 	}
-	each := l.expected(j) + l.fetchTime(j)
-	span := l.due(j) - l.n.now
-	waves := 1
-	if each > 0 && span > each {
-		waves = int(span / each)
-	}
-	return max(len(j.runs), (left+waves-1)/waves)
+	age := max((f.l.n.now - f.l.since).Seconds(), f.span()/4)
+	return f.work / f.span() / (1 - math.Exp(-age/f.span()))
 }
 
-func (l *leadership) fetchTime(j *job) time.Duration {
-	rate := 0.0
-	for _, t := range l.n.catalog {
-		rate = max(rate, t.PullGBPerS)
+// inherit takes the cores found at a takeover for the usual load.
+func (f *fleet) inherit() {
+	held := 0.0
+	for _, m := range f.l.machines {
+		if m.kind != nil {
+			held += m.kind.Cores
+		}
 	}
-	if rate <= 0 {
-		return 0
+	f.workAt = f.l.n.now
+	if f.inherited = held > 0; f.inherited {
+		f.work = held / (1 + f.l.n.set.Headroom) * f.span()
+		return
+	}
+	for _, j := range f.l.jobs {
+		f.arrived(j)
 	}
-	return config.Seconds(j.spec.ImageGB / rate)
 }
 
-// plan packs what should run at once into the machines held, rents for what does
-// not fit, and lets go of what has been idle beyond need.
+// plan compares the cores held with those needed, rents what is missing and
+// lets go of what has been too much for a while.
 func (f *fleet) plan() {
 	l, n := f.l, f.l.n
-	var vms []*virtual
+	usual := f.usual()
+	f.target = max(f.demand(), usual*(1+n.set.Headroom))
+	held := 0.0
+	var kept []*machine
+	var leaving []*machine
 	for _, name := range l.names() {
 		m := l.machines[name]
-		if m.kind == nil || m.emptying || m.returning {
-			continue
+		switch {
+		case m.kind == nil || m.returning:
+		case !m.emptying:
+			kept = append(kept, m)
+			held += m.kind.Cores
+		case m.why == surplus:
+			leaving = append(leaving, m)
 		}
-		vms = append(vms, &virtual{m: m, opt: option{m.typ, m.zone, m.spot}, kind: m.kind,
-			cores: m.kind.Cores, ram: m.kind.RAM, acc: m.kind.Accelerators})
 	}
 	for _, r := range f.rentals {
 		if k := n.catalog[r.Type]; k != nil {
-			for range r.Count {
-				vms = append(vms, &virtual{opt: option{r.Type, r.Zone, r.Spot}, kind: k, cores: k.Cores, ram: k.RAM, acc: k.Accelerators})
-			}
+			held += k.Cores * float64(r.Count)
 		}
 	}
-	// Busy machines first, then cheap ones, so that the idle and dear empty.
-	slices.SortStableFunc(vms, func(a, b *virtual) int {
-		return cmp.Or(cmp.Compare(b.busy(), a.busy()), cmp.Compare(a.perCore(), b.perCore()))
-	})
-	jobs := make([]*job, 0, len(l.jobs))
-	for _, j := range l.jobs {
-		if !j.gone {
-			jobs = append(jobs, j)
+	// What is still emptying is taken back before anything is rented.
+	slices.SortStableFunc(leaving, func(a, b *machine) int { return cmp.Compare(a.perCore(), b.perCore()) })
+	for _, m := range leaving {
+		if held+m.kind.Cores/2 > f.target {
+			continue
 		}
-	}
-	slices.SortFunc(jobs, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(b.spec.Cores, a.spec.Cores), cmp.Compare(a.spec.UID, b.spec.UID))
-	})
-	teams := map[string]float64{}
-	demand := 0.0
-	held := len(vms)
-	var fresh []*virtual
-	for _, j := range jobs {
-		want := l.parallel(j)
-		team := n.team(j.spec.Team)
-		left := want
-		for range want {
-			if team != nil && team.CPUsMax > 0 && teams[j.spec.Team]+j.spec.Cores > team.CPUsMax {
-				break
-			}
-			teams[j.spec.Team] += j.spec.Cores
-			demand += j.spec.Cores
-			placed := false
-			for _, v := range vms {
-				if v.fits(&j.spec) {
-					v.add(&j.spec)
-					placed = true
-					break
-				}
-			}
-			if !placed {
-				v := f.open(&j.spec, float64(left)*j.spec.Cores, vms)
-				if v == nil {
-					break
-				}
-				v.add(&j.spec)
-				vms = append(vms, v)
-				fresh = append(fresh, v)
-			}
-			left--
+		m.emptying, m.why, l.dirty = false, "", true
+		held += m.kind.Cores
+		kept = append(kept, m)
+	}
+	var fresh []option
+	for len(fresh) < maxFresh && held < f.target {
+		opt, k := f.choose(nil, f.target-held, fresh)
+		if k == nil {
+			break
 		}
+		fresh = append(fresh, opt)
+		held += k.Cores
 	}
-	// The level follows demand up at once in part and down slowly.
-	step := n.report().Seconds() / 2
-	tau := levelSpan * n.lease().Seconds()
-	f.level += (demand - f.level) * min(1, step/tau)
-	f.target = f.level * (1 + n.set.Headroom)
-	have := 0.0
-	for _, v := range vms {
-		have += v.kind.Cores
-	}
-	for have < f.target {
-		v := f.open(nil, f.target-have, vms)
-		if v == nil {
-			break
+	for _, j := range l.waitingJobs() {
+		if j.bad || len(fresh) >= maxFresh || f.served(j, kept, fresh) {
+			continue
+		}
+		if opt, k := f.choose(&j.spec, j.spec.Cores*float64(j.pending), fresh); k != nil {
+			fresh = append(fresh, opt)
+			held += k.Cores
 		}
-		vms = append(vms, v)
-		fresh = append(fresh, v)
-		have += v.kind.Cores
 	}
 	if len(fresh) > 0 {
 		f.rent(fresh)
-		return
 	}
-	for i := held - 1; i >= 0; i-- {
-		v := vms[i]
-		m := v.m
-		if m == nil || v.used || len(m.runs) > 0 || !m.up || have-v.kind.Cores < f.target {
+	f.shrink(kept, held)
+}
+
+// maxFresh bounds the machines that one plan rents.
+const maxFresh = 50
+
+// surplus is why a machine is emptied that is no longer needed.
+const surplus = "surplus"
+
+// shrink empties machines that have been too many for a while, the dear ones
+// first and among those the emptiest.
+func (f *fleet) shrink(kept []*machine, held float64) {
+	l, n := f.l, f.l.n
+	slices.SortStableFunc(kept, func(a, b *machine) int {
+		return cmp.Or(cmp.Compare(b.perCore(), a.perCore()), cmp.Compare(len(a.runs), len(b.runs)))
+	})
+	for _, m := range kept {
+		if held-m.kind.Cores < f.target || !m.up {
+			m.spareSince = n.now
 			continue
 		}
-		if n.now-m.idleSince > config.Seconds(n.set.IdleKeep*v.kind.ReadyS) {
-			l.leave(m, "surplus")
-			have -= v.kind.Cores
+		held -= m.kind.Cores
+		if n.now-m.spareSince < config.Seconds(n.set.IdleKeep*m.kind.ReadyS) {
+			continue
 		}
+		l.leave(m, surplus)
 	}
 }
 
-// levelSpan is over how many worker leases demand is smoothed.
-const levelSpan = 8
-
-func (v *virtual) busy() int {
-	if v.m == nil || !v.m.up {
+func (m *machine) perCore() float64 {
+	if m.kind == nil {
 		return 0
 	}
-	return min(1, len(v.m.runs))
+	return m.kind.Price(m.spot) / m.kind.Cores
+}
+
+// served tells whether some machine held, or about to be rented, can run the job.
+func (f *fleet) served(j *job, kept []*machine, fresh []option) bool {
+	for _, m := range kept {
+		if allowed(&j.spec, m) {
+			return true
+		}
+	}
+	fits := func(o option) bool {
+		k := f.l.n.catalog[o.typ]
+		return k != nil && fitsOption(&j.spec, o, k)
+	}
+	for _, r := range f.rentals {
+		if fits(option{r.Type, r.Zone, r.Spot}) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(fresh, fits)
 }
 
-func (v *virtual) perCore() float64 { return v.kind.Price(v.opt.spot) / v.kind.Cores }
+// levelSpan is over how many worker leases the usual load is taken.
+const levelSpan = 8
 
-// open chooses what to rent for a job (nil: for spare room): the cheapest for
-// the cores that would be used.
-func (f *fleet) open(j *protocol.Job, cores float64, vms []*virtual) *virtual {
+func fitsOption(j *protocol.Job, o option, k *protocol.MachineType) bool {
+	return fitsType(j, k) && (j.Zone == "" || j.Zone == o.zone) && (j.Spot || !o.spot)
+}
+
+// choose finds what to rent, for a job or (nil) for all: the cheapest for the
+// cores that would be used.
+func (f *fleet) choose(j *protocol.Job, cores float64, fresh []option) (option, *protocol.MachineType) {
 	n := f.l.n
-	var best *virtual
+	var best option
+	var bestKind *protocol.MachineType
 	bestCost := math.Inf(1)
 	for _, name := range sortedTypes(n.catalog) {
 		k := n.catalog[name]
-		zones := k.Zones
-		for _, zone := range zones {
+		for _, zone := range k.Zones {
 			for _, spot := range []bool{true, false} {
-				if j == nil && !spot {
-					continue
-				}
 				opt := option{k.Name, zone, spot}
 				if r := f.refused[opt]; r != nil && n.now < r.until {
 					continue
 				}
-				v := &virtual{opt: opt, kind: k, cores: k.Cores, ram: k.RAM, acc: k.Accelerators}
-				if j != nil && !v.fits(j) {
+				if j != nil && !fitsOption(j, opt, k) {
 					continue
 				}
-				cost := k.Price(spot) / math.Min(k.Cores, math.Max(cores, 1))
-				if cost < bestCost {
-					best, bestCost = v, cost
+				if cost := k.Price(spot) / min(k.Cores, max(cores, 1)); cost < bestCost {
+					best, bestKind, bestCost = opt, k, cost
 				}
 			}
 		}
 	}
-	return best
+	return best, bestKind
 }
 
 func sortedTypes(c map[string]*protocol.MachineType) []string {
@@ -439,15 +483,15 @@
 	return names
 }
 
-// rent begins rentals for the machines that the plan opened.
-func (f *fleet) rent(fresh []*virtual) {
+// rent begins rentals for the machines that the plan chose.
+func (f *fleet) rent(fresh []option) {
 	counts := map[option]int{}
 	var order []option
-	for _, v := range fresh {
-		if counts[v.opt] == 0 {
-			order = append(order, v.opt)
+	for _, opt := range fresh {
+		if counts[opt] == 0 {
+			order = append(order, opt)
 		}
-		counts[v.opt]++
+		counts[opt]++
 	}
 	l := f.l
 	for _, opt := range order {
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -117,13 +117,17 @@
 	return s
 }
 
-// due is when the job should be complete: its deadline, or the aim of its class.
+// due is when the job should be complete: its deadline, or the first aim of its
+// class that can still be met.
 func (l *leadership) due(j *job) Instant {
 	if j.spec.DeadlineS != nil {
 		return j.at + config.Seconds(*j.spec.DeadlineS)
 	}
-	if within := l.within[j.spec.Class]; within > 0 {
-		return j.at + within
+	within := l.within[j.spec.Class]
+	for i, w := range within {
+		if i == len(within)-1 || j.at+w-l.expected(j) > l.n.now {
+			return j.at + w
+		}
 	}
 	return j.at + 4*l.expected(j) + l.n.lease()
 }
@@ -182,6 +186,9 @@
 	l.jobs[id] = j
 	l.writer.Know(storage.JobKey(id), version)
 	l.dirty = true
+	if l.loaded {
+		l.fleet.arrived(j)
+	}
 	return j
 }
 
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -29,8 +30,8 @@
 	jobs    map[string]*job
 	over    map[string]bool // ended in this term
 	classes map[string]*class
-	within  map[string]time.Duration // aims by class
-	usage   map[string]*usage        // by team
+	within  map[string][]time.Duration // aims by class, shortest first
+	usage   map[string]*usage          // by team
 
 	machines    map[string]*machine
 	gone        map[string]Instant // returned or taken, and when
@@ -53,15 +54,17 @@
 		writer:    storage.NewWriter(n.cfg.Cluster.State.TxnOps, leaderVer),
 		retryAt:   never, scheduled: never,
 		jobs: map[string]*job{}, over: map[string]bool{}, classes: map[string]*class{},
-		within: map[string]time.Duration{}, usage: map[string]*usage{},
+		within: map[string][]time.Duration{}, usage: map[string]*usage{},
 		machines: map[string]*machine{}, gone: map[string]Instant{},
 	}
 	for _, o := range n.cfg.Cluster.Objectives {
-		within := config.Seconds(o.WithinS)
-		if o.Kind == "finished" && (l.within[o.Class] == 0 || within < l.within[o.Class]) {
-			l.within[o.Class] = within
+		if o.Kind == "finished" {
+			l.within[o.Class] = append(l.within[o.Class], config.Seconds(o.WithinS))
 		}
 	}
+	for _, within := range l.within {
+		slices.Sort(within)
+	}
 	for _, t := range n.cfg.Cluster.Teams {
 		l.usage[t.Name] = &usage{}
 	}
@@ -218,6 +221,7 @@
 // ready begins to decide.
 func (l *leadership) ready() {
 	l.loaded, l.dirty = true, true
+	l.fleet.inherit()
 	l.n.log.Info("records read", "jobs", len(l.jobs), "machines", len(l.machines))
 	held := l.held
 	l.held = nil
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -33,8 +33,8 @@
 	cores, ram    float64
 	accelerators  float64
 	images        []image // most recently used last
-	idleSince     Instant
-	failures      int // in a row
+	spareSince    Instant // since when it has been more than is needed
+	failures      int     // in a row
 	failedJobs    map[string]bool
 	sick          bool
 	emptying      bool // to be returned when empty
@@ -53,7 +53,7 @@
 
 func (l *leadership) newMachine(name, typ, zone string, spot bool) *machine {
 	m := &machine{name: name, typ: typ, zone: zone, spot: spot, runs: map[string]*run{},
-		rentedAt: l.n.now, heard: never, answered: never, notice: never, idleSince: l.n.now,
+		rentedAt: l.n.now, heard: never, answered: never, notice: never, spareSince: l.n.now,
 		failedJobs: map[string]bool{}, kind: l.n.catalog[typ], returnAt: never}
 	l.machines[name] = m
 	return m
@@ -156,7 +156,6 @@
 		u.accelerators -= j.spec.Accelerators
 	}
 	if len(m.runs) == 0 {
-		m.idleSince = l.n.now
 		m.cores, m.ram, m.accelerators = 0, 0, 0
 	}
 	if j.tasks[r.index] == taskActive {
@@ -287,9 +286,6 @@
 	}
 	if !m.up {
 		m.up, l.dirty = true, true
-		if m.idleSince < n.now && len(m.runs) == 0 {
-			m.idleSince = n.now
-		}
 	}
 	m.session, m.seq, m.heard = rep.Session, rep.Seq, n.now
 	shown := rep.Token == l.term
@@ -561,7 +557,7 @@
 
 // leave marks a machine to be returned as soon as it is empty.
 func (l *leadership) leave(m *machine, why string) {
-	if m.why == "" || why != "surplus" {
+	if m.why == "" || why != surplus {
 		m.why = why
 	}
 	if !m.emptying {
