--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -25,6 +25,10 @@
 	Headroom float64 `yaml:"headroom"`
 	// IdleKeep is how long an idle machine is kept, as a ratio to its boot time.
 	IdleKeep float64 `yaml:"idle_keep"`
+	// Thrift is how much less spare capacity is held of dearer machines: the
+	// spare part is scaled by (cheapest price / price) to this power. Without it,
+	// 0 where aims on starting are stated, and 1 elsewhere.
+	Thrift *float64 `yaml:"thrift"`
 	// LoadSteps is how finely machine loads are told apart in placement.
 	LoadSteps int `yaml:"load_steps"`
 	// MemoryRatio of mem_mb is the soft limit given to the garbage collector.
@@ -35,7 +39,7 @@
 func Defaults() Settings {
 	return Settings{
 		SlotsPerCore: 2, SlotsBase: 6, ClassShare: 0.5, BorrowWaitS: 30,
-		Headroom: 0.15, IdleKeep: 1.5, LoadSteps: 4, MemoryRatio: 0.6,
+		Headroom: 0.4, IdleKeep: 0.5, LoadSteps: 1, MemoryRatio: 0.6,
 	}
 }
 
@@ -61,6 +65,9 @@
 }
 
 func (s *Settings) check() error {
+	if s.Thrift != nil && !(*s.Thrift >= 0 && *s.Thrift <= 10) {
+		return fmt.Errorf("thrift: must be within 0..10, is %v", *s.Thrift)
+	}
 	for _, f := range []struct {
 		name           string
 		value, lo, top float64
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -31,10 +31,13 @@
 	planAt   Instant
 	returnAt Instant
 
-	work      float64 // arrived, in core seconds, decaying
-	workAt    Instant
-	inherited bool
-	target    float64 // cores to hold
+	work        float64 // arrived, in core seconds, decaying
+	workAt      Instant
+	loggedAt    Instant
+	accountedAt Instant
+	spent       spending
+	target      float64 // cores to hold
+	thrift      float64 // how much less is held of what is dearer
 }
 
 // option is a kind of machine that can be asked for.
@@ -61,7 +64,18 @@
 func (f *fleet) init(l *leadership) {
 	f.l = l
 	f.refused = map[option]*refusal{}
-	f.listAt, f.planAt, f.retryAt, f.returnAt = never, never, never, never
+	f.thrift = 1
+	for _, o := range l.n.cfg.Cluster.Objectives {
+		if o.Kind == "wait" || o.Kind == "guarantee" {
+			// Aims on starting are met only by machines that are up already;
+			// aims on finishing leave time to queue.
+			f.thrift = 0
+		}
+	}
+	if t := l.n.set.Thrift; t != nil {
+		f.thrift = *t
+	}
+	f.listAt, f.planAt, f.retryAt, f.returnAt, f.loggedAt = never, never, never, never, never
 }
 
 func (f *fleet) lag() time.Duration { return config.Seconds(f.l.n.cfg.Cluster.Cloud.ListLagS) }
@@ -235,27 +249,32 @@
 	}
 }
 
+// fetchTime is how long the job's image takes to fetch on the machines held.
 func (l *leadership) fetchTime(j *job) time.Duration {
-	rate := 0.0
-	for _, t := range l.n.catalog {
-		rate = max(rate, t.PullGBPerS)
+	rate, cores := 0.0, 0.0
+	for _, m := range l.machines {
+		if m.kind != nil {
+			rate += m.kind.PullGBPerS * m.kind.Cores
+			cores += m.kind.Cores
+		}
 	}
 	if rate <= 0 {
 		return 0
 	}
-	return config.Seconds(j.spec.ImageGB / rate)
+	return config.Seconds(j.spec.ImageGB * cores / rate)
 }
 
 // demand is how many cores should be at work so that the jobs are in time:
 // whatever is due by some moment must fit in the time until then. Jobs that are
 // late already ask for little, as no speed helps them.
-func (f *fleet) demand() float64 {
+func (f *fleet) demand(held float64) float64 {
 	l, n := f.l, f.l.n
 	type load struct {
 		due, each time.Duration
 		work      float64
 	}
 	var loads []load
+	boot := l.bootTime().Seconds()
 	for _, j := range l.jobs {
 		if j.gone {
 			continue
@@ -278,11 +297,33 @@
 	need, sum := 0.0, 0.0
 	for _, x := range loads {
 		sum += x.work
-		need = max(need, sum/x.due.Seconds())
+		span := x.due.Seconds()
+		need = max(need, min(held, sum/(span*fluid)))
+		if short := sum - held*span*fluid; short > 0 && span > 1.25*boot {
+			need = max(need, held+short/((span-boot)*fluid))
+		}
 	}
 	return need
 }
 
+// fluid is how much of a machine's time can be filled, as tasks are not a fluid.
+// fluid is how much of a machine's time the plan counts on, as tasks are no fluid.
+const fluid = 0.6
+
+// levelSpan is over how many worker leases the usual load is taken.
+const levelSpan = 3
+
+// bootTime is how long a machine rented now usually takes to come up.
+func (l *leadership) bootTime() time.Duration {
+	boot := 0.0
+	for _, t := range l.n.catalog {
+		if boot == 0 || t.ReadyS < boot {
+			boot = t.ReadyS
+		}
+	}
+	return config.Seconds(boot)
+}
+
 // lateSpan is within how many times its run time a late job's work should start.
 const lateSpan = 4
 
@@ -304,11 +345,7 @@
 // while. A new leader begins with what its predecessor held.
 func (f *fleet) usual() float64 {
 	f.decay()
-	if f.inherited {
-		return f.work / f.span()
-	}
-	age := max((f.l.n.now - f.l.since).Seconds(), f.span()/4)
-	return f.work / f.span() / (1 - math.Exp(-age/f.span()))
+	return f.work / f.span()
 }
 
 // inherit takes the cores found at a takeover for the usual load.
@@ -319,22 +356,16 @@
 			held += m.kind.Cores
 		}
 	}
-	f.workAt = f.l.n.now
-	if f.inherited = held > 0; f.inherited {
-		f.work = held / (1 + f.l.n.set.Headroom) * f.span()
-		return
-	}
-	for _, j := range f.l.jobs {
-		f.arrived(j)
-	}
+	f.workAt, f.accountedAt = f.l.n.now, f.l.n.now
+	f.work = held / (1 + f.l.n.set.Headroom) * f.span()
 }
 
 // plan compares the cores held with those needed, rents what is missing and
 // lets go of what has been too much for a while.
 func (f *fleet) plan() {
 	l, n := f.l, f.l.n
+	f.account()
 	usual := f.usual()
-	f.target = max(f.demand(), usual*(1+n.set.Headroom))
 	held := 0.0
 	var kept []*machine
 	var leaving []*machine
@@ -354,10 +385,21 @@
 			held += k.Cores * float64(r.Count)
 		}
 	}
+	demand := f.demand(held)
+	f.target = max(demand, usual*(1+n.set.Headroom))
+	cheapest := math.Inf(1)
+	for _, k := range n.catalog {
+		cheapest = min(cheapest, k.SpotRate/k.Cores, k.Rate/k.Cores)
+	}
+	// worth is how many cores should be held before one of such a price is: the
+	// dearer it is, the less is held for work that has not come yet.
+	worth := func(perCore float64) float64 {
+		return max(demand, usual*(1+n.set.Headroom)*math.Pow(cheapest/perCore, f.thrift))
+	}
 	// What is still emptying is taken back before anything is rented.
 	slices.SortStableFunc(leaving, func(a, b *machine) int { return cmp.Compare(a.perCore(), b.perCore()) })
 	for _, m := range leaving {
-		if held+m.kind.Cores/2 > f.target {
+		if held+m.kind.Cores/2 > worth(m.perCore()) {
 			continue
 		}
 		m.emptying, m.why, l.dirty = false, "", true
@@ -367,7 +409,7 @@
 	var fresh []option
 	for len(fresh) < maxFresh && held < f.target {
 		opt, k := f.choose(nil, f.target-held, fresh)
-		if k == nil {
+		if k == nil || held >= worth(k.Price(opt.spot)/k.Cores) {
 			break
 		}
 		fresh = append(fresh, opt)
@@ -385,7 +427,53 @@
 	if len(fresh) > 0 {
 		f.rent(fresh)
 	}
-	f.shrink(kept, held)
+	if n.now > f.loggedAt+n.lease()/4 {
+		f.loggedAt = n.now
+		used, up, pending := 0.0, 0.0, 0.0
+		for _, m := range l.machines {
+			used += m.cores
+			if m.up && m.kind != nil {
+				up += m.kind.Cores
+			}
+		}
+		for _, j := range l.jobs {
+			pending += float64(j.pending) * j.spec.Cores
+		}
+		n.log.Debug("fleet", "held", held, "up", up, "used", used, "pending", pending,
+			"demand", demand, "usual", usual, "target", f.target, "spent", f.spent)
+	}
+	f.shrink(kept, held, worth)
+}
+
+// spending is where the money of this term has gone, as an operator would ask.
+type spending struct{ booting, idle, fetching, working float64 }
+
+// account adds what the machines have cost since the last plan, by use of cores.
+func (f *fleet) account() {
+	now := f.l.n.now
+	hours := (now - f.accountedAt).Hours()
+	f.accountedAt = now
+	for _, m := range f.l.machines {
+		if m.kind == nil {
+			continue
+		}
+		cost := m.kind.Price(m.spot) * hours
+		if !m.up {
+			f.spent.booting += cost
+			continue
+		}
+		fetching, working := 0.0, 0.0
+		for _, r := range m.runs {
+			if r.phase == phaseRunning || r.phase == phaseSaving {
+				working += r.job.spec.Cores
+			} else {
+				fetching += r.job.spec.Cores
+			}
+		}
+		f.spent.fetching += cost * fetching / m.kind.Cores
+		f.spent.working += cost * working / m.kind.Cores
+		f.spent.idle += cost * max(0, 1-(fetching+working)/m.kind.Cores)
+	}
 }
 
 // maxFresh bounds the machines that one plan rents.
@@ -396,13 +484,13 @@
 
 // shrink empties machines that have been too many for a while, the dear ones
 // first and among those the emptiest.
-func (f *fleet) shrink(kept []*machine, held float64) {
+func (f *fleet) shrink(kept []*machine, held float64, worth func(float64) float64) {
 	l, n := f.l, f.l.n
 	slices.SortStableFunc(kept, func(a, b *machine) int {
 		return cmp.Or(cmp.Compare(b.perCore(), a.perCore()), cmp.Compare(len(a.runs), len(b.runs)))
 	})
 	for _, m := range kept {
-		if held-m.kind.Cores < f.target || !m.up {
+		if held-m.kind.Cores < worth(m.perCore()) || !m.up {
 			m.spareSince = n.now
 			continue
 		}
@@ -440,9 +528,6 @@
 	return slices.ContainsFunc(fresh, fits)
 }
 
-// levelSpan is over how many worker leases the usual load is taken.
-const levelSpan = 8
-
 func fitsOption(j *protocol.Job, o option, k *protocol.MachineType) bool {
 	return fitsType(j, k) && (j.Zone == "" || j.Zone == o.zone) && (j.Spot || !o.spot)
 }
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -131,6 +131,7 @@
 	j.tasks[r.index] = taskActive
 	j.runs[r.index] = r
 	m.runs[r.key()] = r
+	m.touch(j.spec.Image, j.spec.ImageGB) // held, or fetched once for all
 	m.cores += j.spec.Cores
 	m.ram += j.spec.RAM
 	m.accelerators += j.spec.Accelerators
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -94,17 +94,7 @@
 		if j.gone || j.pending == 0 {
 			continue
 		}
-		r := ranked{j: j, rank: j.spec.Rank()}
-		latest := l.due(j) - l.expected(j)
-		if r.rank > 1 {
-			// Standard and low work goes by the latest start that is in time;
-			// what is late already passes behind what can still be in time.
-			r.rank = 2
-			if latest < l.n.now {
-				r.rank = 3
-			}
-		}
-		r.at = latest
+		r := ranked{j: j, rank: l.rank(j), at: l.due(j) - l.expected(j)}
 		list = append(list, r)
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
@@ -117,6 +107,19 @@
 	return jobs
 }
 
+// rank orders jobs: the pressing ones by priority, and then all others alike.
+// What is late already passes behind what can still be in time.
+func (l *leadership) rank(j *job) int {
+	rank := j.spec.Rank()
+	if rank <= 1 {
+		return rank
+	}
+	if l.due(j)-l.expected(j) < l.n.now {
+		return 3
+	}
+	return 2
+}
+
 // schedule starts what may start: for each job, in order, the scheduler slots,
 // the team's quota and the overall quota are checked, and then the task goes to
 // the least loaded machine.
@@ -142,14 +145,28 @@
 			machines = append(machines, m)
 		}
 	}
-	for _, j := range waiting {
-		j.waits = l.admit(j, machines, &s, complete, unknown, unknownAcc)
+	// Within a rank, tasks first go where their image is: a fetch keeps cores
+	// busy with nothing, and may take as long as a task.
+	for len(waiting) > 0 {
+		rank := l.rank(waiting[0])
+		same := 1
+		for same < len(waiting) && l.rank(waiting[same]) == rank {
+			same++
+		}
+		for _, fetch := range []bool{false, true} {
+			for _, j := range waiting[:same] {
+				if j.pending > 0 {
+					j.waits = l.admit(j, machines, &s, complete, unknown, unknownAcc, fetch)
+				}
+			}
+		}
+		waiting = waiting[same:]
 	}
 }
 
 // admit starts as many tasks of a job as the checks let through, and tells
 // which check stopped it.
-func (l *leadership) admit(j *job, machines []*machine, s *slots, complete bool, unknown, unknownAcc float64) string {
+func (l *leadership) admit(j *job, machines []*machine, s *slots, complete bool, unknown, unknownAcc float64, fetch bool) string {
 	n := l.n
 	// A job accepted after our leader key was written can't have been started
 	// by an earlier leader; any other may be running where we don't see it.
@@ -206,7 +223,7 @@
 		if t != nil {
 			avoid = t.avoid
 		}
-		m := l.leastLoaded(j, machines, avoid)
+		m := l.leastLoaded(j, machines, avoid, fetch)
 		if m == nil {
 			if avoid != "" {
 				stopped = waitRoom
@@ -227,7 +244,7 @@
 // leastLoaded chooses the machine for a task: the least loaded in steps, then
 // one that has the image, then the least loaded exactly. A single machine that
 // has room is not refused for being the one on which the task failed.
-func (l *leadership) leastLoaded(j *job, machines []*machine, avoid string) *machine {
+func (l *leadership) leastLoaded(j *job, machines []*machine, avoid string, fetch bool) *machine {
 	zone, full := "", map[string]int(nil)
 	if j.spec.SameZone {
 		for _, r := range j.runs {
@@ -242,11 +259,11 @@
 		}
 	}
 	var best *machine
-	var bestStep, bestImage int
-	var bestLoad float64
+	var bestStep int
+	var bestImage, bestLoad float64
 	steps := float64(l.n.set.LoadSteps)
 	for _, m := range machines {
-		if !m.ready() || !m.room(&j.spec) || !allowed(&j.spec, m) || m.name == avoid {
+		if !m.ready() || !m.room(&j.spec) || !allowed(&j.spec, m) || m.name == avoid || (!fetch && !m.hasImage(j.spec.Image)) {
 			continue
 		}
 		if zone != "" && m.zone != zone {
@@ -256,9 +273,9 @@
 			continue
 		}
 		load := max(m.cores/m.kind.Cores, m.ram/m.kind.RAM)
-		step, image := int(load*steps), 1
-		if m.hasImage(j.spec.Image) {
-			image = 0
+		step, image := int(load*steps), 0.0
+		if !m.hasImage(j.spec.Image) {
+			image = j.spec.ImageGB / m.kind.PullGBPerS
 		}
 		if best == nil || cmp.Or(cmp.Compare(step, bestStep), cmp.Compare(image, bestImage), cmp.Compare(load, bestLoad)) < 0 {
 			best, bestStep, bestImage, bestLoad = m, step, image, load
