--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,105 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const platform = `node = "n0"
+client_listen = "127.0.0.1:1"
+peer_bind = "127.0.0.1:2"
+later = 1
+
+[[known]]
+node = "n1"
+peer_addr = "127.0.0.1:3"
+
+[outside]
+cloud = "127.0.0.1:4"
+state = "127.0.0.1:5"
+
+[cluster]
+count = 2
+
+[[cluster.teams]]
+name = "t"
+cpus_max = 4.0
+
+[cluster.workers]
+report_s = 1.5
+lease_s = 14.0
+cancel_s = 34.0
+
+[cluster.state]
+rps = 200.0
+write_rps = 25.0
+value_kb = 8.0
+txn_ops = 20
+
+[cluster.cloud]
+rps = 1.5
+list_lag_s = 12.0
+
+[cluster.resources]
+core_share = 0.12
+mem_mb = 98.0
+max_connections = 900
+`
+
+func write(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// A bad file ends with one line that names the field.
+func TestLoad(t *testing.T) {
+	p, err := Load(write(t, platform))
+	if err != nil || p.Cluster.Workers.LeaseS != 14 || p.Known[0].Node != "n1" {
+		t.Fatalf("%+v, %v", p, err)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{`node = "n0"`, ``, "node: missing"},
+		{`lease_s = 14.0`, ``, "cluster.workers.lease_s"},
+		{`lease_s = 14.0`, `lease_s = 1.0`, "cluster.workers.lease_s"},
+		{`lease_s = 14.0`, `lease_s = "x"`, "lease_s"},
+		{`count = 2`, `count = 3`, "cluster.count"},
+		{`"127.0.0.1:4"`, `"nowhere"`, "outside.cloud"},
+		{`cpus_max = 4.0`, `cpus_max = -4.0`, "cluster.teams[0]"},
+		{`mem_mb = 98.0`, `mem_mb = 0.0`, "mem_mb"},
+		{`[cluster]`, `[cluster`, "line"},
+	} {
+		_, err := Load(write(t, strings.Replace(platform, c.old, c.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q for %q: %v", c.new, c.old, err)
+		}
+	}
+	if _, err := Load(filepath.Join(t.TempDir(), "none")); err == nil {
+		t.Error("a missing file was read")
+	}
+}
+
+func TestSettings(t *testing.T) {
+	s, err := LoadSettings(write(t, "slots_per_core: 3\nthrift: 0.5\n"))
+	if err != nil || s.SlotsPerCore != 3 || s.SlotsBase != 6 || *s.Thrift != 0.5 {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	if _, err := LoadSettings(write(t, "")); err != nil {
+		t.Errorf("an empty file: %v", err)
+	}
+	for text, want := range map[string]string{
+		"slot_per_core: 3":    "slot_per_core",
+		"class_share: 1.5":    "class_share",
+		"thrift: -1":          "thrift",
+		"slots_base: [1":      "",
+		"borrow_wait_s: many": "",
+	} {
+		if _, err := LoadSettings(write(t, text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -1,11 +1,9 @@
 package config
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
-	"io"
 	"os"
+	"strings"
 
 	"github.com/goccy/go-yaml"
 )
@@ -54,9 +52,15 @@
 	if err != nil {
 		return s, fmt.Errorf("settings: %w", err)
 	}
-	dec := yaml.NewDecoder(bytes.NewReader(raw), yaml.Strict())
-	if err := dec.Decode(&s); err != nil && !errors.Is(err, io.EOF) {
-		return s, fmt.Errorf("settings: %s: %s", path, yaml.FormatError(err, false, false))
+	// A file without any key leaves the defaults; the decoder would clear them.
+	var keys map[string]any
+	if err := yaml.Unmarshal(raw, &keys); err != nil {
+		return s, fmt.Errorf("settings: %s: %s", path, oneLine(err))
+	}
+	if len(keys) > 0 {
+		if err := yaml.UnmarshalWithOptions(raw, &s, yaml.Strict()); err != nil {
+			return s, fmt.Errorf("settings: %s: %s", path, oneLine(err))
+		}
 	}
 	if err := s.check(); err != nil {
 		return s, fmt.Errorf("settings: %s: %w", path, err)
@@ -64,6 +68,12 @@
 	return s, nil
 }
 
+// oneLine is the library's message without the excerpt of the file.
+func oneLine(err error) string {
+	first, _, _ := strings.Cut(yaml.FormatError(err, false, false), "\n")
+	return first
+}
+
 func (s *Settings) check() error {
 	if s.Thrift != nil && !(*s.Thrift >= 0 && *s.Thrift <= 10) {
 		return fmt.Errorf("thrift: must be within 0..10, is %v", *s.Thrift)
--- /dev/null
+++ b/internal/coordination/election_test.go
@@ -0,0 +1,204 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+func TestOneLeaderAndQuickTakeover(t *testing.T) {
+	w := newWorld(t, 3)
+	first := w.waitLeader()
+	term := first.lead.term
+	w.crash(first.name)
+	start := w.now
+	second := w.waitLeader()
+	if second.lead.term <= term {
+		t.Fatalf("term %d after %d", second.lead.term, term)
+	}
+	if took := w.now - start; took > 2*first.termSpan() {
+		t.Fatalf("takeover took %v", took)
+	}
+	// Back in the middle of things, the old leader follows.
+	w.restart(first.name)
+	w.run(10 * time.Second)
+	if w.leader() != second.name {
+		t.Fatalf("%s leads", w.leader())
+	}
+}
+
+// A leader that the state service alone refuses must stop by its own clock
+// before another may begin, and must be replaced although its peers hear it.
+func TestLeaderRefusedByStateIsReplaced(t *testing.T) {
+	w := newWorld(t, 3)
+	first := w.waitLeader()
+	w.state.refuse[first.name] = true
+	if !w.until(15*time.Second, func() bool { l := w.leader(); return l != "" && l != first.name }) {
+		t.Fatal("the refused leader was not replaced")
+	}
+}
+
+// Outages last longer than the leader's lease and than the workers': promises
+// of the peers keep the leader, and with it the tasks, alive.
+func TestStateOutageKeepsLeaderAndTasks(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(string, int) time.Duration { return 60 * time.Second }
+	first := w.waitLeader()
+	w.submit(first.name, spec("j-1", 3))
+	if !w.until(30*time.Second, func() bool { return w.onMachines("j-1") == 3 }) {
+		t.Fatal("tasks did not start")
+	}
+	term := first.lead.term
+	w.state.setDown(true)
+	for range 25 {
+		w.run(time.Second)
+		if w.leader() != first.name {
+			t.Fatalf("at %v %q leads", w.now, w.leader())
+		}
+	}
+	if r := w.submit(w.followers()[0], spec("j-2", 1)); r.Status != 503 || r.RetryAfter == 0 {
+		t.Fatalf("submission in an outage: %d, come back after %d", r.Status, r.RetryAfter)
+	}
+	if code, s := w.query(w.followers()[0], "j-1"); code != 200 || s.State != protocol.Running {
+		t.Fatalf("query in an outage: %d %v", code, s)
+	}
+	w.state.setDown(false)
+	w.run(5 * time.Second)
+	if w.leader() != first.name || first.lead.term != term {
+		t.Fatal("leadership moved after the outage")
+	}
+	if w.starts["j-1/0"] != 1 {
+		t.Fatalf("a task started %d times", w.starts["j-1/0"])
+	}
+	if r := w.submit(w.followers()[0], spec("j-2", 1)); r.Status != 201 {
+		t.Fatalf("submission after the outage: %d", r.Status)
+	}
+}
+
+// A peer that has just restarted may have promised something that it no longer
+// remembers, so it neither promises nor clears anybody for one promise.
+func TestRestartedPeerWaitsOutOnePromise(t *testing.T) {
+	w := newWorld(t, 3)
+	first := w.waitLeader()
+	peer := w.followers()[0]
+	w.crash(peer)
+	w.restart(peer)
+	n := w.nodes[peer]
+	out := n.Step(step, []any{PeerMessage{From: first.name, Msg: Message{Type: msgClear, Term: 99}}})
+	for _, e := range out {
+		if s, ok := e.(Send); ok && s.Msg.Type == msgCleared {
+			t.Fatal("cleared a candidate right after a restart")
+		}
+	}
+	n.elect.stateBad = step
+	out = n.Step(2*step, []any{PeerMessage{From: first.name, Msg: Message{Type: msgBeat, Term: 99, Lead: true, Want: true}}})
+	for _, e := range out {
+		if s, ok := e.(Send); ok && s.Msg.Type == msgPromise {
+			t.Fatal("promised right after a restart")
+		}
+	}
+}
+
+// A peer that has promised clears nobody until the promise is over, and one
+// that has cleared a candidate promises nothing to an older leader.
+func TestPromiseAndClearanceExcludeEachOther(t *testing.T) {
+	w := newWorld(t, 3)
+	w.state.setDown(true)
+	w.run(10 * time.Second)
+	n := w.nodes["n0"]
+	now := w.now - n.boot
+	sent := func(typ string, msgs ...Message) bool {
+		var batch []any
+		for _, m := range msgs {
+			batch = append(batch, PeerMessage{From: "n1", Msg: m})
+		}
+		now += step
+		for _, e := range n.Step(now, batch) {
+			if s, ok := e.(Send); ok && s.Msg.Type == typ {
+				return true
+			}
+		}
+		return false
+	}
+	if !sent(msgPromise, Message{Type: msgBeat, Term: 7, Lead: true, Want: true}) {
+		t.Fatal("no promise in an outage")
+	}
+	if sent(msgCleared, Message{Type: msgClear, Term: 8}) {
+		t.Fatal("cleared a candidate under a promise")
+	}
+	now += 2 * n.termSpan()
+	if !sent(msgCleared, Message{Type: msgClear, Term: 8}) {
+		t.Fatal("did not clear after the promise")
+	}
+	if sent(msgPromise, Message{Type: msgBeat, Term: 7, Lead: true, Want: true}) {
+		t.Fatal("promised to an older leader after clearing a candidate")
+	}
+}
+
+// A leader cut off from peers and workers, but not from the state service,
+// would hold its key for ever and stop the service.
+func TestIsolatedLeaderResigns(t *testing.T) {
+	w := newWorld(t, 3)
+	first := w.waitLeader()
+	w.submit(first.name, spec("j-1", 2))
+	w.run(10 * time.Second)
+	for _, other := range w.followers() {
+		w.cut[[2]string{first.name, other}] = true
+	}
+	for _, x := range w.workers {
+		x.silent = true
+	}
+	if !w.until(15*time.Second, func() bool { l := w.leader(); return l != "" && l != first.name }) {
+		t.Fatal("the isolated leader was not replaced")
+	}
+}
+
+// A transaction of a replaced leader that arrives late must change nothing.
+func TestLateTransactionOfOldLeader(t *testing.T) {
+	w := newWorld(t, 3)
+	first := w.waitLeader()
+	w.submit(first.name, spec("j-1", 1))
+	w.state.hold = func(node string, txn storage.Txn) bool {
+		if node != first.name || len(txn.Writes) == 0 {
+			return false
+		}
+		for _, wr := range txn.Writes {
+			if wr.Set == storage.FinalKey("j-1") {
+				return true
+			}
+		}
+		return false
+	}
+	w.ask(first.name, Request{Kind: ReqCancel, ID: "j-1"}, func(Reply) {})
+	if !w.until(5*time.Second, func() bool { return len(w.state.held) > 0 }) {
+		t.Fatal("the leader wrote nothing")
+	}
+	w.crash(first.name)
+	w.waitLeader()
+	for _, f := range w.state.held {
+		f()
+	}
+	if _, over := w.state.keys[storage.FinalKey("j-1")]; over {
+		t.Fatal("a late transaction of the old leader was applied")
+	}
+	w.state.hold = nil
+	w.waitState("j-1", protocol.Done, 60*time.Second)
+}
+
+// Answers that are lost leave the outcome unclear; the transaction is sent again
+// to the letter, and a refusal is then checked against what is stored.
+func TestUnclearTransactionIsResolved(t *testing.T) {
+	w := newWorld(t, 3)
+	first := w.waitLeader()
+	w.submit(first.name, spec("j-1", 2))
+	w.state.lose = 3
+	w.waitState("j-1", protocol.Done, 60*time.Second)
+	if w.state.lose != 0 {
+		t.Fatal("no answer was lost")
+	}
+	if w.leader() != first.name {
+		t.Fatal("an unclear outcome cost the leadership")
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -111,8 +111,10 @@
 	l, now := f.l, f.l.n.now
 	silence := l.n.lease() * 6 / 10
 	up, silent := 0, 0
+	// A machine that was used before is expected to report after a takeover too.
+	expected := func(m *machine) bool { return m.up || (m.used && m.heard == never) }
 	for _, m := range l.machines {
-		if m.up {
+		if expected(m) {
 			up++
 			if now-max(m.heard, l.since) > silence {
 				silent++
@@ -122,6 +124,9 @@
 	for _, name := range l.names() {
 		m := l.machines[name]
 		switch {
+		case expected(m) && now-max(m.heard, l.since) > silence && 2*silent <= up:
+			// Returning it makes sure, sooner than its lease does.
+			l.leave(m, "silent")
 		case !m.up && m.heard == never:
 			boot := l.n.lease()
 			if m.kind != nil {
@@ -130,9 +135,6 @@
 			if now-m.rentedAt > boot && now-l.since > l.n.lease() {
 				l.leave(m, "never came up")
 			}
-		case m.up && now-max(m.heard, l.since) > silence && 2*silent <= up:
-			// Returning it makes sure, sooner than its lease does.
-			l.leave(m, "silent")
 		}
 	}
 }
@@ -490,7 +492,8 @@
 		return cmp.Or(cmp.Compare(b.perCore(), a.perCore()), cmp.Compare(len(a.runs), len(b.runs)))
 	})
 	for _, m := range kept {
-		if held-m.kind.Cores < worth(m.perCore()) || !m.up {
+		// A quarter of a machine is no reason to hold a whole one.
+		if held-m.kind.Cores < worth(m.perCore())-m.kind.Cores/4 || !m.up {
 			m.spareSince = n.now
 			continue
 		}
--- /dev/null
+++ b/internal/coordination/rules_test.go
@@ -0,0 +1,573 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hitchdoor/internal/config"
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+func TestJobRunsToDone(t *testing.T) {
+	w := newWorld(t, 3)
+	w.waitLeader()
+	f := w.followers()[0]
+	if r := w.submit(f, spec("j-1", 20)); r.Status != 201 {
+		t.Fatalf("submission: %d", r.Status)
+	}
+	if r := w.submit(f, spec("j-1", 20)); r.Status != 200 {
+		t.Fatalf("repeated submission: %d", r.Status)
+	}
+	w.waitState("j-1", protocol.Done, 90*time.Second)
+	for i := range 20 {
+		if n := w.starts[fmt.Sprintf("j-1/%d", i)]; n != 1 {
+			t.Fatalf("task %d started %d times", i, n)
+		}
+	}
+	if r := w.submit(f, spec("j-1", 20)); r.Status != 200 {
+		t.Fatalf("submission of a finished job: %d", r.Status)
+	}
+	// Idle machines go back.
+	if !w.until(5*time.Minute, func() bool { return len(w.cloud.hosts) == 0 }) {
+		t.Fatalf("%d machines kept for nothing", len(w.cloud.hosts))
+	}
+}
+
+// forgotten, went_back: what was accepted or over stays so after all
+// controllers have been killed at once.
+func TestNothingForgottenAfterFullRestart(t *testing.T) {
+	w := newWorld(t, 3)
+	w.waitLeader()
+	w.submit("n0", spec("j-1", 1))
+	w.waitState("j-1", protocol.Done, 60*time.Second)
+	w.submit("n1", spec("j-2", 2))
+	if r := w.cancel("n2", "j-2"); r.Status != 200 {
+		t.Fatalf("cancel: %d", r.Status)
+	}
+	w.submit("n1", spec("j-3", 1))
+	for _, n := range w.names {
+		w.crash(n)
+	}
+	for _, n := range w.names {
+		w.restart(n)
+	}
+	for _, n := range w.names {
+		for id, want := range map[string]string{"j-1": protocol.Done, "j-2": protocol.Withdrawn, "j-3": protocol.Queued} {
+			if code, s := w.query(n, id); code != 200 || s.State != want {
+				t.Fatalf("%s on %s: %d %v", id, n, code, s.State)
+			}
+		}
+		if r := w.submit(n, spec("j-1", 1)); r.Status != 200 && r.Status != 503 {
+			t.Fatalf("repeated submission: %d", r.Status)
+		}
+	}
+	w.waitState("j-3", protocol.Done, 60*time.Second)
+}
+
+// invented, forgotten: 404 only after the state service has said so.
+func TestUnknownJobs(t *testing.T) {
+	w := newWorld(t, 3)
+	w.waitLeader()
+	for _, n := range w.names {
+		if code, _ := w.query(n, "j-404"); code != 404 {
+			t.Fatalf("unknown job on %s: %d", n, code)
+		}
+	}
+	w.state.setDown(true)
+	w.run(3 * time.Second)
+	for _, n := range w.names {
+		if code, _ := w.query(n, "j-404"); code != 503 {
+			t.Fatalf("unknown job in an outage on %s: %d", n, code)
+		}
+	}
+}
+
+// A submission whose write was executed, but whose answer was lost in a crash,
+// is known when it is repeated.
+func TestCrashBetweenWriteAndAnswer(t *testing.T) {
+	w := newWorld(t, 3)
+	first := w.waitLeader()
+	j := spec("j-1", 1)
+	w.specs["j-1"] = j
+	w.ask(first.name, Request{Kind: ReqSubmit, ID: "j-1", Job: &j, Body: storage.Encode(j)}, func(Reply) {})
+	if !w.until(time.Second, func() bool { return w.state.keys[storage.JobKey("j-1")].Version != 0 }) {
+		t.Fatal("nothing written")
+	}
+	w.crash(first.name)
+	if r := w.submit(w.followers()[0], j); r.Status != 200 {
+		t.Fatalf("repeated submission: %d", r.Status)
+	}
+	w.waitState("j-1", protocol.Done, 60*time.Second)
+}
+
+// ran_twice: a new leader finds the tasks that run and lets them run.
+func TestTakeoverKeepsRunningTasks(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(string, int) time.Duration { return 40 * time.Second }
+	first := w.waitLeader()
+	w.submit(first.name, spec("j-1", 8))
+	if !w.until(40*time.Second, func() bool { return w.onMachines("j-1") == 8 }) {
+		t.Fatal("tasks did not start")
+	}
+	w.crash(first.name)
+	w.waitLeader()
+	w.waitState("j-1", protocol.Done, 90*time.Second)
+	for i := range 8 {
+		if n := w.starts[fmt.Sprintf("j-1/%d", i)]; n != 1 {
+			t.Fatalf("task %d started %d times", i, n)
+		}
+	}
+}
+
+// ran_twice: a machine that the new leader does not hear may still run tasks. Old
+// jobs wait for its lease; a job accepted since can't be on it and need not.
+func TestTakeoverWaitsForSilentMachine(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(string, int) time.Duration { return 200 * time.Second }
+	first := w.waitLeader()
+	w.submit(first.name, spec("j-1", 4))
+	if !w.until(30*time.Second, func() bool { return w.onMachines("j-1") == 4 }) {
+		t.Fatal("tasks did not start")
+	}
+	var victim *worker
+	for _, x := range w.workers {
+		if len(x.tasks) > 0 {
+			victim = x
+		}
+	}
+	w.cloud.noReturn = true // or that would make sure sooner
+	w.crash(first.name)
+	victim.silent = true
+	w.waitLeader()
+	took := w.now
+	w.cloud.rent("c4", "a", true)
+	w.submit(w.leader(), spec("j-2", 1))
+	if !w.until(8*time.Second, func() bool { return w.onMachines("j-2") == 1 }) {
+		t.Fatal("a new job waits for a machine it can't be on")
+	}
+	if waits := w.nodes[w.leader()].lead.jobs["j-1"].waits; waits != waitUnknown {
+		t.Fatalf("the old job waits for %q", waits)
+	}
+	if !w.until(90*time.Second, func() bool { return w.starts["j-1/0"] == 2 }) {
+		t.Fatal("the lost tasks did not start again")
+	}
+	if w.now-took < config.Seconds(w.cfg.Workers.LeaseS)-w.nodes[w.leader()].termSpan() {
+		t.Fatalf("started again after %v", w.now-took)
+	}
+}
+
+// ran_twice: a session that was declared lost never gets a 200, or its tasks
+// would live on beside their second runs.
+func TestLostSessionNeverAnswered(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(string, int) time.Duration { return 300 * time.Second }
+	l := w.waitLeader()
+	w.submit(l.name, spec("j-1", 1))
+	if !w.until(30*time.Second, func() bool { return w.onMachines("j-1") == 1 }) {
+		t.Fatal("task did not start")
+	}
+	var victim *worker
+	for _, x := range w.workers {
+		if len(x.tasks) > 0 {
+			victim = x
+		}
+	}
+	late := victim.report()
+	victim.silent, w.cloud.down = true, true
+	if !w.until(30*time.Second, func() bool { return !l.lead.machines[victim.name].up }) {
+		t.Fatal("the silent machine was not declared lost")
+	}
+	late.Seq += 100
+	if r := w.request(l.name, Request{Kind: ReqReport, Report: late, Body: storage.Encode(late)}); r.Status == 200 {
+		t.Fatal("a lost session got a 200")
+	}
+}
+
+// A late report, older than one already seen, changes nothing and gets no 200.
+func TestLateReportIsIgnored(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(string, int) time.Duration { return 100 * time.Second }
+	l := w.waitLeader()
+	w.submit(l.name, spec("j-1", 1))
+	if !w.until(30*time.Second, func() bool { return w.onMachines("j-1") == 1 }) {
+		t.Fatal("task did not start")
+	}
+	w.run(5 * time.Second)
+	for _, x := range w.workers {
+		m := l.lead.machines[x.name]
+		runs := len(m.runs)
+		late := &protocol.Report{Machine: x.name, Type: x.typ, Zone: x.zone, Spot: x.spot, Session: x.session, Seq: 1, Token: l.lead.term}
+		if r := w.request(l.name, Request{Kind: ReqReport, Report: late}); r.Status == 200 {
+			t.Fatal("a late report got a 200")
+		}
+		if len(m.runs) != runs {
+			t.Fatal("a late report changed what is known of the machine")
+		}
+	}
+	w.run(10 * time.Second)
+	if w.starts["j-1/0"] != 1 {
+		t.Fatal("the task was started again")
+	}
+}
+
+// A start whose answer was dropped was not executed: the same attempt is sent
+// again, and nothing is counted twice.
+func TestDroppedAnswerIsSentAgain(t *testing.T) {
+	w := newWorld(t, 1)
+	l := w.waitLeader()
+	w.submit(l.name, spec("j-1", 1))
+	if !w.until(30*time.Second, func() bool { return len(w.workers) > 0 }) {
+		t.Fatal("no machine")
+	}
+	for _, x := range w.workers {
+		x.dropAnswers = true
+	}
+	w.run(9 * time.Second)
+	for _, x := range w.workers {
+		x.dropAnswers = false
+	}
+	w.waitState("j-1", protocol.Done, 60*time.Second)
+	if w.starts["j-1/0"] != 1 {
+		t.Fatalf("started %d times", w.starts["j-1/0"])
+	}
+}
+
+// ran_cancelled: a start is in flight when the user cancels.
+func TestCancelAgainstStartInFlight(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(string, int) time.Duration { return 300 * time.Second }
+	w.waitLeader()
+	w.submit("n0", spec("j-1", 6))
+	started := func() bool {
+		for _, m := range w.nodes[w.leader()].lead.machines {
+			for _, r := range m.runs {
+				if r.phase == phaseSent {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	if !w.until(60*time.Second, started) {
+		t.Fatal("no start in flight")
+	}
+	if r := w.cancel(w.followers()[0], "j-1"); r.Status != 200 {
+		t.Fatalf("cancel: %d", r.Status)
+	}
+	w.run(8 * time.Second)
+	if n := w.onMachines("j-1"); n != 0 {
+		t.Fatalf("%d tasks of a cancelled job are on machines", n)
+	}
+	w.waitState("j-1", protocol.Withdrawn, time.Second)
+	if r := w.cancel("n0", "j-404"); r.Status != 404 {
+		t.Fatalf("cancel of an unknown job: %d", r.Status)
+	}
+}
+
+// not_done, went_back: no user hears "withdrawn" before it is durable.
+func TestCancelWaitsForTheWrite(t *testing.T) {
+	w := newWorld(t, 3)
+	first := w.waitLeader()
+	w.submit(first.name, spec("j-1", 4))
+	w.state.setDown(true)
+	var got *Reply
+	w.ask(first.name, Request{Kind: ReqCancel, ID: "j-1"}, func(r Reply) { got = &r })
+	w.run(4 * time.Second)
+	if got != nil && got.Status == 200 {
+		t.Fatal("told withdrawn without a write")
+	}
+	w.state.setDown(false)
+	w.waitState("j-1", protocol.Withdrawn, 10*time.Second)
+}
+
+// A result is forgotten by its worker only once its bit is durable; it is the
+// only copy until then.
+func TestForgetOnlyAfterDoneIsDurable(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(key string, _ int) time.Duration {
+		if key == "j-1/0" {
+			return 2 * time.Second
+		}
+		return 60 * time.Second
+	}
+	first := w.waitLeader()
+	w.submit(first.name, spec("j-1", 2))
+	if !w.until(30*time.Second, func() bool { return w.onMachines("j-1") == 2 }) {
+		t.Fatal("tasks did not start")
+	}
+	w.state.setDown(true)
+	w.run(6 * time.Second)
+	for _, x := range w.workers {
+		if len(x.forgotten) > 0 {
+			t.Fatal("a result was forgotten before its bit was written")
+		}
+	}
+	w.crash(first.name)
+	w.state.setDown(false)
+	w.waitState("j-1", protocol.Done, 120*time.Second)
+	if w.starts["j-1/0"] != 1 {
+		t.Fatalf("a finished task was started %d times", w.starts["j-1/0"])
+	}
+}
+
+// quota: what a silent machine may still run counts until it is surely over; the
+// world's check holds the limit at each moment.
+func TestQuotaCountsUnreachableTasks(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(string, int) time.Duration { return 30 * time.Second }
+	w.waitLeader()
+	j := spec("j-1", 40)
+	j.Team = "team" // 16 cores
+	w.submit("n0", j)
+	full := func() bool { return w.onMachines("j-1") == 16 }
+	if !w.until(60*time.Second, full) {
+		t.Fatalf("%d tasks run, not 16", w.onMachines("j-1"))
+	}
+	for _, x := range w.workers {
+		if len(x.tasks) > 1 {
+			x.silent = true
+			break
+		}
+	}
+	w.crash(w.leader())
+	w.waitLeader()
+	w.waitState("j-1", protocol.Done, 6*time.Minute)
+}
+
+// wrong_place: types, zone, kind and the places of the job's other tasks.
+func TestPlacementObeysTheJob(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(string, int) time.Duration { return 20 * time.Second }
+	l := w.waitLeader()
+	zoned, plain, one, apart := spec("j-1", 3), spec("j-2", 3), spec("j-3", 6), spec("j-4", 5)
+	zoned.Zone = "b"
+	plain.Spot = false
+	one.SameZone = true
+	apart.Spread = true
+	for _, j := range []protocol.Job{zoned, plain, one, apart} {
+		w.submit(l.name, j)
+	}
+	seen := map[string]bool{}
+	for range 600 {
+		w.run(100 * time.Millisecond)
+		zones := map[string]map[string]int{}
+		for _, x := range w.workers {
+			for _, task := range x.tasks {
+				id := jobOf(task.key)
+				if task.state == protocol.TaskExited {
+					continue
+				}
+				seen[id] = true
+				if zones[id] == nil {
+					zones[id] = map[string]int{}
+				}
+				zones[id][x.zone]++
+				if (id == "j-1" && x.zone != "b") || (id == "j-2" && x.spot) {
+					t.Fatalf("%s on %s in zone %s, spot %v", task.key, x.name, x.zone, x.spot)
+				}
+			}
+		}
+		if len(zones["j-3"]) > 1 {
+			t.Fatalf("one zone: %v", zones["j-3"])
+		}
+		for _, count := range zones["j-4"] {
+			if count > 3 {
+				t.Fatalf("apart: %v", zones["j-4"])
+			}
+		}
+	}
+	if len(seen) != 4 {
+		t.Fatalf("only %v ran", seen)
+	}
+}
+
+// The checks of admission come in their order, and the job says which stopped it.
+func TestAdmissionOrder(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(string, int) time.Duration { return 100 * time.Second }
+	l := w.waitLeader()
+	j := spec("j-1", 40)
+	j.Team = "team"
+	w.submit(l.name, j)
+	if !w.until(60*time.Second, func() bool { return w.onMachines("j-1") == 16 }) {
+		t.Fatal("quota not filled")
+	}
+	l.lead.schedule()
+	job := l.lead.jobs["j-1"]
+	if job.waits != waitTeam {
+		t.Fatalf("waits for %q", job.waits)
+	}
+	l.Node.set.SlotsPerCore, l.Node.set.SlotsBase = 0.01, 0
+	l.lead.schedule()
+	if job.waits != waitSlots {
+		t.Fatalf("waits for %q, though the slots come first", job.waits)
+	}
+}
+
+// Set-aside slots are lent to batch work until pressing work has waited.
+func TestBorrowedSlotsComeBack(t *testing.T) {
+	w := newWorld(t, 1)
+	l := w.waitLeader()
+	low, urgent := spec("j-1", 10), spec("j-2", 1)
+	urgent.Priority = "urgent"
+	w.submit(l.name, low)
+	w.submit(l.name, urgent)
+	x := l.lead
+	if s := x.countSlots(x.waitingJobs()); s.quickWaits {
+		t.Fatal("lending ended at once")
+	}
+	x.jobs["j-2"].waiting = x.n.now - config.Seconds(x.n.set.BorrowWaitS) - time.Second
+	if s := x.countSlots(x.waitingJobs()); !s.quickWaits {
+		t.Fatal("lending goes on though pressing work has waited")
+	}
+	if first := x.waitingJobs()[0].spec.UID; first != "j-2" {
+		t.Fatalf("%s passes first", first)
+	}
+}
+
+// A failed task is retried at once on another machine; a machine that fails
+// everything is found and returned.
+func TestSickMachineIsReturned(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(string, int) time.Duration { return 3 * time.Second }
+	l := w.waitLeader()
+	w.submit(l.name, spec("j-1", 16))
+	if !w.until(30*time.Second, func() bool { return w.onMachines("j-1") >= 8 }) {
+		t.Fatal("tasks did not start")
+	}
+	var sick *worker
+	for _, x := range w.workers {
+		if len(x.tasks) > 0 {
+			sick = x
+		}
+	}
+	sick.faulty = true
+	w.submit(l.name, spec("j-2", 16))
+	if !w.until(60*time.Second, func() bool { return w.cloud.hosts[sick.name] == nil }) {
+		t.Fatal("the sick machine was kept")
+	}
+	w.waitState("j-1", protocol.Done, 60*time.Second)
+	w.waitState("j-2", protocol.Done, 60*time.Second)
+}
+
+// A job that fails on every machine is the job's own mistake: no machine is
+// condemned for it, and other work goes on.
+func TestBadJobCondemnsNoMachine(t *testing.T) {
+	w := newWorld(t, 1)
+	l := w.waitLeader()
+	w.submit(l.name, spec("j-1", 12))
+	if !w.until(30*time.Second, func() bool { return w.onMachines("j-1") >= 4 }) {
+		t.Fatal("tasks did not start")
+	}
+	bad := spec("j-9", 6)
+	w.submit(l.name, bad)
+	spoil := func() bool {
+		for _, x := range w.workers {
+			for _, task := range x.tasks {
+				if jobOf(task.key) == "j-9" && task.state == protocol.TaskRunning {
+					task.state, task.why, x.changed = protocol.TaskExited, protocol.WhyError, true
+				}
+			}
+		}
+		return false
+	}
+	w.until(40*time.Second, spoil)
+	if !l.lead.jobs["j-9"].bad {
+		t.Fatal("the job was not found bad")
+	}
+	for _, m := range l.lead.machines {
+		if m.sick {
+			t.Fatalf("%s was condemned for a bad job", m.name)
+		}
+	}
+	w.waitState("j-1", protocol.Done, 60*time.Second)
+	if r := w.cancel(l.name, "j-9"); r.Status != 200 {
+		t.Fatalf("cancel: %d", r.Status)
+	}
+}
+
+// A spot notice drains the machine: tasks that save are stopped with time to
+// save, and the machine gets nothing more.
+func TestSpotNoticeDrains(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(string, int) time.Duration { return 100 * time.Second }
+	l := w.waitLeader()
+	j := spec("j-1", 4)
+	j.EstimateS, j.CheckpointS, j.SaveS = 100, 10, 3
+	w.submit(l.name, j)
+	if !w.until(40*time.Second, func() bool { return w.onMachines("j-1") == 4 }) {
+		t.Fatal("tasks did not start")
+	}
+	var taken *worker
+	for _, x := range w.workers {
+		if len(x.tasks) > 0 {
+			taken = x
+		}
+	}
+	left := 20.0
+	taken.notice, taken.changed = &left, true
+	if !w.until(10*time.Second, func() bool { return len(taken.grace) > 0 }) {
+		t.Fatal("nothing was stopped")
+	}
+	for _, g := range taken.grace {
+		if g < j.SaveS {
+			t.Fatalf("stopped with %v s to save", g)
+		}
+	}
+	if !w.until(20*time.Second, func() bool { return w.cloud.hosts[taken.name] == nil }) {
+		t.Fatal("the drained machine was not returned")
+	}
+	if !w.until(40*time.Second, func() bool { return w.onMachines("j-1") == 4 }) {
+		t.Fatal("the tasks did not go on elsewhere")
+	}
+}
+
+// The cloud may be down or have no cheap machines: demand is remembered, other
+// kinds are tried, and no request name is used twice.
+func TestCloudTroubles(t *testing.T) {
+	w := newWorld(t, 1)
+	l := w.waitLeader()
+	w.cloud.down = true
+	w.submit(l.name, spec("j-1", 4))
+	w.run(20 * time.Second)
+	w.cloud.down, w.cloud.noSpot = false, true
+	w.waitState("j-1", protocol.Done, 90*time.Second)
+	if len(w.cloud.hosts) > 4 {
+		t.Fatalf("%d machines rented in a burst", len(w.cloud.hosts))
+	}
+}
+
+// Machines that nobody asked for, after a late rental request, are returned.
+func TestUnknownMachineIsUsedOrReturned(t *testing.T) {
+	w := newWorld(t, 3)
+	w.waitLeader()
+	x := w.cloud.rent("c4", "a", false)
+	if !w.until(3*time.Minute, func() bool { return w.cloud.hosts[x.name] == nil }) {
+		t.Fatal("an unknown machine was kept")
+	}
+}
+
+// A worker that can't reach the leader comes back after its 421, and is then
+// relayed, so that its lease holds.
+func TestFollowerRelaysForCutWorkers(t *testing.T) {
+	w := newWorld(t, 3)
+	l := w.waitLeader()
+	f := w.followers()[0]
+	rep := &protocol.Report{Machine: "m-9", Type: "c4", Zone: "a", Session: 1, Seq: 1}
+	ask := func() Reply {
+		rep.Seq++
+		return w.request(f, Request{Kind: ReqReport, Report: rep, Body: storage.Encode(rep)})
+	}
+	if r := ask(); r.Status != 421 {
+		t.Fatalf("first report: %d", r.Status)
+	}
+	w.run(time.Second)
+	if r := ask(); r.Status != 200 {
+		t.Fatalf("report of a worker that came back: %d", r.Status)
+	}
+	if l.lead.machines["m-9"] == nil {
+		t.Fatal("the leader did not get the report")
+	}
+}
--- /dev/null
+++ b/internal/coordination/world_test.go
@@ -0,0 +1,767 @@
+package coordination
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/url"
+	"os"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/config"
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+// The world of the tests: a fake clock, nodes that are stepped by hand, and
+// stand-ins for the state service, the cloud and the workers, written from the
+// protocol. Every test also checks the rules that hold at each moment: one node
+// with authority, no task on two machines, no team over its limit.
+
+const step = 5 * time.Millisecond
+
+type world struct {
+	t       *testing.T
+	now     Instant
+	cfg     config.Cluster
+	nodes   map[string]*simNode
+	names   []string
+	state   *fakeState
+	cloud   *fakeCloud
+	workers map[string]*worker
+	specs   map[string]protocol.Job
+	events  []event
+	cut     map[[2]string]bool // between nodes
+	runTime func(task string, attempt int) time.Duration
+	starts  map[string]int // by task
+}
+
+type event struct {
+	at Instant
+	f  func()
+}
+
+type simNode struct {
+	*Node
+	name   string
+	boot   Instant
+	epoch  int
+	inbox  []any
+	asks   map[uint64]func(Reply)
+	ticket uint64
+	down   bool
+}
+
+func newWorld(t *testing.T, nodes int) *world {
+	w := &world{t: t, nodes: map[string]*simNode{}, workers: map[string]*worker{}, specs: map[string]protocol.Job{},
+		cut: map[[2]string]bool{}, starts: map[string]int{},
+		runTime: func(string, int) time.Duration { return 5 * time.Second }}
+	c := &w.cfg
+	c.Count = nodes
+	c.Zones = []string{"a", "b"}
+	c.Workers.ReportS, c.Workers.LeaseS, c.Workers.CancelS = 1.5, 14, 34
+	c.State.RPS, c.State.WriteRPS, c.State.ValueKB, c.State.TxnOps = 200, 100, 8, 20
+	c.Cloud.RPS, c.Cloud.ListLagS = 4, 10
+	c.Resources.CoreShare, c.Resources.MemMB, c.Resources.MaxConnections = 0.1, 100, 1000
+	c.Teams = []config.Team{{Name: "team", CPUsMax: 16}, {Name: "free"}}
+	w.state = &fakeState{w: w, keys: map[string]storage.Item{}, leases: map[uint64]*fakeLease{}, refuse: map[string]bool{}}
+	w.cloud = &fakeCloud{w: w, requests: map[string][]string{}, hosts: map[string]*worker{}}
+	for i := range nodes {
+		w.names = append(w.names, fmt.Sprintf("n%d", i))
+	}
+	for _, name := range w.names {
+		w.start(name)
+	}
+	return w
+}
+
+func testLog() *slog.Logger {
+	out := io.Discard
+	if os.Getenv("LOG_LEVEL") == "debug" {
+		out = os.Stderr
+	}
+	return slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
+}
+
+func (w *world) start(name string) {
+	p := &config.Platform{Node: name, Cluster: w.cfg}
+	for _, other := range w.names {
+		if other != name {
+			p.Known = append(p.Known, config.Peer{Node: other})
+		}
+	}
+	epoch := 1
+	if old := w.nodes[name]; old != nil {
+		epoch = old.epoch + 1
+	}
+	w.nodes[name] = &simNode{
+		Node: New(Options{Platform: p, Settings: config.Defaults(), Log: testLog().With("node", name),
+			Rand: rand.New(rand.NewPCG(uint64(len(name)), uint64(name[1]))), Wall: time.Unix(1_000_000, 0).Add(w.now)}),
+		name: name, boot: w.now, epoch: epoch, asks: map[uint64]func(Reply){},
+	}
+}
+
+func (w *world) crash(name string) { w.nodes[name].down = true; w.nodes[name].epoch++ }
+
+func (w *world) restart(name string) { w.start(name) }
+
+func (w *world) after(d time.Duration, f func()) { w.events = append(w.events, event{w.now + d, f}) }
+
+// run lets the world go on for a while.
+func (w *world) run(d time.Duration) { w.until(d, func() bool { return false }) }
+
+// until lets the world go on until something holds, and tells whether it came to hold.
+func (w *world) until(d time.Duration, cond func() bool) bool {
+	w.t.Helper()
+	for end := w.now + d; w.now < end; {
+		if cond() {
+			return true
+		}
+		w.now += step
+		w.state.expire()
+		due := slices.Clone(w.events)
+		w.events = nil
+		for _, e := range due {
+			if e.at <= w.now {
+				e.f()
+			} else {
+				w.events = append(w.events, e)
+			}
+		}
+		for _, name := range w.names {
+			w.stepNode(w.nodes[name])
+		}
+		names := make([]string, 0, len(w.workers))
+		for name := range w.workers {
+			names = append(names, name)
+		}
+		sort.Strings(names)
+		for _, name := range names {
+			w.workers[name].tick()
+		}
+		w.check()
+	}
+	return cond()
+}
+
+func (w *world) stepNode(n *simNode) {
+	if n.down {
+		return
+	}
+	batch := n.inbox
+	n.inbox = nil
+	epoch := n.epoch
+	for _, e := range n.Step(w.now-n.boot, batch) {
+		switch e := e.(type) {
+		case Reply:
+			if f := n.asks[e.Ticket]; f != nil {
+				delete(n.asks, e.Ticket)
+				w.after(step, func() { f(e) })
+			}
+		case Send:
+			to := e.To
+			if !w.cut[[2]string{n.name, to}] && !w.cut[[2]string{to, n.name}] {
+				w.after(step, func() {
+					if peer := w.nodes[to]; !peer.down {
+						peer.inbox = append(peer.inbox, PeerMessage{From: n.name, Msg: e.Msg})
+					}
+				})
+			}
+		case Call:
+			back := func(status int, body any) {
+				if w.nodes[n.name] == n && n.epoch == epoch {
+					r := Result{ID: e.ID, Status: status}
+					if body != nil {
+						r.Body = storage.Encode(body)
+					}
+					n.inbox = append(n.inbox, r)
+				}
+			}
+			w.after(step, func() {
+				if e.Target == State {
+					w.state.serve(n.name, e, back)
+				} else {
+					w.cloud.serve(e, back)
+				}
+			})
+		}
+	}
+}
+
+// ask sends a request to a node; a node that is down gives status 0.
+func (w *world) ask(name string, r Request, f func(Reply)) {
+	n := w.nodes[name]
+	if n.down {
+		w.after(step, func() { f(Reply{}) })
+		return
+	}
+	n.ticket++
+	r.Origin = Origin{Ticket: n.ticket}
+	n.asks[n.ticket] = f
+	n.inbox = append(n.inbox, r)
+}
+
+// request asks a node and waits for the answer, 5 s at most.
+func (w *world) request(name string, r Request) Reply {
+	w.t.Helper()
+	var got *Reply
+	w.ask(name, r, func(x Reply) { got = &x })
+	if !w.until(5*time.Second, func() bool { return got != nil }) {
+		w.t.Fatalf("%s: no answer to a %s", name, r.Kind)
+	}
+	return *got
+}
+
+func (w *world) submit(node string, j protocol.Job) Reply {
+	w.t.Helper()
+	w.specs[j.UID] = j
+	return w.request(node, Request{Kind: ReqSubmit, ID: j.UID, Job: &j, Body: storage.Encode(j)})
+}
+
+func (w *world) query(node, id string) (int, protocol.JobState) {
+	w.t.Helper()
+	r := w.request(node, Request{Kind: ReqQuery, ID: id})
+	var s protocol.JobState
+	if r.Status == 200 {
+		if err := json.Unmarshal(r.Body, &s); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+	return r.Status, s
+}
+
+func (w *world) cancel(node, id string) Reply {
+	w.t.Helper()
+	return w.request(node, Request{Kind: ReqCancel, ID: id})
+}
+
+func (w *world) leader() string {
+	for _, name := range w.names {
+		if n := w.nodes[name]; !n.down && n.authority() {
+			return name
+		}
+	}
+	return ""
+}
+
+// lead waits until some node leads and has read the records.
+func (w *world) waitLeader() *simNode {
+	w.t.Helper()
+	if !w.until(30*time.Second, func() bool { l := w.leader(); return l != "" && w.nodes[l].lead.loaded }) {
+		w.t.Fatal("nobody leads")
+	}
+	return w.nodes[w.leader()]
+}
+
+func (w *world) followers() []string {
+	return slices.DeleteFunc(slices.Clone(w.names), func(s string) bool { return s == w.leader() || w.nodes[s].down })
+}
+
+// waitState waits until a job has a state.
+func (w *world) waitState(id, state string, d time.Duration) {
+	w.t.Helper()
+	end := w.now + d
+	var last protocol.JobState
+	for w.now < end {
+		if l := w.leader(); l != "" {
+			var code int
+			if code, last = w.query(l, id); code == 200 && last.State == state {
+				return
+			}
+		}
+		w.run(200 * time.Millisecond)
+	}
+	w.t.Fatalf("job %s is %q, not %q, after %v", id, last.State, state, d)
+}
+
+// onMachines counts a job's tasks that are on machines.
+func (w *world) onMachines(id string) int {
+	count := 0
+	for _, x := range w.workers {
+		for _, t := range x.tasks {
+			if strings.HasPrefix(t.key, id+"/") && t.state != protocol.TaskExited {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// check looks for a rule that is broken at this moment.
+func (w *world) check() {
+	w.t.Helper()
+	leaders := 0
+	for _, n := range w.nodes {
+		if !n.down && n.authority() {
+			leaders++
+		}
+	}
+	if leaders > 1 {
+		w.t.Fatalf("at %v: %d nodes have authority", w.now, leaders)
+	}
+	where := map[string]string{}
+	used := map[string]float64{}
+	for _, x := range w.workers {
+		for _, t := range x.tasks {
+			if t.state == protocol.TaskExited {
+				continue
+			}
+			if other, twice := where[t.key]; twice {
+				w.t.Fatalf("at %v: ran_twice: %s is on %s and %s", w.now, t.key, other, x.name)
+			}
+			where[t.key] = x.name
+			j := w.specs[jobOf(t.key)]
+			used[j.Team] += j.Cores
+		}
+	}
+	for _, team := range w.cfg.Teams {
+		if team.CPUsMax > 0 && used[team.Name] > team.CPUsMax {
+			w.t.Fatalf("at %v: quota: %s uses %v", w.now, team.Name, used[team.Name])
+		}
+	}
+}
+
+func jobOf(key string) string { id, _, _ := strings.Cut(key, "/"); return id }
+
+// fakeState is the state service.
+type fakeState struct {
+	w        *world
+	keys     map[string]storage.Item
+	rev      uint64
+	log      []storage.Event
+	leases   map[uint64]*fakeLease
+	last     uint64
+	down     bool
+	refuse   map[string]bool
+	lose     int                                   // answers of executed transactions to swallow
+	hold     func(node string, t storage.Txn) bool // transactions to keep back
+	held     []func()
+	watchers []func() bool
+}
+
+type fakeLease struct{ ttl, left time.Duration }
+
+func (s *fakeState) expire() {
+	if s.down {
+		return
+	}
+	for id, l := range s.leases {
+		if l.left -= step; l.left <= 0 {
+			s.end(id)
+		}
+	}
+}
+
+func (s *fakeState) end(id uint64) {
+	delete(s.leases, id)
+	for k, it := range s.keys {
+		if it.Lease == id {
+			s.rev++
+			s.drop(k)
+		}
+	}
+}
+
+func (s *fakeState) drop(key string) {
+	delete(s.keys, key)
+	s.log = append(s.log, storage.Event{Drop: key, Version: s.rev})
+	s.wake()
+}
+
+func (s *fakeState) wake() {
+	s.watchers = slices.DeleteFunc(s.watchers, func(f func() bool) bool { return f() })
+}
+
+func (s *fakeState) setDown(down bool) {
+	s.down = down
+	for _, l := range s.leases {
+		l.left = l.ttl
+	}
+	if !down {
+		s.wake()
+	}
+}
+
+func (s *fakeState) serve(node string, c Call, back func(int, any)) {
+	if s.down || s.refuse[node] {
+		if !strings.HasPrefix(c.Path, "/follow") {
+			s.w.after(step, func() { back(503, nil) })
+		}
+		return
+	}
+	u, err := url.Parse(c.Path)
+	if err != nil {
+		s.w.t.Fatal(err)
+	}
+	q := u.Query()
+	switch {
+	case c.Method == "GET" && strings.HasPrefix(u.Path, "/store/"):
+		if it, ok := s.keys[strings.TrimPrefix(u.Path, "/store/")]; ok {
+			back(200, it)
+		} else {
+			back(404, storage.TxnResult{Revision: s.rev})
+		}
+	case c.Method == "GET" && u.Path == "/store":
+		page := storage.Page{Revision: s.rev}
+		var keys []string
+		for k := range s.keys {
+			if strings.HasPrefix(k, q.Get("under")) && k > q.Get("since") {
+				keys = append(keys, k)
+			}
+		}
+		sort.Strings(keys)
+		limit, _ := strconv.Atoi(q.Get("limit"))
+		for i, k := range keys {
+			if i == limit {
+				page.Truncated = true
+				break
+			}
+			page.Items = append(page.Items, s.keys[k])
+		}
+		back(200, page)
+	case u.Path == "/multi":
+		var t storage.Txn
+		if err := json.Unmarshal(c.Body, &t); err != nil {
+			s.w.t.Fatal(err)
+		}
+		if s.hold != nil && s.hold(node, t) {
+			s.held = append(s.held, func() { s.multi(t) })
+			return // no answer: it may be executed later
+		}
+		status, res := s.multi(t)
+		if status == 200 && s.lose > 0 {
+			s.lose--
+			s.w.after(time.Second, func() { back(0, nil) })
+			return
+		}
+		back(status, res)
+	case u.Path == "/holds":
+		var h storage.Hold
+		json.Unmarshal(c.Body, &h)
+		s.last++
+		ttl := time.Duration(h.TTLMS) * time.Millisecond
+		s.leases[s.last] = &fakeLease{ttl, ttl}
+		back(200, storage.Hold{Lease: s.last})
+	case strings.HasPrefix(u.Path, "/holds/"):
+		num, touch := strings.CutSuffix(strings.TrimPrefix(u.Path, "/holds/"), "/touch")
+		id, _ := strconv.ParseUint(num, 10, 64)
+		l := s.leases[id]
+		switch {
+		case l == nil:
+			back(404, nil)
+		case touch:
+			l.left = l.ttl
+			back(200, storage.Hold{Lease: id})
+		default:
+			s.end(id)
+			back(200, nil)
+		}
+	case u.Path == "/follow":
+		since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
+		wait, _ := strconv.Atoi(q.Get("waitMs"))
+		end := s.w.now + time.Duration(wait)*time.Millisecond
+		look := func() bool {
+			if s.down {
+				return false
+			}
+			ev := storage.Events{Revision: s.rev}
+			for _, e := range s.log {
+				if e.Version > since && strings.HasPrefix(e.Set+e.Drop, q.Get("under")) {
+					ev.Log = append(ev.Log, e)
+				}
+			}
+			if len(ev.Log) == 0 && s.w.now < end {
+				return false
+			}
+			back(200, ev)
+			return true
+		}
+		if !look() {
+			s.watchers = append(s.watchers, look)
+			s.w.after(end-s.w.now, s.wake)
+		}
+	default:
+		s.w.t.Fatalf("state service: %s %s", c.Method, c.Path)
+	}
+}
+
+func (s *fakeState) multi(t storage.Txn) (int, any) {
+	var failed []string
+	for _, c := range t.If {
+		if s.keys[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		return 409, storage.TxnResult{Failed: failed, Revision: s.rev}
+	}
+	if len(t.Writes) > s.w.cfg.State.TxnOps {
+		s.w.t.Fatalf("transaction of %d writes", len(t.Writes))
+	}
+	s.rev++
+	for _, wr := range t.Writes {
+		if wr.Set == "" {
+			s.drop(wr.Drop)
+			continue
+		}
+		if len(wr.Value) > int(s.w.cfg.State.ValueKB*1024) {
+			s.w.t.Fatalf("value of %d bytes at %s", len(wr.Value), wr.Set)
+		}
+		s.keys[wr.Set] = storage.Item{Key: wr.Set, Value: wr.Value, Version: s.rev, Lease: wr.Lease}
+		s.log = append(s.log, storage.Event{Set: wr.Set, Value: wr.Value, Version: s.rev})
+	}
+	s.wake()
+	return 200, storage.TxnResult{Revision: s.rev}
+}
+
+// fakeCloud is the cloud.
+type fakeCloud struct {
+	w        *world
+	requests map[string][]string
+	hosts    map[string]*worker
+	last     int
+	down     bool
+	noSpot   bool
+	noReturn bool
+	boot     time.Duration
+	types    []protocol.MachineType
+}
+
+func (c *fakeCloud) serve(call Call, back func(int, any)) {
+	if c.down {
+		back(503, map[string]string{"error": "trouble"})
+		return
+	}
+	switch {
+	case call.Path == "/catalog":
+		types := c.types
+		if types == nil {
+			types = []protocol.MachineType{{Name: "c4", Cores: 4, RAM: 16, CacheGB: 40, PullGBPerS: 1, Rate: 0.3, SpotRate: 0.1, ReadyS: 5, Zones: []string{"a", "b"}}}
+		}
+		back(200, protocol.Catalog{Types: types})
+	case call.Path == "/hosts":
+		var r protocol.Rental
+		if err := json.Unmarshal(call.Body, &r); err != nil {
+			c.w.t.Fatal(err)
+		}
+		if _, stored := c.w.state.keys[storage.RentPrefix+r.Request]; !stored {
+			c.w.t.Fatalf("rental %s is not stored", r.Request)
+		}
+		if c.noSpot && r.Spot {
+			back(503, map[string]string{"error": "no capacity"})
+			return
+		}
+		names, again := c.requests[r.Request]
+		if !again {
+			for range r.Count {
+				names = append(names, c.rent(r.Type, r.Zone, r.Spot).name)
+			}
+			c.requests[r.Request] = names
+		}
+		back(200, protocol.MachineNames{Machines: names})
+	case call.Path == "/hosts/return" && c.noReturn:
+		back(503, map[string]string{"error": "trouble"})
+	case call.Path == "/hosts/return":
+		var m protocol.MachineNames
+		json.Unmarshal(call.Body, &m)
+		for _, name := range m.Machines {
+			delete(c.w.workers, name)
+			delete(c.hosts, name)
+		}
+		back(200, nil)
+	case strings.HasPrefix(call.Path, "/hosts?"):
+		var list protocol.HostList
+		for _, x := range c.hosts {
+			list.Machines = append(list.Machines, protocol.Host{UID: x.name, Type: x.typ, Zone: x.zone, Spot: x.spot, State: "running"})
+		}
+		sort.Slice(list.Machines, func(i, j int) bool { return list.Machines[i].UID < list.Machines[j].UID })
+		back(200, list)
+	default:
+		c.w.t.Fatalf("cloud: %s", call.Path)
+	}
+}
+
+func (c *fakeCloud) rent(typ, zone string, spot bool) *worker {
+	c.last++
+	x := &worker{w: c.w, name: fmt.Sprintf("m-%06d", c.last), typ: typ, zone: zone, spot: spot, session: 1,
+		node: c.w.names[c.last%len(c.w.names)]}
+	c.hosts[x.name] = x
+	boot := c.boot
+	if boot == 0 {
+		boot = 2 * time.Second
+	}
+	c.w.after(boot, func() {
+		if c.hosts[x.name] == x {
+			x.renewed, x.next = c.w.now, c.w.now
+			c.w.workers[x.name] = x
+		}
+	})
+	return x
+}
+
+// worker is a machine's worker.
+type worker struct {
+	w                *world
+	name, typ, zone  string
+	spot             bool
+	session, seq     uint64
+	token            uint64
+	node             string
+	tasks            []*simTask
+	renewed          Instant // when the last answered report was sent
+	next             Instant
+	busy             bool
+	changed          bool
+	notice           *float64
+	silent           bool // no report leaves, no answer arrives
+	hanging          bool
+	faulty           bool
+	dropAnswers      bool
+	grace            []float64 // of the stops it was given
+	forgotten        []string
+	answers, refused int
+}
+
+type simTask struct {
+	key     string
+	attempt uint64
+	state   string
+	why     string
+	saved   bool
+	end     Instant
+}
+
+func (x *worker) report() *protocol.Report {
+	x.seq++
+	r := &protocol.Report{Machine: x.name, Type: x.typ, Zone: x.zone, Spot: x.spot, Session: x.session, Seq: x.seq,
+		Token: x.token, NoticeS: x.notice}
+	for _, t := range x.tasks {
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: t.key, Attempt: t.attempt, State: t.state, Why: t.why, Saved: t.saved})
+	}
+	return r
+}
+
+func (x *worker) tick() {
+	w := x.w
+	lease := config.Seconds(w.cfg.Workers.LeaseS)
+	if x.hanging {
+		return
+	}
+	if w.now-x.renewed > lease {
+		x.session++
+		x.tasks, x.renewed, x.changed = nil, w.now, true
+	}
+	for _, t := range x.tasks {
+		if t.state == protocol.TaskRunning && w.now >= t.end {
+			t.state, t.why, x.changed = protocol.TaskExited, protocol.WhyDone, true
+			if x.faulty {
+				t.why = protocol.WhyError
+			}
+		}
+	}
+	if x.silent || x.busy || (w.now < x.next && !(x.changed && w.now > x.next-time.Second)) {
+		return
+	}
+	x.send(x.report())
+}
+
+// send sends a report to the worker's node and deals with the answer.
+func (x *worker) send(rep *protocol.Report) {
+	w := x.w
+	x.busy, x.changed = true, false
+	sent, session := w.now, x.session
+	x.next = w.now + config.Seconds(w.cfg.Workers.ReportS)
+	done := false
+	finish := func(r Reply) {
+		if done {
+			return
+		}
+		done, x.busy = true, false
+		x.answer(r, sent, session)
+	}
+	w.after(4*time.Second, func() { finish(Reply{}) })
+	w.ask(x.node, Request{Kind: ReqReport, Report: rep, Body: storage.Encode(rep)}, func(r Reply) {
+		if !x.silent && !x.dropAnswers {
+			finish(r)
+		}
+	})
+}
+
+func (x *worker) answer(r Reply, sent Instant, session uint64) {
+	w := x.w
+	other := func() {
+		i := slices.Index(w.names, x.node)
+		x.node = w.names[(i+1)%len(w.names)]
+		x.next = w.now + time.Second
+	}
+	switch r.Status {
+	case 200:
+		x.answers++
+		var a protocol.ReportAnswer
+		if err := json.Unmarshal(r.Body, &a); err != nil {
+			w.t.Fatal(err)
+		}
+		if a.Token < x.token || session != x.session {
+			return
+		}
+		if a.Token > x.token {
+			x.token, x.changed = a.Token, true
+		}
+		x.renewed = sent
+		for _, c := range a.Commands {
+			x.execute(c)
+		}
+	case 421:
+		var to protocol.Redirect
+		json.Unmarshal(r.Body, &to)
+		if to.ReportTo == "" || to.ReportTo == x.node {
+			other()
+			return
+		}
+		x.node, x.next = to.ReportTo, w.now
+	default:
+		x.refused++
+		other()
+	}
+}
+
+func (x *worker) execute(c protocol.Command) {
+	i := slices.IndexFunc(x.tasks, func(t *simTask) bool { return t.key == c.Task && t.attempt == c.Attempt })
+	x.changed = true
+	switch c.Op {
+	case protocol.OpStart:
+		if i >= 0 {
+			return
+		}
+		x.w.starts[c.Task]++
+		x.tasks = append(x.tasks, &simTask{key: c.Task, attempt: c.Attempt, state: protocol.TaskRunning,
+			end: x.w.now + x.w.runTime(c.Task, x.w.starts[c.Task])})
+	case protocol.OpStop:
+		if i >= 0 && x.tasks[i].state != protocol.TaskExited {
+			x.grace = append(x.grace, *c.GraceS)
+			t := x.tasks[i]
+			t.state, t.why = protocol.TaskExited, protocol.WhyHalted
+			j := x.w.specs[jobOf(c.Task)]
+			t.saved = j.CheckpointS > 0 && *c.GraceS >= j.SaveS
+		}
+	case protocol.OpForget:
+		if i >= 0 {
+			x.forgotten = append(x.forgotten, c.Task)
+			x.tasks = slices.Delete(x.tasks, i, i+1)
+		}
+	}
+}
+
+// spec is a job of so many one-core tasks.
+func spec(id string, tasks int) protocol.Job {
+	return protocol.Job{UID: id, Class: "c", Team: "free", Kind: "batch", Priority: "standard", Tasks: tasks,
+		Cores: 1, RAM: 1, Image: "i", Spot: true, EstimateS: 5}
+}
--- /dev/null
+++ b/internal/protocol/protocol_test.go
@@ -0,0 +1,50 @@
+package protocol
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `{"uid":"j-000412","lote":"train","dono":"vision","feitio":"batch","vez":"urgent","pecas":16,
+ "cores":8.0,"accelerators":1.0,"ramGb":64.0,"molde":"img-07","pullGb":6.2,
+ "portes":["g8"],"praca":null,"samePlace":true,"apart":false,"avulsas":true,
+ "previstoS":240.0,"marcoS":30.0,"guardaS":4.0,"prazoS":900.0,"later":{"x":1}}`
+
+func TestParseJob(t *testing.T) {
+	j, err := ParseJob([]byte(good))
+	if err != nil || j.UID != "j-000412" || *j.DeadlineS != 900 || !j.Spot || j.Rank() != 1 {
+		t.Fatalf("%+v, %v", j, err)
+	}
+	change := func(old, new string) string {
+		if !strings.Contains(good, old) {
+			t.Fatalf("%q is not in the example", old)
+		}
+		return strings.Replace(good, old, new, 1)
+	}
+	for name, body := range map[string]string{
+		"not JSON":         "{",
+		"not an object":    "[1]",
+		"null":             "null",
+		"missing field":    change(`"pecas":16,`, ""),
+		"missing cores":    change(`"cores":8.0,`, ""),
+		"null field":       change(`"dono":"vision"`, `"dono":null`),
+		"wrong type":       change(`"pecas":16`, `"pecas":"16"`),
+		"fraction":         change(`"pecas":16`, `"pecas":1.5`),
+		"no tasks":         change(`"pecas":16`, `"pecas":0`),
+		"too many tasks":   change(`"pecas":16`, `"pecas":100001`),
+		"unknown kind":     change(`"batch"`, `"other"`),
+		"unknown priority": change(`"urgent"`, `"high"`),
+		"bad id":           change(`"j-000412"`, `"412"`),
+		"id with a slash":  change(`"j-000412"`, `"j-1/2"`),
+		"negative":         change(`"cores":8.0`, `"cores":-1`),
+		"negative wait":    change(`"prazoS":900.0`, `"prazoS":-1`),
+		"too large":        change(`"x":1`, `"x":"`+strings.Repeat("a", MaxBody)+`"`),
+	} {
+		if _, err := ParseJob([]byte(body)); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	if _, err := ParseJob([]byte(change(`"praca":null,`, ""))); err != nil {
+		t.Errorf("a field that may be null is omitted: %v", err)
+	}
+}
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -103,7 +103,9 @@
 		return queue
 	}
 	w.urgent = take(w.urgent)
-	w.lazy = take(w.lazy)
+	if len(w.urgent) == 0 {
+		w.lazy = take(w.lazy)
+	}
 	if len(w.writes) == 0 {
 		return nil
 	}
