--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -39,13 +39,15 @@
 	s := &Server{ask: ask, opt: opt}
 	s.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
-		BodyLimit:             2 * protocol.MaxBody,
-		Concurrency:           opt.Connections,
-		IdleTimeout:           opt.Idle,
-		ReadTimeout:           opt.Idle,
-		ReadBufferSize:        4 << 10,
-		WriteBufferSize:       4 << 10,
-		DisableDefaultDate:    true,
+		// Room above the limit, so that a body somewhat too large is read and
+		// answered rather than reset.
+		BodyLimit:          8 * protocol.MaxBody,
+		Concurrency:        opt.Connections,
+		IdleTimeout:        opt.Idle,
+		ReadTimeout:        opt.Idle,
+		ReadBufferSize:     4 << 10,
+		WriteBufferSize:    4 << 10,
+		DisableDefaultDate: true,
 		ErrorHandler: func(c *fiber.Ctx, err error) error {
 			code := fiber.StatusInternalServerError
 			if e, ok := err.(*fiber.Error); ok {
