--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -282,18 +282,15 @@
 			continue
 		}
 		each := l.expected(j) + l.fetchTime(j)
-		work := float64(j.pending) * each.Seconds()
+		work := l.workLeft(j)
 		if j.bad {
-			work = min(work, each.Seconds())
-		}
-		for _, r := range j.runs {
-			work += l.remaining(r).Seconds()
+			work = min(work, each.Seconds()*j.spec.Cores)
 		}
 		span := l.due(j) - n.now
 		if span < each {
 			span = lateSpan * each
 		}
-		loads = append(loads, load{due: span, each: each, work: work * j.spec.Cores})
+		loads = append(loads, load{due: span, each: each, work: work})
 	}
 	slices.SortFunc(loads, func(a, b load) int { return cmp.Or(cmp.Compare(a.due, b.due), cmp.Compare(a.work, b.work)) })
 	need, sum := 0.0, 0.0
@@ -417,7 +414,8 @@
 		fresh = append(fresh, opt)
 		held += k.Cores
 	}
-	for _, j := range l.waitingJobs() {
+	for _, r := range l.waitingJobs() {
+		j := r.j
 		if j.bad || len(fresh) >= maxFresh || f.served(j, kept, fresh) {
 			continue
 		}
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -422,7 +422,7 @@
 	if s := x.countSlots(x.waitingJobs()); !s.quickWaits {
 		t.Fatal("lending goes on though pressing work has waited")
 	}
-	if first := x.waitingJobs()[0].spec.UID; first != "j-2" {
+	if first := x.waitingJobs()[0].j.spec.UID; first != "j-2" {
 		t.Fatalf("%s passes first", first)
 	}
 }
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -59,7 +59,7 @@
 
 func pressing(j *protocol.Job) bool { return j.Rank() <= 1 }
 
-func (l *leadership) countSlots(waiting []*job) slots {
+func (l *leadership) countSlots(waiting []ranked) slots {
 	var s slots
 	set := &l.n.set
 	for _, m := range l.machines {
@@ -74,52 +74,114 @@
 			s.batch += len(j.runs)
 		}
 	}
-	for _, j := range waiting {
-		if pressing(&j.spec) && l.n.now-j.waiting > config.Seconds(set.BorrowWaitS) {
+	for _, r := range waiting {
+		if pressing(&r.j.spec) && l.n.now-r.j.waiting > config.Seconds(set.BorrowWaitS) {
 			s.quickWaits = true
 		}
 	}
 	return s
 }
 
-// waitingJobs lists the open jobs that have tasks to start, most pressing first.
-func (l *leadership) waitingJobs() []*job {
-	type ranked struct {
-		j    *job
-		rank int
-		at   Instant
-	}
-	var list []ranked
+// ranked is a job with what orders it.
+type ranked struct {
+	j    *job
+	rank int
+	at   Instant // latest start in time
+	due  Instant
+	work float64 // core seconds left
+}
+
+// Ranks: the pressing jobs by priority, then those that can be in time, and
+// last those that can't.
+const (
+	rankInTime = 2
+	rankLate   = 3
+)
+
+// waitingJobs lists the open jobs that have tasks to start, in the order in
+// which they are served.
+func (l *leadership) waitingJobs() []ranked {
+	now := l.n.now
+	var all []*ranked
 	for _, j := range l.jobs {
-		if j.gone || j.pending == 0 {
+		if j.gone {
 			continue
 		}
-		r := ranked{j: j, rank: l.rank(j), at: l.due(j) - l.expected(j)}
-		list = append(list, r)
+		each := l.expected(j)
+		r := &ranked{j: j, rank: min(j.spec.Rank(), rankInTime), due: l.due(j), work: l.workLeft(j)}
+		r.at = r.due - each
+		if r.rank == rankInTime && j.pending > 0 && r.at < now {
+			r.rank = rankLate
+		}
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *ranked) int {
+		return cmp.Or(cmp.Compare(a.due, b.due), cmp.Compare(a.j.spec.UID, b.j.spec.UID))
+	})
+	l.sacrifice(all)
+	var list []ranked
+	for _, r := range all {
+		if r.j.pending > 0 {
+			list = append(list, *r)
+		}
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.at, b.at), cmp.Compare(a.j.spec.UID, b.j.spec.UID))
 	})
-	jobs := make([]*job, len(list))
-	for i := range list {
-		jobs[i] = list[i].j
+	return list
+}
+
+// workLeft is the core seconds that a job still needs.
+func (l *leadership) workLeft(j *job) float64 {
+	work := float64(j.pending) * (l.expected(j) + l.fetchTime(j)).Seconds()
+	for _, r := range j.runs {
+		work += l.remaining(r).Seconds()
 	}
-	return jobs
+	return work * j.spec.Cores
 }
 
-// rank orders jobs: the pressing ones by priority, and then all others alike.
-// What is late already passes behind what can still be in time.
-func (l *leadership) rank(j *job) int {
-	rank := j.spec.Rank()
-	if rank <= 1 {
-		return rank
+// sacrifice finds the jobs that can't all be in time on the machines there are.
+// Aims count jobs, whatever their size, so the largest give way: of jobs in
+// order of their due times, the largest is set aside whenever the next would be
+// late. (Moore's rule for the fewest late jobs.)
+func (l *leadership) sacrifice(all []*ranked) {
+	cores := 0.0
+	for _, m := range l.machines {
+		if m.kind != nil && m.up && !m.emptying {
+			cores += m.kind.Cores
+		}
 	}
-	if l.due(j)-l.expected(j) < l.n.now {
-		return 3
+	if cores == 0 {
+		return
+	}
+	sum := 0.0
+	var kept []*ranked
+	for _, r := range all {
+		if r.rank == rankLate {
+			continue
+		}
+		sum += r.work
+		kept = append(kept, r)
+		for sum/(cores*packing) > (r.due - l.n.now).Seconds() {
+			worst := -1
+			for i, k := range kept {
+				if k.rank == rankInTime && k.j.pending > 0 && (worst < 0 || k.work > kept[worst].work) {
+					worst = i
+				}
+			}
+			if worst < 0 {
+				break
+			}
+			sum -= kept[worst].work
+			kept[worst].rank = rankLate
+			kept = slices.Delete(kept, worst, worst+1)
+		}
 	}
-	return 2
 }
 
+// packing is how much of the machines' time tasks fill when there is enough work.
+const packing = 0.9
+
 // schedule starts what may start: for each job, in order, the scheduler slots,
 // the team's quota and the overall quota are checked, and then the task goes to
 // the least loaded machine.
@@ -148,14 +210,13 @@
 	// Within a rank, tasks first go where their image is: a fetch keeps cores
 	// busy with nothing, and may take as long as a task.
 	for len(waiting) > 0 {
-		rank := l.rank(waiting[0])
 		same := 1
-		for same < len(waiting) && l.rank(waiting[same]) == rank {
+		for same < len(waiting) && waiting[same].rank == waiting[0].rank {
 			same++
 		}
 		for _, fetch := range []bool{false, true} {
-			for _, j := range waiting[:same] {
-				if j.pending > 0 {
+			for _, r := range waiting[:same] {
+				if j := r.j; j.pending > 0 {
 					j.waits = l.admit(j, machines, &s, complete, unknown, unknownAcc, fetch)
 				}
 			}
