--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -38,10 +38,11 @@
 	bad       bool
 	notBefore Instant // of a bad job
 
-	cancel  []Origin // who waits for the cancellation
-	gone    bool     // cancelled or done: nothing starts any more
-	waits   string   // which check stopped it last
-	waiting Instant  // since when it has had pending tasks
+	cancel                []Origin // who waits for the cancellation
+	gone                  bool     // cancelled or done: nothing starts any more
+	waits                 string   // which check stopped it last
+	waiting               Instant  // since when it has had pending tasks
+	firstStart, lastStart Instant  // of its tasks, for the log
 }
 
 // trouble is the history of a task that failed.
@@ -144,7 +145,7 @@
 
 // class is what finished tasks have shown of a class of jobs.
 type class struct {
-	bias  float64 // log of real over estimated run time
+	bias  float64 // mean log of real over estimated run time
 	count float64
 }
 
@@ -289,7 +290,8 @@
 			return []storage.Write{storage.Drop(storage.JobKey(id)), storage.Set(storage.FinalKey(id), final)}
 		},
 		Done: func() {
-			l.n.log.Debug("job over", "job", id, "state", state)
+			l.n.log.Debug("job over", "job", id, "state", state, "class", j.spec.Class, "tasks", j.spec.Tasks,
+				"after", l.n.now-j.at, "firstStart", j.firstStart-j.at, "lastStart", j.lastStart-j.at, "expected", l.expected(j))
 			l.n.finals.put(id, final)
 			l.over[id] = true
 			delete(l.jobs, id)
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -401,6 +401,10 @@
 	case protocol.TaskRunning:
 		if r.phase != phaseRunning {
 			r.phase, r.started = phaseRunning, l.n.now
+			r.job.lastStart = l.n.now
+			if r.job.firstStart == 0 {
+				r.job.firstStart = l.n.now
+			}
 			m.touch(r.job.spec.Image, r.job.spec.ImageGB)
 		}
 	case protocol.TaskSaving:
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -107,10 +107,10 @@
 		if j.gone {
 			continue
 		}
-		each := l.expected(j)
+
 		r := &ranked{j: j, rank: min(j.spec.Rank(), rankInTime), due: l.due(j), work: l.workLeft(j)}
-		r.at = r.due - each
-		if r.rank == rankInTime && j.pending > 0 && r.at < now {
+		r.at = r.due - l.expected(j)
+		if r.rank == rankInTime && j.pending > 0 && r.due-l.expected(j) < now {
 			r.rank = rankLate
 		}
 		all = append(all, r)
