--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -551,7 +551,11 @@
 				if j != nil && !fitsOption(j, opt, k) {
 					continue
 				}
-				if cost := k.Price(spot) / min(k.Cores, max(cores, 1)); cost < bestCost {
+				// Until it is up and has its first image, a machine costs money
+				// for nothing, and the work waits.
+				idle := k.ReadyS + f.usualImage()/k.PullGBPerS
+				cost := k.Price(spot) * (1 + idle/f.span()) / min(k.Cores, max(cores, 1))
+				if cost < bestCost {
 					best, bestKind, bestCost = opt, k, cost
 				}
 			}
@@ -560,6 +564,15 @@
 	return best, bestKind
 }
 
+// usualImage is the mean size of the open jobs' images, in GB.
+func (f *fleet) usualImage() float64 {
+	sum := 0.0
+	for _, j := range f.l.jobs {
+		sum += j.spec.ImageGB
+	}
+	return sum / max(1, float64(len(f.l.jobs)))
+}
+
 func sortedTypes(c map[string]*protocol.MachineType) []string {
 	names := make([]string, 0, len(c))
 	for name := range c {
