Empty surplus machines at once, take them back when needed, and stop churn

Cause: machines that were no longer needed went on sharing the work, so none emptied; and a last machine was rented and returned in turn, as renting and letting go disagreed by a quarter of a machine (found by a test). The demand now counts on whole machines, and the usual load spans two worker leases.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -37,7 +37,7 @@
 func Defaults() Settings {
 	return Settings{
 		SlotsPerCore: 2, SlotsBase: 6, ClassShare: 0.5, BorrowWaitS: 30,
-		Headroom: 0.4, IdleKeep: 0.5, LoadSteps: 1, MemoryRatio: 0.6,
+		Headroom: 0.4, IdleKeep: 0.2, LoadSteps: 1, MemoryRatio: 0.6,
 	}
 }
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -64,7 +64,7 @@
 func (f *fleet) init(l *leadership) {
 	f.l = l
 	f.refused = map[option]*refusal{}
-	f.thrift = 1
+	f.thrift = 2
 	for _, o := range l.n.cfg.Cluster.Objectives {
 		if o.Kind == "wait" || o.Kind == "guarantee" {
 			// Aims on starting are met only by machines that are up already;
@@ -149,6 +149,9 @@
 	var names []string
 	for _, name := range l.names() {
 		m := l.machines[name]
+		if m.why == surplus && n.now-m.spareSince < config.Seconds(n.set.IdleKeep*m.kind.ReadyS) {
+			continue // work may come back before it would have booted again
+		}
 		if m.emptying && !m.returning && len(names) < 100 && (m.forced() || (len(m.runs) == 0 && m.results == 0 && m.strays == 0)) {
 			names = append(names, name)
 		}
@@ -305,12 +308,12 @@
 	return need
 }
 
-// fluid is how much of a machine's time can be filled, as tasks are not a fluid.
-// fluid is how much of a machine's time the plan counts on, as tasks are no fluid.
-const fluid = 0.6
+// fluid is how much of a machine's time the plan counts on.
+// fluid is how much of a machine's time the plan counts on.
+const fluid = 1.0
 
 // levelSpan is over how many worker leases the usual load is taken.
-const levelSpan = 3
+const levelSpan = 2
 
 // bootTime is how long a machine rented now usually takes to come up.
 func (l *leadership) bootTime() time.Duration {
@@ -401,14 +404,14 @@
 		if held+m.kind.Cores/2 > worth(m.perCore()) {
 			continue
 		}
-		m.emptying, m.why, l.dirty = false, "", true
+		l.keep(m)
 		held += m.kind.Cores
 		kept = append(kept, m)
 	}
 	var fresh []option
 	for len(fresh) < maxFresh && held < f.target {
 		opt, k := f.choose(nil, f.target-held, fresh)
-		if k == nil || held >= worth(k.Price(opt.spot)/k.Cores) {
+		if k == nil || worth(k.Price(opt.spot)/k.Cores)-held <= k.Cores/4 { // as in shrink
 			break
 		}
 		fresh = append(fresh, opt)
@@ -476,6 +479,11 @@
 	}
 }
 
+// keep takes a surplus machine back.
+func (l *leadership) keep(m *machine) {
+	m.emptying, m.why, m.spareSince, l.dirty = false, "", l.n.now, true
+}
+
 // maxFresh bounds the machines that one plan rents.
 const maxFresh = 50
 
@@ -496,9 +504,6 @@
 			continue
 		}
 		held -= m.kind.Cores
-		if n.now-m.spareSince < config.Seconds(n.set.IdleKeep*m.kind.ReadyS) {
-			continue
-		}
 		l.leave(m, surplus)
 	}
 }
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -107,6 +107,7 @@
 	w := newWorld(t, 3)
 	w.runTime = func(string, int) time.Duration { return 40 * time.Second }
 	first := w.waitLeader()
+	w.machines(2)
 	w.submit(first.name, spec("j-1", 8))
 	if !w.until(40*time.Second, func() bool { return w.onMachines("j-1") == 8 }) {
 		t.Fatal("tasks did not start")
@@ -433,6 +434,7 @@
 	w := newWorld(t, 1)
 	w.runTime = func(string, int) time.Duration { return 3 * time.Second }
 	l := w.waitLeader()
+	w.machines(3)
 	w.submit(l.name, spec("j-1", 16))
 	if !w.until(30*time.Second, func() bool { return w.onMachines("j-1") >= 8 }) {
 		t.Fatal("tasks did not start")
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -37,7 +37,7 @@
 
 // ready tells whether a machine takes tasks.
 func (m *machine) ready() bool {
-	return m.up && m.accounted && m.used && !m.emptying && !m.returning && m.kind != nil
+	return m.up && m.accounted && m.used && (!m.emptying || m.why == surplus) && !m.returning && m.kind != nil
 }
 
 const slack = 1e-6 // of sums of decimal amounts
@@ -292,6 +292,9 @@
 			}
 			return waitRoom
 		}
+		if m.emptying {
+			l.keep(m)
+		}
 		l.place(&run{job: j, index: index, attempt: l.nextAttempt(), m: m, phase: phaseAssigned, since: n.now})
 		if pressing(&j.spec) {
 			s.quick++
@@ -322,6 +325,7 @@
 	var best *machine
 	var bestStep int
 	var bestImage, bestLoad float64
+	var bestSpare int
 	steps := float64(l.n.set.LoadSteps)
 	for _, m := range machines {
 		if !m.ready() || !m.room(&j.spec) || !allowed(&j.spec, m) || m.name == avoid || (!fetch && !m.hasImage(j.spec.Image)) {
@@ -338,8 +342,12 @@
 		if !m.hasImage(j.spec.Image) {
 			image = j.spec.ImageGB / m.kind.PullGBPerS
 		}
-		if best == nil || cmp.Or(cmp.Compare(step, bestStep), cmp.Compare(image, bestImage), cmp.Compare(load, bestLoad)) < 0 {
-			best, bestStep, bestImage, bestLoad = m, step, image, load
+		spare := 0 // surplus machines are to empty, unless no other has room
+		if m.emptying {
+			spare = 1
+		}
+		if best == nil || cmp.Or(cmp.Compare(spare, bestSpare), cmp.Compare(step, bestStep), cmp.Compare(image, bestImage), cmp.Compare(load, bestLoad)) < 0 {
+			best, bestSpare, bestStep, bestImage, bestLoad = m, spare, step, image, load
 		}
 	}
 	return best
