Empty machines that run tasks far slower than their siblings elsewhere

Cause: a machine at a quarter of its speed kept its tasks to the end. Against estimates alone healthy machines were condemned, as an estimate is wrong for all tasks of a job alike.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -123,6 +123,7 @@
 	}
 	for _, name := range l.names() {
 		m := l.machines[name]
+		l.checkPace(m)
 		switch {
 		case expected(m) && now-max(m.heard, l.since) > silence && 2*silent <= up:
 			// Returning it makes sure, sooner than its lease does.
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -38,6 +38,8 @@
 	bad       bool
 	notBefore Instant // of a bad job
 
+	tookSum, tookCount float64 // logarithms of its finished tasks' run times
+
 	cancel                []Origin // who waits for the cancellation
 	gone                  bool     // cancelled or done: nothing starts any more
 	waits                 string   // which check stopped it last
@@ -136,11 +138,11 @@
 // expected is how long one of the job's tasks should run: the owner's estimate,
 // corrected by what finished tasks of the class have shown.
 func (l *leadership) expected(j *job) time.Duration {
-	est := j.spec.EstimateS
+	bias := 0.0
 	if c := l.classes[j.spec.Class]; c != nil {
-		est *= math.Exp(c.bias)
+		bias = c.bias
 	}
-	return config.Seconds(max(est, 1))
+	return config.Seconds(max(j.spec.EstimateS*math.Exp(bias), 1))
 }
 
 // class is what finished tasks have shown of a class of jobs.
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -41,9 +42,8 @@
 	returning     bool
 	returnAt      Instant
 	failedListing bool
-	why           string // why it is returned
-	slow          float64
-	samples       int
+	why           string    // why it is returned
+	pace          []float64 // of its last tasks: log of real over expected run time
 }
 
 type image struct {
@@ -448,6 +448,7 @@
 		if mine {
 			if r.phase == phaseRunning && r.started > r.since {
 				took := now - r.started
+				l.paced(m, j, took)
 				l.learn(j, took)
 			}
 			m.failures = 0
@@ -524,6 +525,89 @@
 	}
 }
 
+// Slow machines: how many of the last tasks are looked at, how many at least,
+// and how many times the expected time they must take on the mean. Run times
+// differ by a factor of two anyway.
+const (
+	paceMemory  = 4
+	paceTasks   = 2
+	paceTooSlow = 2.2
+	// paceSiblings is how many tasks of a job tell how long the others take.
+	paceSiblings = 3
+)
+
+// paced notes how fast a machine ran a task, against the job's other tasks:
+// estimates are wrong for all tasks of a job alike.
+func (l *leadership) paced(m *machine, j *job, took time.Duration) {
+	if usual, ok := j.usualTook(); ok {
+		if len(m.pace) == paceMemory {
+			m.pace = m.pace[1:]
+		}
+		m.pace = append(m.pace, math.Log(float64(took)/float64(usual)))
+	}
+	j.tookSum += math.Log(float64(took))
+	j.tookCount++
+}
+
+// usualTook is how long the job's finished tasks took, once there are some.
+func (j *job) usualTook() (time.Duration, bool) {
+	if j.tookCount < paceSiblings {
+		return 0, false
+	}
+	return time.Duration(math.Exp(j.tookSum / j.tookCount)), true
+}
+
+// checkPace empties a machine that runs its tasks far slower than their siblings
+// run elsewhere. What is on it moves if it would be done sooner from the start.
+func (l *leadership) checkPace(m *machine) {
+	if !m.up || m.why == slow {
+		return
+	}
+	sum, count := 0.0, 0
+	for _, p := range m.pace {
+		sum += p
+		count++
+	}
+	for _, r := range sortedRuns(m) {
+		// A task that is overdue says as much as one that has ended.
+		usual, ok := r.job.usualTook()
+		if ran := l.n.now - r.started; ok && r.phase == phaseRunning && ran > 3*usual/2 {
+			sum += math.Log(float64(ran) / float64(usual))
+			count++
+		}
+	}
+	if count < paceTasks || sum/float64(count) < math.Log(paceTooSlow) {
+		return
+	}
+	factor := math.Exp(sum / float64(count))
+	l.n.log.Info("machine is slow", "machine", m.name, "factor", factor, "tasks", count)
+	l.leave(m, slow)
+	for _, r := range sortedRuns(m) {
+		want := l.expected(r.job)
+		if usual, ok := r.job.usualTook(); ok {
+			want = usual
+		}
+		left := time.Duration(float64(want)*factor) - (l.n.now - r.started)
+		switch {
+		case r.stop != nil:
+		case r.phase != phaseRunning:
+			l.stopRun(r, 0)
+		case r.job.spec.CheckpointS > 0:
+			l.stopRun(r, l.saveGrace(r))
+		case left > want:
+			l.stopRun(r, 0)
+		}
+	}
+}
+
+// slow is why a machine is emptied that runs its tasks too slowly.
+const slow = "slow"
+
+// saveGrace is the time a task is given to save, with room for a slow machine.
+func (l *leadership) saveGrace(r *run) float64 {
+	return 2*r.job.spec.SaveS + l.n.report().Seconds()
+}
+
 // takeNotice drains a machine that the cloud is about to take.
 func (l *leadership) takeNotice(m *machine, notice *float64) {
 	if notice == nil {
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -573,3 +573,29 @@
 		t.Fatal("the leader did not get the report")
 	}
 }
+
+// A machine that runs its tasks far slower than their siblings run elsewhere is
+// emptied, and what would be done sooner from the start moves.
+func TestSlowMachineIsEmptied(t *testing.T) {
+	w := newWorld(t, 1)
+	l := w.waitLeader()
+	w.machines(3)
+	var victim string
+	w.runTime = func(string, int) time.Duration { return 5 * time.Second }
+	w.submit(l.name, spec("j-1", 24))
+	if !w.until(30*time.Second, func() bool { return w.onMachines("j-1") >= 8 }) {
+		t.Fatal("tasks did not start")
+	}
+	for name, x := range w.workers {
+		if len(x.tasks) > 1 && (victim == "" || name < victim) {
+			victim = name
+		}
+	}
+	for _, task := range w.workers[victim].tasks {
+		task.end += 200 * time.Second
+	}
+	if !w.until(30*time.Second, func() bool { return w.cloud.hosts[victim] == nil }) {
+		t.Fatal("the slow machine was kept")
+	}
+	w.waitState("j-1", protocol.Done, 30*time.Second)
+}
