--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -587,7 +587,11 @@
 		if usual, ok := r.job.usualTook(); ok {
 			want = usual
 		}
-		left := time.Duration(float64(want)*factor) - (l.n.now - r.started)
+		ran := l.n.now - r.started
+		left := time.Duration(float64(want)*factor) - ran
+		if left < ran && ran > want {
+			left = ran // overdue: the factor is but a lower bound
+		}
 		switch {
 		case r.stop != nil:
 		case r.phase != phaseRunning:
