--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -25,7 +25,7 @@
 	IdleKeep float64 `yaml:"idle_keep"`
 	// Thrift is how much less spare capacity is held of dearer machines: the
 	// spare part is scaled by (cheapest price / price) to this power. Without it,
-	// 0 where aims on starting are stated, and 1 elsewhere.
+	// 0 where aims on starting are stated, and 2 elsewhere.
 	Thrift *float64 `yaml:"thrift"`
 	// LoadSteps is how finely machine loads are told apart in placement.
 	LoadSteps int `yaml:"load_steps"`
