Move leadership seldom in rolling restarts, and time how long accounting takes

Cause: whoever stood first led next, so a roll could move leadership at each restart. Nodes that restarted later now stand first. A job of 100,000 tasks is no longer scanned from its beginning.

--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -121,7 +121,7 @@
 	e := &n.elect
 	if n.now >= e.beatAt+n.lease()/beatsPerLease || e.beatAt == never {
 		e.beatAt = n.now
-		m := Message{Type: msgBeat, Sent: int64(n.now)}
+		m := Message{Type: msgBeat, Sent: int64(n.now), Up: int64(n.now)}
 		if n.lead != nil {
 			m.Term, m.Lead, m.Want = n.lead.term, n.authority(), e.renewBad
 		}
@@ -171,8 +171,15 @@
 				e.abstain = false
 			}
 			if e.standAt == never {
-				// Luck spreads the candidates.
-				e.standAt = n.now + time.Duration(n.rng.Float64()*float64(n.lease())/probesPerLease)
+				// Luck spreads the candidates, and those that restarted later go
+				// first: in a rolling restart their turn is over.
+				wait := n.rng.Float64()
+				for _, p := range n.peers {
+					if n.now-p.heard < n.termSpan() && p.up < n.now && p.up > drift(n.termSpan()) {
+						wait++
+					}
+				}
+				e.standAt = n.now + time.Duration(wait*float64(n.lease())/probesPerLease)
 				return
 			}
 			if n.now >= e.standAt {
@@ -366,7 +373,7 @@
 	e := &n.elect
 	switch m.Type {
 	case msgBeat:
-		p.leads, p.term = m.Lead, m.Term
+		p.leads, p.term, p.up = m.Lead, m.Term, time.Duration(m.Up)
 		if m.Lead && m.Want {
 			n.promise(p, m)
 		}
--- a/internal/coordination/election_test.go
+++ b/internal/coordination/election_test.go
@@ -202,3 +202,32 @@
 		t.Fatal("an unclear outcome cost the leadership")
 	}
 }
+
+// In a rolling restart each node goes down once. A leader that goes is followed
+// by the node that restarted last, whose turn is over, so leadership moves seldom.
+func TestRollingRestartMovesLeadershipSeldom(t *testing.T) {
+	for first := range 3 {
+		w := newWorld(t, 3)
+		leader := w.waitLeader().name
+		began := leader
+		w.run(20 * time.Second)
+		moves := 0
+		for i := range 3 {
+			name := w.names[(first+i)%3]
+			w.crash(name)
+			w.run(3 * time.Second)
+			w.restart(name)
+			w.run(20 * time.Second)
+			if now := w.leader(); now != leader {
+				leader, moves = now, moves+1
+			}
+		}
+		want := 1
+		if began == w.names[first] {
+			want = 2 // it goes first, when nobody's turn is over yet
+		}
+		if moves > want {
+			t.Fatalf("beginning at %s with %s leading, leadership moved %d times", w.names[first], began, moves)
+		}
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -109,14 +109,20 @@
 // retire finds machines that should go.
 func (f *fleet) retire() {
 	l, now := f.l, f.l.n.now
-	silence := l.n.lease() * 6 / 10
+	// One machine that is not accounted for holds up all older jobs.
+	silence := func(m *machine) time.Duration {
+		if m.accounted {
+			return l.n.lease() * 6 / 10
+		}
+		return l.n.lease() * 45 / 100
+	}
 	up, silent := 0, 0
 	// A machine that was used before is expected to report after a takeover too.
 	expected := func(m *machine) bool { return m.up || (m.used && m.heard == never) }
 	for _, m := range l.machines {
 		if expected(m) {
 			up++
-			if now-max(m.heard, l.since) > silence {
+			if now-max(m.heard, l.since) > silence(m) {
 				silent++
 			}
 		}
@@ -125,7 +131,7 @@
 		m := l.machines[name]
 		l.checkPace(m)
 		switch {
-		case expected(m) && now-max(m.heard, l.since) > silence && 2*silent <= up:
+		case expected(m) && now-max(m.heard, l.since) > silence(m) && 2*silent <= up:
 			// Returning it makes sure, sooner than its lease does.
 			l.leave(m, "silent")
 		case !m.up && m.heard == never:
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -30,6 +30,7 @@
 	tasks   []taskState
 	runs    map[int]*run
 	pending int
+	first   int // no task below it is pending
 	done    int
 
 	parts     []partState // bitmap parts
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -15,11 +15,12 @@
 // leadership is all that a node knows while it leads. It is made anew for each
 // term and dropped when the term ends.
 type leadership struct {
-	n      *Node
-	term   uint64
-	since  Instant
-	loaded bool
-	dirty  bool
+	n        *Node
+	term     uint64
+	since    Instant
+	loaded   bool
+	dirty    bool
+	complete bool // all machines were accounted for once
 
 	attempts  uint64
 	partTasks int
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -162,6 +162,7 @@
 	if j.tasks[r.index] == taskActive {
 		j.tasks[r.index] = taskPending
 		j.pending++
+		j.first = min(j.first, r.index)
 		if j.pending == 1 {
 			j.waiting = l.n.now
 		}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -58,6 +58,7 @@
 	Lead  bool            `json:"lead,omitempty"`
 	Want  bool            `json:"want,omitempty"`
 	Sent  int64           `json:"sent,omitempty"`
+	Up    int64           `json:"up,omitempty"`
 	OK    bool            `json:"ok,omitempty"`
 	ID    uint64          `json:"id,omitempty"`
 	Kind  string          `json:"kind,omitempty"`
@@ -160,6 +161,7 @@
 type peer struct {
 	name     string
 	heard    Instant
+	up       time.Duration // how long it had been up when it was heard
 	term     uint64
 	leads    bool
 	promised Instant // until when it won't stand against us
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -194,6 +194,10 @@
 	}
 	s := l.countSlots(waiting)
 	complete := l.accountedAll()
+	if complete && !l.complete {
+		l.complete = true
+		n.log.Info("all machines accounted for", "after", n.now-l.since)
+	}
 	unknown := 0.0 // cores that may be in use without our knowing
 	unknownAcc := 0.0
 	var machines []*machine
@@ -243,13 +247,18 @@
 		return waitTeam
 	}
 	stopped := ""
-	for index := range j.tasks {
+	leading := true // nothing pending has been passed over yet
+	for index := j.first; index < len(j.tasks); index++ {
 		if j.pending == 0 {
 			return stopped
 		}
 		if j.tasks[index] != taskPending {
+			if leading {
+				j.first = index + 1 // a job may have 100,000 tasks
+			}
 			continue
 		}
+		leading = false
 		t := j.trouble[index]
 		if t != nil && n.now < t.after {
 			stopped = waitBackoff
