Guaranteed work goes by its aim on starting, too

Cause: jobs within their team's guarantee were ordered by due time alone, so small ones waited behind others.

--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -28,11 +28,12 @@
 	retryAt   Instant
 	probing   bool
 
-	jobs    map[string]*job
-	over    map[string]bool // ended in this term
-	classes map[string]*class
-	within  map[string][]time.Duration // aims by class, shortest first
-	usage   map[string]*usage          // by team
+	jobs        map[string]*job
+	over        map[string]bool // ended in this term
+	classes     map[string]*class
+	within      map[string][]time.Duration // aims by class, shortest first
+	startWithin time.Duration              // aim on starting guaranteed work; 0: none
+	usage       map[string]*usage          // by team
 
 	machines    map[string]*machine
 	gone        map[string]Instant // returned or taken, and when
@@ -59,6 +60,9 @@
 		machines: map[string]*machine{}, gone: map[string]Instant{},
 	}
 	for _, o := range n.cfg.Cluster.Objectives {
+		if o.Kind == "guarantee" {
+			l.startWithin = config.Seconds(o.WithinS)
+		}
 		if o.Kind == "finished" {
 			l.within[o.Class] = append(l.within[o.Class], config.Seconds(o.WithinS))
 		}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -103,6 +103,7 @@
 func (l *leadership) waitingJobs() []ranked {
 	now := l.n.now
 	var all []*ranked
+	guaranteed := l.guaranteed()
 	for _, j := range l.jobs {
 		if j.gone {
 			continue
@@ -110,6 +111,10 @@
 
 		r := &ranked{j: j, rank: min(j.spec.Rank(), rankInTime), due: l.due(j), work: l.workLeft(j)}
 		r.at = r.due - l.expected(j)
+		if start := j.at + l.startWithin; l.startWithin > 0 && start > now && guaranteed[j] {
+			// Guaranteed work has an aim on starting, too.
+			r.at = min(r.at, start)
+		}
 		if r.rank == rankInTime && j.pending > 0 && r.due-l.expected(j) < now {
 			r.rank = rankLate
 		}
@@ -131,6 +136,35 @@
 	return list
 }
 
+// guaranteed finds the jobs that fit into their team's guarantee together with
+// the team's earlier unfinished jobs.
+func (l *leadership) guaranteed() map[*job]bool {
+	if l.startWithin == 0 {
+		return nil
+	}
+	jobs := make([]*job, 0, len(l.jobs))
+	for _, j := range l.jobs {
+		if !j.gone {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.spec.UID, b.spec.UID))
+	})
+	used := map[string]usage{}
+	inside := map[*job]bool{}
+	for _, j := range jobs {
+		u := used[j.spec.Team]
+		u.cores += float64(j.spec.Tasks) * j.spec.Cores
+		u.accelerators += float64(j.spec.Tasks) * j.spec.Accelerators
+		used[j.spec.Team] = u
+		if t := l.n.team(j.spec.Team); t != nil && u.cores <= t.CPUs+slack && u.accelerators <= t.GPUs+slack {
+			inside[j] = true
+		}
+	}
+	return inside
+}
+
 // workLeft is the core seconds that a job still needs.
 func (l *leadership) workLeft(j *job) float64 {
 	work := float64(j.pending) * (l.expected(j) + l.fetchTime(j)).Seconds()
