One answer for known jobs; a single lost call no longer turns users away

Also a test with the largest job, and machines that are paid for their first minute are kept for it.

--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -24,6 +24,7 @@
 	leaderTerm uint64
 	stateOK    Instant // last answer other than an error
 	stateBad   Instant // last 429, 5xx or missing answer
+	badCalls   int     // such calls in a row
 
 	probeAt   Instant
 	probing   bool
@@ -64,13 +65,19 @@
 func (e *election) saw(now Instant, status int) {
 	if status == 0 || status == 429 || status >= 500 {
 		e.stateBad = now
+		e.badCalls++
 	} else {
 		e.stateOK = now
+		e.badCalls = 0
 	}
 }
 
 func (e *election) stateDown() bool { return e.stateBad > e.stateOK }
 
+// stateLost tells whether users should be turned away at once: one call without
+// an answer, as happens when a packet is lost, is no reason yet.
+func (e *election) stateLost() bool { return e.badCalls >= 2 }
+
 // term is the span of a leader's lease and of a promise.
 func (n *Node) termSpan() time.Duration { return n.lease() / termsPerLease }
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -159,6 +159,9 @@
 		if m.why == surplus && n.now-m.spareSince < config.Seconds(n.set.IdleKeep*m.kind.ReadyS) {
 			continue // work may come back before it would have booted again
 		}
+		if m.why == surplus && n.now-m.rentedAt < minCharge {
+			continue // it is paid for
+		}
 		if m.emptying && !m.returning && len(names) < 100 && (m.forced() || (len(m.runs) == 0 && m.results == 0 && m.strays == 0)) {
 			names = append(names, name)
 		}
@@ -494,6 +497,9 @@
 // maxFresh bounds the machines that one plan rents.
 const maxFresh = 50
 
+// minCharge is what the cloud charges for at least.
+const minCharge = 60 * time.Second
+
 // surplus is why a machine is emptied that is no longer needed.
 const surplus = "surplus"
 
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -387,7 +387,7 @@
 	if !j.gone {
 		l.finish(j, protocol.Withdrawn)
 	}
-	if l.n.elect.stateDown() {
+	if l.n.elect.stateLost() {
 		l.n.unavailable(o)
 		return
 	}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -282,16 +282,21 @@
 // instantOf turns a recorded time of day into an instant.
 func (n *Node) instantOf(ms int64) Instant { return time.UnixMilli(ms).Sub(n.wall) }
 
-func (n *Node) call(t Target, method, path string, body any, timeout time.Duration, then func(Result)) {
-	n.nextCall++
-	var raw []byte
+// encode makes a body: none of nil, and bytes as they are.
+func encode(body any) []byte {
 	switch b := body.(type) {
 	case nil:
+		return nil
 	case []byte:
-		raw = b
+		return b
 	default:
-		raw = storage.Encode(b)
+		return storage.Encode(b)
 	}
+}
+
+func (n *Node) call(t Target, method, path string, body any, timeout time.Duration, then func(Result)) {
+	n.nextCall++
+	raw := encode(body)
 	n.calls[n.nextCall] = then
 	n.effects = append(n.effects, Call{ID: n.nextCall, Target: t, Method: method, Path: path, Body: raw, Timeout: timeout})
 }
@@ -316,14 +321,7 @@
 
 // reply answers a request, wherever it came from.
 func (n *Node) reply(o Origin, status, retry int, body any) {
-	var raw []byte
-	switch b := body.(type) {
-	case nil:
-	case []byte:
-		raw = b
-	default:
-		raw = storage.Encode(b)
-	}
+	raw := encode(body)
 	if o.Peer != "" {
 		n.send(o.Peer, Message{Type: msgAnswer, ID: o.Ticket, Code: status, Retry: retry, Body: raw})
 		return
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -599,3 +599,34 @@
 	}
 	w.waitState("j-1", protocol.Done, 30*time.Second)
 }
+
+// The largest job fits the value limit (the stand-in checks each write), and what
+// is finished survives a takeover.
+func TestLargestJob(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(string, int) time.Duration { return time.Second }
+	w.waitLeader()
+	j := spec("j-1", protocol.MaxTasks)
+	w.submit("n0", j)
+	done := func() int {
+		l := w.leader()
+		if l == "" || w.nodes[l].lead.jobs["j-1"] == nil {
+			return 0
+		}
+		return w.nodes[l].lead.jobs["j-1"].done
+	}
+	if !w.until(40*time.Second, func() bool { return done() >= 40 }) {
+		t.Fatalf("%d tasks done", done())
+	}
+	w.run(3 * time.Second)
+	before := done()
+	w.crash(w.leader())
+	l := w.waitLeader()
+	w.run(5 * time.Second)
+	if done() < before*9/10 {
+		t.Fatalf("%d tasks done before the takeover, %d after", before, done())
+	}
+	if parts := len(l.lead.jobs["j-1"].parts); parts < 2 {
+		t.Fatalf("the bitmap is in %d part", parts)
+	}
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -159,7 +159,7 @@
 		then(true, nil, &f)
 		return
 	}
-	if n.elect.stateDown() || !n.stateBudget.take(n.now, 2) {
+	if n.elect.stateLost() || !n.stateBudget.take(n.now, 2) {
 		then(false, nil, nil)
 		return
 	}
@@ -189,15 +189,22 @@
 }
 
 // queryDirect answers a query from the state service. lead is the leadership
-// that asks, if any: its authority must still hold when it answers.
+// that asks, if any.
 func (n *Node) queryDirect(r Request, lead *leadership) {
 	if !protocol.ValidJobID(r.ID) {
 		n.reply(r.Origin, 404, 0, nil)
 		return
 	}
+	n.answerKnown(r, lead, 404)
+}
+
+// answerKnown answers with what the state service knows of a job; otherwise is
+// the status of a job that it does not know. The authority of the leadership
+// that asks must still hold then.
+func (n *Node) answerKnown(r Request, lead *leadership, otherwise int) {
 	n.readJob(r.ID, func(ok bool, open *storage.Item, final *storage.FinalRecord) {
 		switch {
-		case !ok:
+		case !ok || (open == nil && final == nil && otherwise == 503):
 			n.unavailable(r.Origin)
 		case final != nil:
 			n.reply(r.Origin, 200, 0, finalState(r.ID, *final))
@@ -208,15 +215,14 @@
 					return
 				}
 			}
-			// The read may be older than a leader's answer to the same user only
-			// if it was overtaken by the job's end; the cache tells.
+			// The read may have been overtaken by the job's end; the cache tells.
 			if f, over := n.finals.byID[r.ID]; over {
 				n.reply(r.Origin, 200, 0, finalState(r.ID, f))
 				return
 			}
 			n.reply(r.Origin, 200, 0, queuedState(r.ID))
 		default:
-			n.reply(r.Origin, 404, 0, nil)
+			n.reply(r.Origin, otherwise, 0, nil)
 		}
 	})
 }
@@ -242,7 +248,7 @@
 // submitDirect writes a submission, conditioned on the job being unknown, and
 // answers after the write. Any node may do so; the leader watches.
 func (n *Node) submitDirect(r Request, lead *leadership) {
-	if n.catalog == nil || n.elect.stateDown() {
+	if n.catalog == nil || n.elect.stateLost() {
 		n.unavailable(r.Origin)
 		return
 	}
@@ -282,32 +288,6 @@
 	})
 }
 
-// answerKnown answers a submission of a job that should be known already;
-// otherwise is the status if it is not.
-func (n *Node) answerKnown(r Request, lead *leadership, otherwise int) {
-	r.ID = r.Job.UID
-	n.readJob(r.ID, func(ok bool, open *storage.Item, final *storage.FinalRecord) {
-		switch {
-		case !ok:
-			n.unavailable(r.Origin)
-		case final != nil:
-			n.reply(r.Origin, 200, 0, finalState(r.ID, *final))
-		case open != nil:
-			if lead != nil && n.lead == lead && n.authority() {
-				if j := lead.adopt(r.ID, *open); j != nil {
-					n.reply(r.Origin, 200, 0, j.state())
-					return
-				}
-			}
-			n.reply(r.Origin, 200, 0, queuedState(r.ID))
-		case otherwise == 503:
-			n.unavailable(r.Origin)
-		default:
-			n.reply(r.Origin, otherwise, 0, nil)
-		}
-	})
-}
-
 // onHealth is for the load balancer: a node that reaches neither the state
 // service nor another controller has nothing to offer.
 func (n *Node) onHealth(r Request) {
