--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -45,8 +45,7 @@
 type Request struct {
 	Origin Origin
 	Kind   string
-	ID     string // job id, of queries and cancellations
-	Body   []byte
+	ID     string           // job id, of queries and cancellations
 	Job    *protocol.Job    // parsed body of a submission
 	Report *protocol.Report // parsed body of a report
 }
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -91,7 +92,7 @@
 	first := w.waitLeader()
 	j := spec("j-1", 1)
 	w.specs["j-1"] = j
-	w.ask(first.name, Request{Kind: ReqSubmit, ID: "j-1", Job: &j, Body: storage.Encode(j)}, func(Reply) {})
+	w.ask(first.name, Request{Kind: ReqSubmit, ID: "j-1", Job: &j}, func(Reply) {})
 	if !w.until(time.Second, func() bool { return w.state.keys[storage.JobKey("j-1")].Version != 0 }) {
 		t.Fatal("nothing written")
 	}
@@ -181,7 +182,7 @@
 		t.Fatal("the silent machine was not declared lost")
 	}
 	late.Seq += 100
-	if r := w.request(l.name, Request{Kind: ReqReport, Report: late, Body: storage.Encode(late)}); r.Status == 200 {
+	if r := w.request(l.name, Request{Kind: ReqReport, Report: late}); r.Status == 200 {
 		t.Fatal("a lost session got a 200")
 	}
 }
@@ -560,7 +561,7 @@
 	rep := &protocol.Report{Machine: "m-9", Type: "c4", Zone: "a", Session: 1, Seq: 1}
 	ask := func() Reply {
 		rep.Seq++
-		return w.request(f, Request{Kind: ReqReport, Report: rep, Body: storage.Encode(rep)})
+		return w.request(f, Request{Kind: ReqReport, Report: rep})
 	}
 	if r := ask(); r.Status != 421 {
 		t.Fatalf("first report: %d", r.Status)
@@ -630,3 +631,30 @@
 		t.Fatalf("the bitmap is in %d part", parts)
 	}
 }
+
+// A submission may be written over several lines; between controllers a line is
+// a message, so what was parsed is forwarded and not what came.
+func TestForwardedBodyIsOneLine(t *testing.T) {
+	w := newWorld(t, 3)
+	w.waitLeader()
+	f := w.nodes[w.followers()[0]]
+	pretty := "{\"uid\":\"j-1\",\n\"lote\":\"c\",\"dono\":\"free\",\"feitio\":\"batch\",\"vez\":\"low\",\"pecas\":1,\"cores\":1,\n" +
+		"\"accelerators\":0,\"ramGb\":1,\"molde\":\"i\",\"pullGb\":1,\"samePlace\":false,\"apart\":false,\"avulsas\":true," +
+		"\"previstoS\":1,\"marcoS\":0,\"guardaS\":0}\n"
+	j, err := protocol.ParseJob([]byte(pretty))
+	if err != nil {
+		t.Fatal(err)
+	}
+	asked := false
+	for _, e := range f.Step(w.now-f.boot+step, []any{Request{Origin: Origin{Ticket: 99}, Kind: ReqSubmit, ID: j.UID, Job: j}}) {
+		if s, ok := e.(Send); ok && s.Msg.Type == msgAsk {
+			asked = true
+			if line := string(storage.Encode(s.Msg)); strings.Contains(line, "\n") {
+				t.Fatalf("a message of several lines: %q", line)
+			}
+		}
+	}
+	if !asked {
+		t.Fatal("not forwarded")
+	}
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -82,7 +82,7 @@
 		return
 	}
 	if p := n.leaderPeer(); p != nil && len(n.forwards) < maxForwards {
-		n.forward(p, r)
+		n.forward(p, r, n.lease()/30)
 		return
 	}
 	n.withoutLeader(r)
@@ -91,10 +91,18 @@
 // maxForwards bounds the requests that wait for a leader's answer.
 const maxForwards = 1000
 
-func (n *Node) forward(p *peer, r Request) {
+func (n *Node) forward(p *peer, r Request, patience time.Duration) {
 	n.nextFwd++
-	n.forwards[n.nextFwd] = &forward{req: r, until: n.now + n.lease()/30}
-	n.send(p.name, Message{Type: msgAsk, ID: n.nextFwd, Kind: r.Kind, Job: r.ID, Body: r.Body})
+	n.forwards[n.nextFwd] = &forward{req: r, until: n.now + patience}
+	// What was parsed is sent, not what came: a body may hold line breaks.
+	m := Message{Type: msgAsk, ID: n.nextFwd, Kind: r.Kind, Job: r.ID}
+	switch r.Kind {
+	case ReqSubmit:
+		m.Body = storage.Encode(r.Job)
+	case ReqReport:
+		m.Body = storage.Encode(r.Report)
+	}
+	n.send(p.name, m)
 }
 
 func (n *Node) tickForwards() {
@@ -108,7 +116,7 @@
 
 // onAsk takes a request that a peer forwards.
 func (n *Node) onAsk(p *peer, m Message) {
-	r := Request{Origin: Origin{Ticket: m.ID, Peer: p.name}, Kind: m.Kind, ID: m.Job, Body: m.Body}
+	r := Request{Origin: Origin{Ticket: m.ID, Peer: p.name}, Kind: m.Kind, ID: m.Job}
 	var err error
 	switch m.Kind {
 	case ReqSubmit:
@@ -335,9 +343,7 @@
 		if n.now >= rl.until {
 			rl.until = n.now + 2*n.lease()
 		}
-		n.nextFwd++
-		n.forwards[n.nextFwd] = &forward{req: r, until: n.now + n.lease()/6}
-		n.send(p.name, Message{Type: msgAsk, ID: n.nextFwd, Kind: ReqReport, Body: r.Body})
+		n.forward(p, r, n.lease()/6)
 		return
 	}
 	rl.sent = n.now
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -237,7 +237,7 @@
 func (w *world) submit(node string, j protocol.Job) Reply {
 	w.t.Helper()
 	w.specs[j.UID] = j
-	return w.request(node, Request{Kind: ReqSubmit, ID: j.UID, Job: &j, Body: storage.Encode(j)})
+	return w.request(node, Request{Kind: ReqSubmit, ID: j.UID, Job: &j})
 }
 
 func (w *world) query(node, id string) (int, protocol.JobState) {
@@ -702,7 +702,7 @@
 		x.answer(r, sent, session)
 	}
 	w.after(4*time.Second, func() { finish(Reply{}) })
-	w.ask(x.node, Request{Kind: ReqReport, Report: rep, Body: storage.Encode(rep)}, func(r Reply) {
+	w.ask(x.node, Request{Kind: ReqReport, Report: rep}, func(r Reply) {
 		if !x.silent && !x.dropAnswers {
 			finish(r)
 		}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -101,12 +101,11 @@
 func body(c *fiber.Ctx) []byte { return append([]byte(nil), c.Body()...) }
 
 func (s *Server) submit(c *fiber.Ctx) error {
-	raw := body(c)
-	job, err := protocol.ParseJob(raw)
+	job, err := protocol.ParseJob(body(c))
 	if err != nil {
 		return fail(c, fiber.StatusBadRequest, err.Error())
 	}
-	return s.answer(c, coordination.Request{Kind: coordination.ReqSubmit, ID: job.UID, Body: raw, Job: job})
+	return s.answer(c, coordination.Request{Kind: coordination.ReqSubmit, ID: job.UID, Job: job})
 }
 
 func (s *Server) query(c *fiber.Ctx) error {
@@ -120,12 +119,11 @@
 func param(c *fiber.Ctx) string { return string(append([]byte(nil), c.Params("id")...)) }
 
 func (s *Server) report(c *fiber.Ctx) error {
-	raw := body(c)
-	rep, err := protocol.ParseReport(raw)
+	rep, err := protocol.ParseReport(body(c))
 	if err != nil {
 		return fail(c, fiber.StatusBadRequest, err.Error())
 	}
-	return s.answer(c, coordination.Request{Kind: coordination.ReqReport, Body: raw, Report: rep})
+	return s.answer(c, coordination.Request{Kind: coordination.ReqReport, Report: rep})
 }
 
 func (s *Server) plain(kind string) fiber.Handler {
