--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -25,7 +25,7 @@
 	IdleKeep float64 `yaml:"idle_keep"`
 	// Thrift is how much less spare capacity is held of dearer machines: the
 	// spare part is scaled by (cheapest price / price) to this power. Without it,
-	// 0 where aims on starting are stated, and 2 elsewhere.
+	// 0.3 where aims on starting are stated, and 2 elsewhere.
 	Thrift *float64 `yaml:"thrift"`
 	// LoadSteps is how finely machine loads are told apart in placement.
 	LoadSteps int `yaml:"load_steps"`
@@ -37,7 +37,7 @@
 func Defaults() Settings {
 	return Settings{
 		SlotsPerCore: 2, SlotsBase: 6, ClassShare: 0.5, BorrowWaitS: 30,
-		Headroom: 0.4, IdleKeep: 0.2, LoadSteps: 1, MemoryRatio: 0.6,
+		Headroom: 0.8, IdleKeep: 0.2, LoadSteps: 1, MemoryRatio: 0.6,
 	}
 }
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -58,7 +58,6 @@
 type renting struct {
 	protocol.Rental
 	durable, busy bool
-	dropped       bool
 }
 
 func (f *fleet) init(l *leadership) {
@@ -69,7 +68,7 @@
 		if o.Kind == "wait" || o.Kind == "guarantee" {
 			// Aims on starting are met only by machines that are up already;
 			// aims on finishing leave time to queue.
-			f.thrift = 0
+			f.thrift = 0.3
 		}
 	}
 	if t := l.n.set.Thrift; t != nil {
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -33,11 +33,10 @@
 	first   int // no task below it is pending
 	done    int
 
-	parts     []partState // bitmap parts
-	trouble   map[int]*trouble
-	failedOn  map[string]bool // machines on which a task failed, none having completed
-	bad       bool
-	notBefore Instant // of a bad job
+	parts    []partState // bitmap parts
+	trouble  map[int]*trouble
+	failedOn map[string]bool // machines on which a task failed, none having completed
+	bad      bool
 
 	tookSum, tookCount float64 // logarithms of its finished tasks' run times
 
@@ -185,7 +184,7 @@
 		spec: rec.Spec, at: min(l.n.instantOf(rec.AtMS), l.n.now), version: version, since: l.n.now,
 		tasks: make([]taskState, rec.Spec.Tasks), runs: map[int]*run{}, pending: rec.Spec.Tasks,
 		parts: make([]partState, parts), trouble: map[int]*trouble{}, failedOn: map[string]bool{},
-		waiting: l.n.now, notBefore: never,
+		waiting: l.n.now,
 	}
 	l.jobs[id] = j
 	l.writer.Know(storage.JobKey(id), version)
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -40,7 +40,6 @@
 	sick          bool
 	emptying      bool // to be returned when empty
 	returning     bool
-	returnAt      Instant
 	failedListing bool
 	why           string    // why it is returned
 	pace          []float64 // of its last tasks: log of real over expected run time
@@ -54,7 +53,7 @@
 func (l *leadership) newMachine(name, typ, zone string, spot bool) *machine {
 	m := &machine{name: name, typ: typ, zone: zone, spot: spot, runs: map[string]*run{},
 		rentedAt: l.n.now, heard: never, answered: never, notice: never, spareSince: l.n.now,
-		failedJobs: map[string]bool{}, kind: l.n.catalog[typ], returnAt: never}
+		failedJobs: map[string]bool{}, kind: l.n.catalog[typ]}
 	l.machines[name] = m
 	return m
 }
@@ -90,7 +89,7 @@
 // forgetMachine drops a machine that is surely gone, with everything on it.
 func (l *leadership) forgetMachine(m *machine) {
 	for _, r := range sortedRuns(m) {
-		l.lose(r)
+		l.release(r)
 	}
 	delete(l.machines, m.name)
 	l.gone[m.name] = l.n.now
@@ -170,9 +169,6 @@
 	l.dirty = true
 }
 
-// lose ends a run whose machine or session is gone.
-func (l *leadership) lose(r *run) { l.release(r) }
-
 // stopRun asks for a run's end; one that was never commanded ends at once.
 func (l *leadership) stopRun(r *run, grace float64) {
 	if r.phase == phaseAssigned {
@@ -219,7 +215,7 @@
 			m.lost = m.session
 			m.strays = 0
 			for _, r := range sortedRuns(m) {
-				l.lose(r)
+				l.release(r)
 			}
 			l.leave(m, "silent")
 		}
@@ -282,7 +278,7 @@
 		m.strays = 0
 		for _, x := range sortedRuns(m) {
 			if x.phase != phaseAssigned {
-				l.lose(x)
+				l.release(x)
 			}
 		}
 	}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -272,9 +272,6 @@
 	if !complete && j.version <= l.writer.LeaderVer {
 		return waitUnknown
 	}
-	if n.now < j.notBefore {
-		return waitBackoff
-	}
 	team := n.team(j.spec.Team)
 	use := l.usage[j.spec.Team]
 	if team == nil || use == nil {
