--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -71,7 +71,6 @@
 	since   Instant // assigned
 	started Instant // first seen running
 	stop    *float64
-	stopAt  Instant
 }
 
 type phase uint8
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -178,7 +178,7 @@
 	if r.stop != nil && *r.stop <= grace {
 		return
 	}
-	r.stop, r.stopAt = &grace, l.n.now
+	r.stop = &grace
 }
 
 // leaseOver is after what silence a worker's lease is surely over.
