--- /dev/null
+++ b/internal/coordination/troubles_test.go
@@ -0,0 +1,177 @@
+package coordination
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"hitchdoor/internal/config"
+	"hitchdoor/internal/protocol"
+)
+
+// Controllers that come back within a fraction of a second, in the middle of an
+// election, neither share the lead nor keep it from being taken.
+func TestQuickRestartsDuringElection(t *testing.T) {
+	w := newWorld(t, 3)
+	first := w.waitLeader()
+	w.crash(first.name)
+	for i := range 6 {
+		w.run(700 * time.Millisecond)
+		name := w.names[i%3]
+		w.crash(name)
+		w.run(100 * time.Millisecond)
+		w.restart(name)
+	}
+	w.waitLeader()
+}
+
+// A machine that hangs resumes within its lease and goes on; nothing is started
+// twice, and nothing of it counts as lost.
+func TestHangingMachineResumes(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(string, int) time.Duration { return 20 * time.Second }
+	l := w.waitLeader()
+	w.submit(l.name, spec("j-1", 2))
+	if !w.until(30*time.Second, func() bool { return w.onMachines("j-1") == 2 }) {
+		t.Fatal("tasks did not start")
+	}
+	for _, x := range w.workers {
+		x.hanging = true
+	}
+	w.run(5 * time.Second)
+	for _, x := range w.workers {
+		x.hanging = false
+	}
+	w.waitState("j-1", protocol.Done, 60*time.Second)
+	if w.starts["j-1/0"] != 1 || w.starts["j-1/1"] != 1 {
+		t.Fatalf("starts: %v", w.starts)
+	}
+}
+
+// A machine that never comes up is given back, and another takes its place.
+func TestMachineThatNeverBoots(t *testing.T) {
+	w := newWorld(t, 1)
+	l := w.waitLeader()
+	w.cloud.boot = time.Hour
+	w.submit(l.name, spec("j-1", 1))
+	if !w.until(30*time.Second, func() bool { return len(w.cloud.hosts) > 0 }) {
+		t.Fatal("nothing rented")
+	}
+	w.cloud.boot = 0
+	w.waitState("j-1", protocol.Done, 3*time.Minute)
+	if _, kept := w.cloud.hosts["m-000001"]; kept {
+		t.Fatal("a machine that never came up was kept")
+	}
+}
+
+// Owners' estimates may all be too low, or too high; finished tasks of the class
+// correct them.
+func TestEstimatesAreCorrected(t *testing.T) {
+	for _, factor := range []float64{0.4, 3} {
+		w := newWorld(t, 1)
+		w.runTime = func(string, int) time.Duration { return config.Seconds(10 * factor) }
+		l := w.waitLeader()
+		j := spec("j-1", 24)
+		j.EstimateS = 10
+		w.submit(l.name, j)
+		w.waitState("j-1", protocol.Done, 10*time.Minute)
+		next := spec("j-2", 1)
+		next.EstimateS = 10
+		w.submit(l.name, next)
+		got := l.lead.expected(l.lead.jobs["j-2"]).Seconds()
+		if math.Abs(math.Log(got/(10*factor))) > 0.35 {
+			t.Errorf("real times are %v times the estimates: expects %.1f s for 10 s", factor, got)
+		}
+	}
+}
+
+// A burst of a class: what can't all be in time gives way largest first, since
+// aims count jobs, and pressing work passes ahead of all.
+func TestBurstGivesWayLargestFirst(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(string, int) time.Duration { return 10 * time.Second }
+	l := w.waitLeader()
+	w.machines(2) // 8 cores
+	due := 40.0
+	for i, tasks := range []int{8, 60, 8} {
+		j := spec(fmt.Sprintf("j-%d", i), tasks)
+		j.EstimateS, j.DeadlineS = 10, &due
+		w.submit(l.name, j)
+	}
+	urgent := spec("j-9", 2)
+	urgent.Priority = "urgent"
+	w.submit(l.name, urgent)
+	order := l.lead.waitingJobs()
+	if order[0].j.spec.UID != "j-9" {
+		t.Errorf("%s passes ahead of urgent work", order[0].j.spec.UID)
+	}
+	for _, r := range order {
+		want := map[string]int{"j-0": rankInTime, "j-1": rankLate, "j-2": rankInTime, "j-9": 1}[r.j.spec.UID]
+		if r.rank != want {
+			t.Errorf("%s has rank %d, not %d", r.j.spec.UID, r.rank, want)
+		}
+	}
+}
+
+// Work inside its team's guarantee goes by the aim on starting; beyond the
+// guarantee it does not.
+func TestGuaranteedWorkGoesFirst(t *testing.T) {
+	w := newWorld(t, 0)
+	w.names = []string{"n0"}
+	w.cfg.Count = 1
+	w.cfg.Teams = []config.Team{{Name: "team", CPUs: 4}, {Name: "free"}}
+	w.cfg.Objectives = []config.Objective{{Kind: "guarantee", WithinS: 20, Share: 0.9}}
+	w.start("n0")
+	l := w.waitLeader()
+	w.cloud.down = true
+	early, inside, beyond := spec("j-1", 2), spec("j-2", 4), spec("j-3", 4)
+	due := 30.0
+	early.DeadlineS = &due
+	inside.Team, beyond.Team = "team", "team"
+	for _, j := range []protocol.Job{early, inside, beyond} {
+		w.submit(l.name, j)
+	}
+	order := l.lead.waitingJobs()
+	if len(order) != 3 || order[0].j.spec.UID != "j-2" || order[2].j.spec.UID != "j-3" {
+		for _, r := range order {
+			t.Errorf("%s at %v", r.j.spec.UID, r.at)
+		}
+	}
+}
+
+// A task goes where its image is rather than to another machine with as much room.
+func TestImageDecidesBetweenMachines(t *testing.T) {
+	w := newWorld(t, 1)
+	l := w.waitLeader()
+	w.machines(3)
+	with := l.lead.machines["m-000002"]
+	with.touch("special", 2)
+	j := spec("j-1", 1)
+	j.Image, j.ImageGB = "special", 2
+	w.submit(l.name, j)
+	if !w.until(10*time.Second, func() bool { return w.onMachines("j-1") == 1 }) {
+		t.Fatal("the task did not start")
+	}
+	if x := w.workers["m-000002"]; len(x.tasks) != 1 {
+		t.Fatal("the task went elsewhere")
+	}
+}
+
+// A wave takes machines without notice: their work starts elsewhere once they
+// are surely gone, and the world's check sees no task twice.
+func TestSpotWaveWithoutNotice(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(string, int) time.Duration { return 15 * time.Second }
+	w.waitLeader()
+	w.machines(4)
+	w.submit("n0", spec("j-1", 16))
+	if !w.until(30*time.Second, func() bool { return w.onMachines("j-1") >= 12 }) {
+		t.Fatal("tasks did not start")
+	}
+	for _, name := range []string{"m-000001", "m-000002"} {
+		delete(w.workers, name)
+		delete(w.cloud.hosts, name)
+	}
+	w.waitState("j-1", protocol.Done, 2*time.Minute)
+}
