--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -335,6 +335,15 @@
 	}
 	w.crash(w.leader())
 	w.waitLeader()
+	// A job accepted since then may start at once, but not into the share of
+	// what the silent machine may still run.
+	next := spec("j-2", 16)
+	next.Team = "team"
+	w.cloud.noReturn = true
+	w.machines(10)
+	w.submit(w.leader(), next)
+	w.run(20 * time.Second)
+	w.cloud.noReturn = false
 	w.waitState("j-1", protocol.Done, 6*time.Minute)
 }
 
