--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -240,6 +240,15 @@
 	return w.request(node, Request{Kind: ReqSubmit, ID: j.UID, Job: &j})
 }
 
+// submitAndStart submits a job and waits until so many of its tasks are on machines.
+func (w *world) submitAndStart(node string, j protocol.Job, tasks int) {
+	w.t.Helper()
+	w.submit(node, j)
+	if !w.until(time.Minute, func() bool { return w.onMachines(j.UID) >= tasks }) {
+		w.t.Fatalf("%d tasks of %s started, not %d", w.onMachines(j.UID), j.UID, tasks)
+	}
+}
+
 func (w *world) query(node, id string) (int, protocol.JobState) {
 	w.t.Helper()
 	r := w.request(node, Request{Kind: ReqQuery, ID: id})
