--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -36,6 +36,7 @@
 	usage       map[string]*usage          // by team
 
 	machines    map[string]*machine
+	sorted      []string           // their names; nil: to be made anew
 	gone        map[string]Instant // returned or taken, and when
 	heardWorker Instant
 	held        []Request // reports that came while loading
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -54,7 +54,7 @@
 	m := &machine{name: name, typ: typ, zone: zone, spot: spot, runs: map[string]*run{},
 		rentedAt: l.n.now, heard: never, answered: never, notice: never, spareSince: l.n.now,
 		failedJobs: map[string]bool{}, kind: l.n.catalog[typ]}
-	l.machines[name] = m
+	l.machines[name], l.sorted = m, nil
 	return m
 }
 
@@ -92,6 +92,7 @@
 		l.release(r)
 	}
 	delete(l.machines, m.name)
+	l.sorted = nil
 	l.gone[m.name] = l.n.now
 	l.dirty = true
 	key := storage.MachinePrefix + m.name
@@ -227,14 +228,17 @@
 	}
 }
 
-// names lists the machines in order of their names.
+// names lists the machines in order of their names. The list is kept between
+// changes: made anew at each step, it was two thirds of a busy leader's work.
 func (l *leadership) names() []string {
-	names := make([]string, 0, len(l.machines))
-	for name := range l.machines {
-		names = append(names, name)
+	if l.sorted == nil {
+		l.sorted = make([]string, 0, len(l.machines))
+		for name := range l.machines {
+			l.sorted = append(l.sorted, name)
+		}
+		slices.Sort(l.sorted)
 	}
-	slices.Sort(names)
-	return names
+	return l.sorted
 }
 
 // onReport takes a worker's report and answers it.
