--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -169,3 +169,26 @@
 	}
 	w.waitState("j-1", protocol.Done, 2*time.Minute)
 }
+
+// No worker reaches the leader, though its peers do: the followers relay, leases
+// hold, leadership stays, and nothing is started twice.
+func TestLeaderCutFromWorkers(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(string, int) time.Duration { return 60 * time.Second }
+	l := w.waitLeader()
+	w.machines(2)
+	w.submitAndStart(l.name, spec("j-1", 4), 4)
+	w.far[l.name] = true
+	w.run(40 * time.Second)
+	if w.leader() != l.name {
+		t.Fatalf("%q leads", w.leader())
+	}
+	w.submit(w.followers()[0], spec("j-2", 2))
+	w.waitState("j-1", protocol.Done, 60*time.Second)
+	w.waitState("j-2", protocol.Done, 2*time.Minute)
+	for task, n := range w.starts {
+		if n != 1 {
+			t.Errorf("%s started %d times", task, n)
+		}
+	}
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -40,6 +40,7 @@
 	specs   map[string]protocol.Job
 	events  []event
 	cut     map[[2]string]bool // between nodes
+	far     map[string]bool    // nodes that no worker reaches
 	runTime func(task string, attempt int) time.Duration
 	starts  map[string]int // by task
 }
@@ -62,7 +63,7 @@
 
 func newWorld(t *testing.T, nodes int) *world {
 	w := &world{t: t, nodes: map[string]*simNode{}, workers: map[string]*worker{}, specs: map[string]protocol.Job{},
-		cut: map[[2]string]bool{}, starts: map[string]int{},
+		cut: map[[2]string]bool{}, far: map[string]bool{}, starts: map[string]int{},
 		runTime: func(string, int) time.Duration { return 5 * time.Second }}
 	c := &w.cfg
 	c.Count = nodes
@@ -711,6 +712,9 @@
 		x.answer(r, sent, session)
 	}
 	w.after(4*time.Second, func() { finish(Reply{}) })
+	if w.far[x.node] {
+		return // packets vanish
+	}
 	w.ask(x.node, Request{Kind: ReqReport, Report: rep}, func(r Reply) {
 		if !x.silent && !x.dropAnswers {
 			finish(r)
