Clean-up after rereading the change: shared checks, dead state, per-pass work

Rentals and machines held share one check of where a job may run; records are dropped, rented machines taken in and prices per core counted in one place each. The images' fetch rate is worked out once a pass, not for each job, and the mean image once a choice. Timers moved to the leadership that owns them. Fields and types that nothing reads are gone, and two comments that were wrong are right.

--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -20,11 +20,9 @@
 // nothing more to leaders of lower terms.
 type election struct {
 	// what the state service last said
-	leaderNode string
-	leaderTerm uint64
-	stateOK    Instant // last answer other than an error
-	stateBad   Instant // last 429, 5xx or missing answer
-	badCalls   int     // such calls in a row
+	stateOK  Instant // last answer other than an error
+	stateBad Instant // last 429, 5xx or missing answer
+	badCalls int     // such calls in a row
 
 	probeAt   Instant
 	probing   bool
@@ -47,13 +45,12 @@
 }
 
 type candidacy struct {
-	term      uint64
-	termVer   uint64
-	cleared   map[string]bool
-	clearing  bool
-	since     Instant
-	askedAt   Instant
-	restarted bool
+	term     uint64
+	termVer  uint64
+	cleared  map[string]bool
+	clearing bool
+	since    Instant
+	askedAt  Instant
 }
 
 func newElection() election {
@@ -163,14 +160,13 @@
 			if json.Unmarshal(r.Body, &item) != nil || json.Unmarshal(item.Value, &l) != nil {
 				return
 			}
-			e.leaderNode, e.leaderTerm, e.standAt = l.Node, l.Term, never
+			e.standAt = never
 			if l.Node == n.cfg.Node && item.Lease != 0 {
 				// An earlier process of this node held the key and is gone, as a
 				// node runs one process: end its lease rather than wait for it.
 				n.stateCall("DELETE", "/holds/"+utoa(item.Lease), nil, func(Result) { e.probeAt = never })
 			}
 		case 404:
-			e.leaderNode = ""
 			if e.abstain {
 				if n.peersHeard(n.termSpan()) == 0 {
 					return
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -16,8 +17,7 @@
 
 // fleet rents and returns machines.
 type fleet struct {
-	l      *leadership
-	timers []timer
+	l *leadership
 
 	requests uint64
 	rentals  []*renting
@@ -109,11 +109,12 @@
 func (f *fleet) retire() {
 	l, now := f.l, f.l.n.now
 	// One machine that is not accounted for holds up all older jobs.
-	silence := func(m *machine) time.Duration {
+	quiet := func(m *machine) bool {
+		silence := l.n.lease() * 45 / 100
 		if m.accounted {
-			return l.n.lease() * 6 / 10
+			silence = l.n.lease() * 6 / 10
 		}
-		return l.n.lease() * 45 / 100
+		return now-max(m.heard, l.since) > silence
 	}
 	up, silent := 0, 0
 	// A machine that was used before is expected to report after a takeover too.
@@ -121,7 +122,7 @@
 	for _, m := range l.machines {
 		if expected(m) {
 			up++
-			if now-max(m.heard, l.since) > silence(m) {
+			if quiet(m) {
 				silent++
 			}
 		}
@@ -130,7 +131,7 @@
 		m := l.machines[name]
 		l.checkPace(m)
 		switch {
-		case expected(m) && now-max(m.heard, l.since) > silence(m) && 2*silent <= up:
+		case expected(m) && quiet(m) && 2*silent <= up:
 			// Returning it makes sure, sooner than its lease does.
 			l.leave(m, "silent")
 		case !m.up && m.heard == never:
@@ -155,11 +156,9 @@
 	var names []string
 	for _, name := range l.names() {
 		m := l.machines[name]
-		if m.why == surplus && n.now-m.spareSince < config.Seconds(n.set.IdleKeep*m.kind.ReadyS) {
-			continue // work may come back before it would have booted again
-		}
-		if m.why == surplus && n.now-m.rentedAt < minCharge {
-			continue // it is paid for
+		if m.why == surplus && (n.now-m.rentedAt < minCharge ||
+			n.now-m.spareSince < config.Seconds(n.set.IdleKeep*m.kind.ReadyS)) {
+			continue // it is paid for, or work may be back before it would have booted again
 		}
 		if m.emptying && !m.returning && len(names) < 100 && (m.forced() || (len(m.runs) == 0 && m.results == 0 && m.strays == 0)) {
 			names = append(names, name)
@@ -239,10 +238,7 @@
 	}
 	m := l.machines[h.UID]
 	if m == nil {
-		m = l.newMachine(h.UID, h.Type, h.Zone, h.Spot)
-		m.accounted = true // no leader recorded it, so none gave it a task
-		m.rentedAt = l.n.now - config.Seconds(h.HeldS)
-		l.record(m, false)
+		m = l.obtained(h.UID, h.Type, h.Zone, h.Spot, l.n.now-config.Seconds(h.HeldS))
 		l.n.log.Info("unknown machine listed", "machine", m.name, "state", h.State)
 	}
 	if h.State == "failed" && !m.failedListing {
@@ -263,19 +259,26 @@
 	}
 }
 
-// fetchTime is how long the job's image takes to fetch on the machines held.
-func (l *leadership) fetchTime(j *job) time.Duration {
-	rate, cores := 0.0, 0.0
+// pull is how fast the machines held fetch images, as a mean by their cores.
+type pull struct{ rate, cores float64 }
+
+func (l *leadership) pull() pull {
+	var p pull
 	for _, m := range l.machines {
 		if m.kind != nil {
-			rate += m.kind.PullGBPerS * m.kind.Cores
-			cores += m.kind.Cores
+			p.rate += m.kind.PullGBPerS * m.kind.Cores
+			p.cores += m.kind.Cores
 		}
 	}
-	if rate <= 0 {
+	return p
+}
+
+// time is how long an image takes to fetch.
+func (p pull) time(gb float64) time.Duration {
+	if p.rate <= 0 {
 		return 0
 	}
-	return config.Seconds(j.spec.ImageGB * cores / rate)
+	return config.Seconds(gb * p.cores / p.rate)
 }
 
 // demand is how many cores should be at work so that the jobs are in time:
@@ -284,17 +287,18 @@
 func (f *fleet) demand(held float64) float64 {
 	l, n := f.l, f.l.n
 	type load struct {
-		due, each time.Duration
-		work      float64
+		due  time.Duration
+		work float64
 	}
 	var loads []load
 	boot := l.bootTime().Seconds()
+	pull := l.pull()
 	for _, j := range l.jobs {
 		if j.gone {
 			continue
 		}
-		each := l.expected(j) + l.fetchTime(j)
-		work := l.workLeft(j)
+		each := l.expected(j) + pull.time(j.spec.ImageGB)
+		work := l.workLeft(j, pull)
 		if j.bad {
 			work = min(work, each.Seconds()*j.spec.Cores)
 		}
@@ -302,7 +306,7 @@
 		if span < each {
 			span = lateSpan * each
 		}
-		loads = append(loads, load{due: span, each: each, work: work})
+		loads = append(loads, load{due: span, work: work})
 	}
 	slices.SortFunc(loads, func(a, b load) int { return cmp.Or(cmp.Compare(a.due, b.due), cmp.Compare(a.work, b.work)) })
 	need, sum := 0.0, 0.0
@@ -317,7 +321,6 @@
 	return need
 }
 
-// fluid is how much of a machine's time the plan counts on.
 // fluid is how much of a machine's time the plan counts on.
 const fluid = 1.0
 
@@ -400,7 +403,7 @@
 	f.target = max(demand, usual*(1+n.set.Headroom))
 	cheapest := math.Inf(1)
 	for _, k := range n.catalog {
-		cheapest = min(cheapest, k.SpotRate/k.Cores, k.Rate/k.Cores)
+		cheapest = min(cheapest, k.PerCore(true), k.PerCore(false))
 	}
 	// worth is how many cores should be held before one of such a price is: the
 	// dearer it is, the less is held for work that has not come yet.
@@ -419,8 +422,8 @@
 	}
 	var fresh []option
 	for len(fresh) < maxFresh && held < f.target {
-		opt, k := f.choose(nil, f.target-held, fresh)
-		if k == nil || worth(k.Price(opt.spot)/k.Cores)-held <= k.Cores/4 { // as in shrink
+		opt, k := f.choose(nil, f.target-held)
+		if k == nil || worth(k.PerCore(opt.spot))-held <= k.Cores/4 { // as in shrink
 			break
 		}
 		fresh = append(fresh, opt)
@@ -431,7 +434,7 @@
 		if j.bad || len(fresh) >= maxFresh || f.served(j, kept, fresh) {
 			continue
 		}
-		if opt, k := f.choose(&j.spec, j.spec.Cores*float64(j.pending), fresh); k != nil {
+		if opt, k := f.choose(&j.spec, j.spec.Cores*float64(j.pending)); k != nil {
 			fresh = append(fresh, opt)
 			held += k.Cores
 		}
@@ -520,12 +523,7 @@
 	}
 }
 
-func (m *machine) perCore() float64 {
-	if m.kind == nil {
-		return 0
-	}
-	return m.kind.Price(m.spot) / m.kind.Cores
-}
+func (m *machine) perCore() float64 { return m.kind.PerCore(m.spot) }
 
 // served tells whether some machine held, or about to be rented, can run the job.
 func (f *fleet) served(j *job, kept []*machine, fresh []option) bool {
@@ -535,8 +533,7 @@
 		}
 	}
 	fits := func(o option) bool {
-		k := f.l.n.catalog[o.typ]
-		return k != nil && fitsOption(&j.spec, o, k)
+		return fitsOption(&j.spec, o, f.l.n.catalog[o.typ])
 	}
 	for _, r := range f.rentals {
 		if fits(option{r.Type, r.Zone, r.Spot}) {
@@ -546,19 +543,19 @@
 	return slices.ContainsFunc(fresh, fits)
 }
 
-func fitsOption(j *protocol.Job, o option, k *protocol.MachineType) bool {
-	return fitsType(j, k) && (j.Zone == "" || j.Zone == o.zone) && (j.Spot || !o.spot)
-}
-
 // choose finds what to rent, for a job or (nil) for all: the cheapest for the
 // cores that would be used.
-func (f *fleet) choose(j *protocol.Job, cores float64, fresh []option) (option, *protocol.MachineType) {
+func (f *fleet) choose(j *protocol.Job, cores float64) (option, *protocol.MachineType) {
 	n := f.l.n
 	var best option
 	var bestKind *protocol.MachineType
 	bestCost := math.Inf(1)
-	for _, name := range sortedTypes(n.catalog) {
+	image := f.usualImage()
+	for _, name := range slices.Sorted(maps.Keys(n.catalog)) {
 		k := n.catalog[name]
+		// Until it is up and has its first image, a machine costs money for
+		// nothing, and the work waits.
+		idle := k.ReadyS + image/k.PullGBPerS
 		for _, zone := range k.Zones {
 			for _, spot := range []bool{true, false} {
 				opt := option{k.Name, zone, spot}
@@ -568,9 +565,6 @@
 				if j != nil && !fitsOption(j, opt, k) {
 					continue
 				}
-				// Until it is up and has its first image, a machine costs money
-				// for nothing, and the work waits.
-				idle := k.ReadyS + f.usualImage()/k.PullGBPerS
 				cost := k.Price(spot) * (1 + idle/f.span()) / min(k.Cores, max(cores, 1))
 				if cost < bestCost {
 					best, bestKind, bestCost = opt, k, cost
@@ -590,15 +584,6 @@
 	return sum / max(1, float64(len(f.l.jobs)))
 }
 
-func sortedTypes(c map[string]*protocol.MachineType) []string {
-	names := make([]string, 0, len(c))
-	for name := range c {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // rent begins rentals for the machines that the plan chose.
 func (f *fleet) rent(fresh []option) {
 	counts := map[option]int{}
@@ -663,9 +648,7 @@
 				if _, gone := l.gone[name]; gone || l.machines[name] != nil {
 					continue
 				}
-				m := l.newMachine(name, r.Type, r.Zone, r.Spot)
-				m.accounted = true
-				l.record(m, false)
+				l.obtained(name, r.Type, r.Zone, r.Spot, n.now)
 			}
 			if len(got.Machines) < r.Count {
 				f.refuse(opt)
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -25,7 +25,6 @@
 	spec    protocol.Job
 	at      Instant // accepted
 	version uint64  // revision of the record
-	since   Instant // when this leader learnt of it
 
 	tasks   []taskState
 	runs    map[int]*run
@@ -180,7 +179,7 @@
 	}
 	parts := (rec.Spec.Tasks + l.partTasks - 1) / l.partTasks
 	j := &job{
-		spec: rec.Spec, at: min(l.n.instantOf(rec.AtMS), l.n.now), version: version, since: l.n.now,
+		spec: rec.Spec, at: min(l.n.instantOf(rec.AtMS), l.n.now), version: version,
 		tasks: make([]taskState, rec.Spec.Tasks), runs: map[int]*run{}, pending: rec.Spec.Tasks,
 		parts: make([]partState, parts), trouble: map[int]*trouble{}, failedOn: map[string]bool{},
 		waiting: l.n.now,
@@ -308,8 +307,10 @@
 }
 
 // dropBits removes a part of a bitmap that is no longer needed.
-func (l *leadership) dropBits(id string, part int) {
-	key := storage.BitsKey(id, part)
+func (l *leadership) dropBits(id string, part int) { l.dropKnown(storage.BitsKey(id, part)) }
+
+// dropKnown removes a key when there is time, if it is there by then.
+func (l *leadership) dropKnown(key string) {
 	l.writer.AddLazy(storage.Unit{Build: func() []storage.Write {
 		if l.writer.Version(key) == 0 {
 			return nil
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -25,7 +25,6 @@
 	attempts  uint64
 	partTasks int
 	writer    *storage.Writer
-	retryAt   Instant
 	probing   bool
 
 	jobs        map[string]*job
@@ -44,6 +43,7 @@
 	watchRev  uint64
 	watching  bool
 	scheduled Instant
+	timers    []timer
 	fleet     fleet
 }
 
@@ -55,8 +55,8 @@
 		n: n, term: term, since: n.now, heardWorker: n.now,
 		partTasks: storage.PartTasks(n.cfg.Cluster.State.ValueKB),
 		writer:    storage.NewWriter(n.cfg.Cluster.State.TxnOps, leaderVer),
-		retryAt:   never, scheduled: never,
-		jobs: map[string]*job{}, over: map[string]bool{}, classes: map[string]*class{},
+		scheduled: never,
+		jobs:      map[string]*job{}, over: map[string]bool{}, classes: map[string]*class{},
 		within: map[string][]time.Duration{}, usage: map[string]*usage{},
 		machines: map[string]*machine{}, gone: map[string]Instant{},
 	}
@@ -150,10 +150,10 @@
 	})
 }
 
-// later tries again after a short while, by way of a cheap read.
+// later does something after a short while.
 func (l *leadership) later(f func()) {
 	at := l.n.now + l.n.lease()/50
-	l.fleet.timers = append(l.fleet.timers, timer{at, f})
+	l.timers = append(l.timers, timer{at, f})
 }
 
 type timer struct {
@@ -238,13 +238,13 @@
 
 func (l *leadership) tick() {
 	n := l.n
-	timers := l.fleet.timers
-	l.fleet.timers = nil
+	timers := l.timers
+	l.timers = nil
 	for _, t := range timers {
 		if n.now >= t.at {
 			t.f()
 		} else {
-			l.fleet.timers = append(l.fleet.timers, t)
+			l.timers = append(l.timers, t)
 		}
 	}
 	if !l.loaded || n.lead != l {
@@ -264,7 +264,7 @@
 // pump keeps one transaction of the writer under way.
 func (l *leadership) pump() {
 	n := l.n
-	if l.probing || l.writer.InFlight() || n.now < l.retryAt || l.writer.Pending() == 0 {
+	if l.probing || l.writer.InFlight() || l.writer.Pending() == 0 {
 		return
 	}
 	n.writeBudget.refill(n.now)
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -58,6 +59,14 @@
 	return m
 }
 
+// obtained takes a machine that no leader recorded, so that none gave it a task.
+func (l *leadership) obtained(name, typ, zone string, spot bool, rentedAt Instant) *machine {
+	m := l.newMachine(name, typ, zone, spot)
+	m.accounted, m.rentedAt = true, rentedAt
+	l.record(m, false)
+	return m
+}
+
 func (l *leadership) typesChanged() {
 	for _, m := range l.machines {
 		if k := l.n.catalog[m.typ]; k != nil {
@@ -95,13 +104,7 @@
 	l.sorted = nil
 	l.gone[m.name] = l.n.now
 	l.dirty = true
-	key := storage.MachinePrefix + m.name
-	l.writer.AddLazy(storage.Unit{Build: func() []storage.Write {
-		if l.writer.Version(key) == 0 {
-			return nil
-		}
-		return []storage.Write{storage.Drop(key)}
-	}})
+	l.dropKnown(storage.MachinePrefix + m.name)
 }
 
 // sortedRuns lists a machine's runs in a fixed order, so that a step repeats.
@@ -110,15 +113,7 @@
 	for _, r := range m.runs {
 		runs = append(runs, r)
 	}
-	slices.SortFunc(runs, func(a, b *run) int {
-		if a.attempt < b.attempt {
-			return -1
-		}
-		if a.attempt > b.attempt {
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.attempt, b.attempt) })
 	return runs
 }
 
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -30,9 +30,13 @@
 	return j.Cores <= t.Cores && j.RAM <= t.RAM && j.Accelerators <= t.Accelerators
 }
 
-// allowed tells whether a machine is one that the job may use at all.
+// fitsOption tells whether the job may use such a machine at all.
+func fitsOption(j *protocol.Job, o option, k *protocol.MachineType) bool {
+	return k != nil && fitsType(j, k) && (j.Zone == "" || j.Zone == o.zone) && (j.Spot || !o.spot)
+}
+
 func allowed(j *protocol.Job, m *machine) bool {
-	return m.kind != nil && fitsType(j, m.kind) && (j.Zone == "" || j.Zone == m.zone) && (j.Spot || !m.spot)
+	return fitsOption(j, option{m.typ, m.zone, m.spot}, m.kind)
 }
 
 // ready tells whether a machine takes tasks.
@@ -103,21 +107,20 @@
 func (l *leadership) waitingJobs() []ranked {
 	now := l.n.now
 	var all []*ranked
-	guaranteed := l.guaranteed()
+	guaranteed, pull := l.guaranteed(), l.pull()
 	for _, j := range l.jobs {
 		if j.gone {
 			continue
 		}
-
-		r := &ranked{j: j, rank: min(j.spec.Rank(), rankInTime), due: l.due(j), work: l.workLeft(j)}
+		r := &ranked{j: j, rank: min(j.spec.Rank(), rankInTime), due: l.due(j), work: l.workLeft(j, pull)}
 		r.at = r.due - l.expected(j)
+		if r.rank == rankInTime && j.pending > 0 && r.at < now {
+			r.rank = rankLate
+		}
 		if start := j.at + l.startWithin; l.startWithin > 0 && start > now && guaranteed[j] {
 			// Guaranteed work has an aim on starting, too.
 			r.at = min(r.at, start)
 		}
-		if r.rank == rankInTime && j.pending > 0 && r.due-l.expected(j) < now {
-			r.rank = rankLate
-		}
 		all = append(all, r)
 	}
 	slices.SortFunc(all, func(a, b *ranked) int {
@@ -166,8 +169,8 @@
 }
 
 // workLeft is the core seconds that a job still needs.
-func (l *leadership) workLeft(j *job) float64 {
-	work := float64(j.pending) * (l.expected(j) + l.fetchTime(j)).Seconds()
+func (l *leadership) workLeft(j *job, p pull) float64 {
+	work := float64(j.pending) * (l.expected(j) + p.time(j.spec.ImageGB)).Seconds()
 	for _, r := range j.runs {
 		work += l.remaining(r).Seconds()
 	}
@@ -216,6 +219,14 @@
 // packing is how much of the machines' time tasks fill when there is enough work.
 const packing = 0.9
 
+// pass is what the admissions of one pass share.
+type pass struct {
+	slots
+	machines []*machine
+	complete bool  // all machines are accounted for
+	unknown  usage // what may be in use without our knowing
+}
+
 // schedule starts what may start: for each job, in order, the scheduler slots,
 // the team's quota and the overall quota are checked, and then the task goes to
 // the least loaded machine.
@@ -226,23 +237,19 @@
 	if len(waiting) == 0 {
 		return
 	}
-	s := l.countSlots(waiting)
-	complete := l.accountedAll()
-	if complete && !l.complete {
+	p := pass{slots: l.countSlots(waiting), complete: l.accountedAll()}
+	if p.complete && !l.complete {
 		l.complete = true
 		n.log.Info("all machines accounted for", "after", n.now-l.since)
 	}
-	unknown := 0.0 // cores that may be in use without our knowing
-	unknownAcc := 0.0
-	var machines []*machine
 	for _, name := range l.names() {
 		m := l.machines[name]
 		if m.kind != nil && (!m.accounted || m.strays > 0) {
-			unknown += m.kind.Cores
-			unknownAcc += m.kind.Accelerators
+			p.unknown.cores += m.kind.Cores
+			p.unknown.accelerators += m.kind.Accelerators
 		}
 		if m.ready() {
-			machines = append(machines, m)
+			p.machines = append(p.machines, m)
 		}
 	}
 	// Within a rank, tasks first go where their image is: a fetch keeps cores
@@ -255,7 +262,7 @@
 		for _, fetch := range []bool{false, true} {
 			for _, r := range waiting[:same] {
 				if j := r.j; j.pending > 0 {
-					j.waits = l.admit(j, machines, &s, complete, unknown, unknownAcc, fetch)
+					j.waits = l.admit(j, &p, fetch)
 				}
 			}
 		}
@@ -265,11 +272,11 @@
 
 // admit starts as many tasks of a job as the checks let through, and tells
 // which check stopped it.
-func (l *leadership) admit(j *job, machines []*machine, s *slots, complete bool, unknown, unknownAcc float64, fetch bool) string {
+func (l *leadership) admit(j *job, p *pass, fetch bool) string {
 	n := l.n
 	// A job accepted after our leader key was written can't have been started
 	// by an earlier leader; any other may be running where we don't see it.
-	if !complete && j.version <= l.writer.LeaderVer {
+	if !p.complete && j.version <= l.writer.LeaderVer {
 		return waitUnknown
 	}
 	team := n.team(j.spec.Team)
@@ -297,34 +304,34 @@
 		}
 		// 1. scheduler slots
 		if pressing(&j.spec) {
-			if float64(s.quick+1) > s.total {
+			if float64(p.quick+1) > p.total {
 				return waitSlots
 			}
 		} else {
-			limit := s.total
-			if s.quickWaits {
+			limit := p.total
+			if p.quickWaits {
 				limit *= n.set.ClassShare
 			}
-			if float64(s.batch+1) > limit {
+			if float64(p.batch+1) > limit {
 				return waitSlots
 			}
 		}
 		// 2. team quota
-		if team.CPUsMax > 0 && use.cores+unknown+j.spec.Cores > team.CPUsMax+slack {
+		if team.CPUsMax > 0 && use.cores+p.unknown.cores+j.spec.Cores > team.CPUsMax+slack {
 			return waitTeam
 		}
-		if team.GPUsMax > 0 && use.accelerators+unknownAcc+j.spec.Accelerators > team.GPUsMax+slack {
+		if team.GPUsMax > 0 && use.accelerators+p.unknown.accelerators+j.spec.Accelerators > team.GPUsMax+slack {
 			return waitTeam
 		}
 		// 3. overall quota
-		if float64(s.taken()+1) > s.total {
+		if float64(p.taken()+1) > p.total {
 			return waitOverall
 		}
 		avoid := ""
 		if t != nil {
 			avoid = t.avoid
 		}
-		m := l.leastLoaded(j, machines, avoid, fetch)
+		m := l.leastLoaded(j, p.machines, avoid, fetch)
 		if m == nil {
 			if avoid != "" {
 				stopped = waitRoom
@@ -337,17 +344,17 @@
 		}
 		l.place(&run{job: j, index: index, attempt: l.nextAttempt(), m: m, phase: phaseAssigned, since: n.now})
 		if pressing(&j.spec) {
-			s.quick++
+			p.quick++
 		} else {
-			s.batch++
+			p.batch++
 		}
 	}
 	return stopped
 }
 
 // leastLoaded chooses the machine for a task: the least loaded in steps, then
-// one that has the image, then the least loaded exactly. A single machine that
-// has room is not refused for being the one on which the task failed.
+// the one that has the image soonest, then the least loaded exactly. The machine
+// on which the task failed last is passed over.
 func (l *leadership) leastLoaded(j *job, machines []*machine, avoid string, fetch bool) *machine {
 	zone, full := "", map[string]int(nil)
 	if j.spec.SameZone {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -190,13 +190,6 @@
 	ReportTo string `json:"reportaA,omitempty"`
 }
 
-// DirectCommands is the body of a worker's /commands.
-type DirectCommands struct {
-	Token    uint64    `json:"bastao"`
-	Session  uint64    `json:"turno"`
-	Commands []Command `json:"ordens"`
-}
-
 // MachineType is one entry of the cloud's catalogue.
 type MachineType struct {
 	Name         string   `json:"sku"`
@@ -219,6 +212,9 @@
 	return t.Rate
 }
 
+// PerCore is the machine's present price per core and hour.
+func (t *MachineType) PerCore(spot bool) float64 { return t.Price(spot) / t.Cores }
+
 // Catalog is the answer of the cloud's /catalog.
 type Catalog struct {
 	Types []MachineType `json:"portes"`
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -72,13 +72,11 @@
 // MachineRecord is a machine that the controllers hold. Used is set before the
 // first task: only such a machine has to be accounted for after a takeover.
 type MachineRecord struct {
-	Type  string `json:"type"`
-	Zone  string `json:"zone"`
-	Spot  bool   `json:"spot"`
-	AtMS  int64  `json:"at"`
-	Addr  string `json:"addr,omitempty"`
-	Used  bool   `json:"used"`
-	Leave bool   `json:"leave,omitempty"`
+	Type string `json:"type"`
+	Zone string `json:"zone"`
+	Spot bool   `json:"spot"`
+	AtMS int64  `json:"at"`
+	Used bool   `json:"used"`
 }
 
 // BitsRecord is one part of a bitmap.
