--- /dev/null
+++ b/cmd/hitchdoor/main.go
@@ -0,0 +1,99 @@
+// Command hitchdoor is a cluster scheduler: it takes jobs, rents machines, and
+// runs the jobs' tasks on them.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime/debug"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"hitchdoor/internal/config"
+	"hitchdoor/internal/daemon"
+)
+
+// version is set by release builds with -ldflags "-X main.version=...".
+var version = ""
+
+func main() {
+	if err := root().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "hitchdoor:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	var platform, operators string
+	load := func() (*config.Platform, config.Settings, error) {
+		if platform == "" {
+			return nil, config.Settings{}, fmt.Errorf("--config: missing: name the platform's settings file")
+		}
+		p, err := config.Load(platform)
+		if err != nil {
+			return nil, config.Settings{}, err
+		}
+		s, err := config.LoadSettings(operators)
+		return p, s, err
+	}
+	cmd := &cobra.Command{
+		Use:           "hitchdoor --config FILE [--settings FILE]",
+		Short:         "A cluster scheduler that survives the loss of its own controllers",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error {
+			p, s, err := load()
+			if err != nil {
+				return err
+			}
+			return daemon.Run(p, s, logger())
+		},
+	}
+	cmd.PersistentFlags().StringVar(&platform, "config", "", "the platform's settings file (TOML)")
+	cmd.PersistentFlags().StringVar(&operators, "settings", "", "the operators' own settings (YAML)")
+	cmd.AddCommand(&cobra.Command{
+		Use:   "check",
+		Short: "Check the settings files and exit",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			p, _, err := load()
+			if err == nil {
+				fmt.Fprintf(c.OutOrStdout(), "ok: node %s of %d\n", p.Node, p.Cluster.Count)
+			}
+			return err
+		},
+	}, &cobra.Command{
+		Use:   "version",
+		Short: "Print the version and exit",
+		Args:  cobra.NoArgs,
+		Run:   func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "hitchdoor", buildVersion()) },
+	})
+	return cmd
+}
+
+func buildVersion() string {
+	if version != "" {
+		return version
+	}
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		return info.Main.Version
+	}
+	return "(unknown)"
+}
+
+// logger writes to standard error as much as LOG_LEVEL asks for.
+func logger() *slog.Logger {
+	level := slog.LevelInfo
+	switch strings.ToLower(os.Getenv("LOG_LEVEL")) {
+	case "error":
+		level = slog.LevelError
+	case "warn":
+		level = slog.LevelWarn
+	case "debug":
+		level = slog.LevelDebug
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,183 @@
+// Package config reads the two settings files of a controller: the platform's
+// TOML, which the deployment hands over, and the operators' own YAML.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Platform is the settings file that the platform hands to each controller.
+// Fields that it has beyond these are ignored.
+type Platform struct {
+	Node         string `toml:"node"`
+	Location     string `toml:"location"`
+	ClientListen string `toml:"client_listen"`
+	PeerBind     string `toml:"peer_bind"`
+	Known        []Peer `toml:"known"`
+	Outside      struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"outside"`
+	Cluster Cluster `toml:"cluster"`
+}
+
+// Peer is another controller.
+type Peer struct {
+	Node     string `toml:"node"`
+	Location string `toml:"location"`
+	PeerAddr string `toml:"peer_addr"`
+}
+
+// Cluster is what all controllers of a deployment have in common.
+type Cluster struct {
+	Count       int         `toml:"count"`
+	Zones       []string    `toml:"zones"`
+	TimeBoundMS float64     `toml:"time_bound_ms"`
+	Teams       []Team      `toml:"teams"`
+	Objectives  []Objective `toml:"objectives"`
+	Workers     struct {
+		ReportS float64 `toml:"report_s"`
+		LeaseS  float64 `toml:"lease_s"`
+		CancelS float64 `toml:"cancel_s"`
+	} `toml:"workers"`
+	State struct {
+		RPS      float64 `toml:"rps"`
+		WriteRPS float64 `toml:"write_rps"`
+		ValueKB  float64 `toml:"value_kb"`
+		TxnOps   int     `toml:"txn_ops"`
+	} `toml:"state"`
+	Cloud struct {
+		RPS      float64 `toml:"rps"`
+		ListLagS float64 `toml:"list_lag_s"`
+	} `toml:"cloud"`
+	Resources Resources `toml:"resources"`
+}
+
+// Resources is the share of its host that the controller may use.
+type Resources struct {
+	CoreShare      float64 `toml:"core_share"`
+	MemMB          float64 `toml:"mem_mb"`
+	MaxConnections int     `toml:"max_connections"`
+}
+
+// Team is a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is an aim for a class of jobs.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Load reads and checks the platform's settings file.
+func Load(path string) (*Platform, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	var p Platform
+	if err := toml.Unmarshal(raw, &p); err != nil {
+		var de *toml.DecodeError
+		if errors.As(err, &de) {
+			row, col := de.Position()
+			return nil, fmt.Errorf("config: %s: line %d, column %d: %s: %s",
+				path, row, col, strings.Join(de.Key(), "."), de.Error())
+		}
+		return nil, fmt.Errorf("config: %s: %w", path, err)
+	}
+	if err := p.check(); err != nil {
+		return nil, fmt.Errorf("config: %s: %w", path, err)
+	}
+	return &p, nil
+}
+
+func (p *Platform) check() error {
+	text := []struct{ name, value string }{
+		{"node", p.Node}, {"client_listen", p.ClientListen}, {"peer_bind", p.PeerBind},
+		{"outside.cloud", p.Outside.Cloud}, {"outside.state", p.Outside.State},
+	}
+	for _, f := range text {
+		if f.value == "" {
+			return fmt.Errorf("%s: missing", f.name)
+		}
+	}
+	addrs := text[1:]
+	for i, k := range p.Known {
+		if k.Node == "" || k.Node == p.Node {
+			return fmt.Errorf("known[%d].node: missing, or this node's own", i)
+		}
+		addrs = append(addrs, struct{ name, value string }{fmt.Sprintf("known[%d].peer_addr", i), k.PeerAddr})
+	}
+	for _, f := range addrs {
+		if _, _, err := net.SplitHostPort(f.value); err != nil {
+			return fmt.Errorf("%s: %q is not host:port", f.name, f.value)
+		}
+	}
+	c := &p.Cluster
+	if c.Count != len(p.Known)+1 {
+		return fmt.Errorf("cluster.count: %d, but known names %d other nodes", c.Count, len(p.Known))
+	}
+	positive := []struct {
+		name  string
+		value float64
+	}{
+		{"cluster.workers.report_s", c.Workers.ReportS},
+		{"cluster.workers.lease_s", c.Workers.LeaseS},
+		{"cluster.workers.cancel_s", c.Workers.CancelS},
+		{"cluster.state.rps", c.State.RPS},
+		{"cluster.state.write_rps", c.State.WriteRPS},
+		{"cluster.state.value_kb", c.State.ValueKB},
+		{"cluster.cloud.rps", c.Cloud.RPS},
+		{"cluster.cloud.list_lag_s", c.Cloud.ListLagS},
+		{"cluster.resources.core_share", c.Resources.CoreShare},
+		{"cluster.resources.mem_mb", c.Resources.MemMB},
+		{"cluster.resources.max_connections", float64(c.Resources.MaxConnections)},
+	}
+	for _, f := range positive {
+		if !(f.value > 0) {
+			return fmt.Errorf("%s: must be above 0, is %v", f.name, f.value)
+		}
+	}
+	if c.State.TxnOps < 4 {
+		return fmt.Errorf("cluster.state.txn_ops: must be at least 4, is %d", c.State.TxnOps)
+	}
+	if c.Workers.LeaseS <= c.Workers.ReportS {
+		return fmt.Errorf("cluster.workers.lease_s: must be above report_s (%v), is %v", c.Workers.ReportS, c.Workers.LeaseS)
+	}
+	seen := map[string]bool{}
+	for i, t := range c.Teams {
+		if t.Name == "" || seen[t.Name] {
+			return fmt.Errorf("cluster.teams[%d].name: missing or given twice", i)
+		}
+		seen[t.Name] = true
+		for _, f := range []float64{t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax} {
+			if f < 0 {
+				return fmt.Errorf("cluster.teams[%d]: %s: amounts can't be negative", i, t.Name)
+			}
+		}
+	}
+	for i, o := range c.Objectives {
+		if o.Share < 0 || o.Share > 1 || o.WithinS < 0 {
+			return fmt.Errorf("cluster.objectives[%d]: share must be within 0..1 and within_s not negative", i)
+		}
+	}
+	return nil
+}
+
+// Seconds turns a number of seconds into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,82 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Settings are the operators' own choices. Most are ratios to figures of the
+// platform's file, so that one file can serve several deployments.
+type Settings struct {
+	// SlotsPerCore and SlotsBase make a machine's slots: per core x cores + base.
+	SlotsPerCore float64 `yaml:"slots_per_core"`
+	SlotsBase    float64 `yaml:"slots_base"`
+	// ClassShare of all slots belongs to batch work; the rest is set aside for
+	// the second class and lent to batch work while that does not need it.
+	ClassShare float64 `yaml:"class_share"`
+	// BorrowWaitS is how long a second-class job waits before lending ends.
+	BorrowWaitS float64 `yaml:"borrow_wait_s"`
+	// Headroom is the spare capacity kept, as a ratio to the recent demand.
+	Headroom float64 `yaml:"headroom"`
+	// IdleKeep is how long an idle machine is kept, as a ratio to its boot time.
+	IdleKeep float64 `yaml:"idle_keep"`
+	// LoadSteps is how finely machine loads are told apart in placement.
+	LoadSteps int `yaml:"load_steps"`
+	// MemoryRatio of mem_mb is the soft limit given to the garbage collector.
+	MemoryRatio float64 `yaml:"memory_ratio"`
+}
+
+// Defaults returns the settings of a controller that was given no file.
+func Defaults() Settings {
+	return Settings{
+		SlotsPerCore: 2, SlotsBase: 6, ClassShare: 0.5, BorrowWaitS: 30,
+		Headroom: 0.15, IdleKeep: 1.5, LoadSteps: 4, MemoryRatio: 0.6,
+	}
+}
+
+// LoadSettings reads the operators' YAML over the defaults. Unknown keys are
+// refused: a misspelt key would otherwise silently do nothing.
+func LoadSettings(path string) (Settings, error) {
+	s := Defaults()
+	if path == "" {
+		return s, nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return s, fmt.Errorf("settings: %w", err)
+	}
+	dec := yaml.NewDecoder(bytes.NewReader(raw), yaml.Strict())
+	if err := dec.Decode(&s); err != nil && !errors.Is(err, io.EOF) {
+		return s, fmt.Errorf("settings: %s: %s", path, yaml.FormatError(err, false, false))
+	}
+	if err := s.check(); err != nil {
+		return s, fmt.Errorf("settings: %s: %w", path, err)
+	}
+	return s, nil
+}
+
+func (s *Settings) check() error {
+	for _, f := range []struct {
+		name           string
+		value, lo, top float64
+	}{
+		{"slots_per_core", s.SlotsPerCore, 0.01, 1000},
+		{"slots_base", s.SlotsBase, 0, 1000},
+		{"class_share", s.ClassShare, 0, 1},
+		{"borrow_wait_s", s.BorrowWaitS, 0, 86400},
+		{"headroom", s.Headroom, 0, 10},
+		{"idle_keep", s.IdleKeep, 0, 1000},
+		{"load_steps", float64(s.LoadSteps), 1, 1000},
+		{"memory_ratio", s.MemoryRatio, 0.1, 1},
+	} {
+		if !(f.value >= f.lo && f.value <= f.top) {
+			return fmt.Errorf("%s: must be within %v..%v, is %v", f.name, f.lo, f.top, f.value)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/jobs.go
@@ -0,0 +1,387 @@
+package coordination
+
+import (
+	"bytes"
+	"math"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/config"
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+type taskState uint8
+
+const (
+	taskPending taskState = iota
+	taskActive            // commanded to a machine, or found there
+	taskDone
+)
+
+// job is an open job as its leader knows it.
+type job struct {
+	spec    protocol.Job
+	at      Instant // accepted
+	version uint64  // revision of the record
+	since   Instant // when this leader learnt of it
+
+	tasks   []taskState
+	runs    map[int]*run
+	pending int
+	done    int
+
+	parts     []partState // bitmap parts
+	trouble   map[int]*trouble
+	failedOn  map[string]bool // machines on which a task failed, none having completed
+	bad       bool
+	notBefore Instant // of a bad job
+
+	cancel  []Origin // who waits for the cancellation
+	gone    bool     // cancelled or done: nothing starts any more
+	waits   string   // which check stopped it last
+	waiting Instant  // since when it has had pending tasks
+}
+
+// trouble is the history of a task that failed.
+type trouble struct {
+	failures int
+	after    Instant
+	avoid    string
+}
+
+// partState is one part of the bitmap of finished tasks.
+type partState struct {
+	bits   []byte
+	stored []byte // what is durable
+	queued bool
+}
+
+// run is one attempt of a task on a machine.
+type run struct {
+	job     *job
+	index   int
+	attempt uint64
+	m       *machine
+	phase   phase
+	since   Instant // assigned
+	started Instant // first seen running
+	stop    *float64
+	stopAt  Instant
+}
+
+type phase uint8
+
+const (
+	phaseAssigned phase = iota // not in any answer yet
+	phaseSent                  // in an answer whose effect isn't known yet
+	phaseFetching
+	phaseRunning
+	phaseSaving
+)
+
+func (r *run) key() string { return taskKey(r.job.spec.UID, r.index) }
+
+func taskKey(id string, index int) string { return id + "/" + utoa(uint64(index)) }
+
+func splitTask(key string) (id string, index int, ok bool) {
+	for i := len(key) - 1; i > 0; i-- {
+		if key[i] == '/' {
+			if i+1 == len(key) {
+				return "", 0, false
+			}
+			for _, c := range key[i+1:] {
+				if c < '0' || c > '9' || index > protocol.MaxTasks {
+					return "", 0, false
+				}
+				index = index*10 + int(c-'0')
+			}
+			return key[:i], index, true
+		}
+	}
+	return "", 0, false
+}
+
+func (j *job) state() protocol.JobState {
+	done, running := j.done, 0
+	for _, r := range j.runs {
+		if r.phase == phaseRunning || r.phase == phaseSaving {
+			running++
+		}
+	}
+	s := protocol.JobState{UID: j.spec.UID, State: protocol.Queued, Done: &done, Running: &running}
+	if running > 0 {
+		s.State = protocol.Running
+	}
+	return s
+}
+
+// due is when the job should be complete: its deadline, or the aim of its class.
+func (l *leadership) due(j *job) Instant {
+	if j.spec.DeadlineS != nil {
+		return j.at + config.Seconds(*j.spec.DeadlineS)
+	}
+	if within := l.within[j.spec.Class]; within > 0 {
+		return j.at + within
+	}
+	return j.at + 4*l.expected(j) + l.n.lease()
+}
+
+// expected is how long one of the job's tasks should run: the owner's estimate,
+// corrected by what finished tasks of the class have shown.
+func (l *leadership) expected(j *job) time.Duration {
+	est := j.spec.EstimateS
+	if c := l.classes[j.spec.Class]; c != nil {
+		est *= math.Exp(c.bias)
+	}
+	return config.Seconds(max(est, 1))
+}
+
+// class is what finished tasks have shown of a class of jobs.
+type class struct {
+	bias  float64 // log of real over estimated run time
+	count float64
+}
+
+func (l *leadership) learn(j *job, took time.Duration) {
+	if took <= 0 || j.spec.EstimateS <= 0 {
+		return
+	}
+	c := l.classes[j.spec.Class]
+	if c == nil {
+		c = &class{}
+		l.classes[j.spec.Class] = c
+	}
+	c.count = min(c.count+1, classMemory)
+	c.bias += (math.Log(took.Seconds()/j.spec.EstimateS) - c.bias) / c.count
+}
+
+// classMemory is how many finished tasks a class's correction spans.
+const classMemory = 60
+
+// addJob takes an open job into the table; it may be there already.
+func (l *leadership) addJob(rec storage.JobRecord, version uint64) *job {
+	id := rec.Spec.UID
+	if j := l.jobs[id]; j != nil {
+		return j
+	}
+	if _, over := l.n.finals.byID[id]; over {
+		return nil
+	}
+	if l.over[id] {
+		return nil
+	}
+	parts := (rec.Spec.Tasks + l.partTasks - 1) / l.partTasks
+	j := &job{
+		spec: rec.Spec, at: min(l.n.instantOf(rec.AtMS), l.n.now), version: version, since: l.n.now,
+		tasks: make([]taskState, rec.Spec.Tasks), runs: map[int]*run{}, pending: rec.Spec.Tasks,
+		parts: make([]partState, parts), trouble: map[int]*trouble{}, failedOn: map[string]bool{},
+		waiting: l.n.now, notBefore: never,
+	}
+	l.jobs[id] = j
+	l.writer.Know(storage.JobKey(id), version)
+	l.dirty = true
+	return j
+}
+
+// adopt takes a job that was found in the state service into the table.
+func (l *leadership) adopt(id string, item storage.Item) *job {
+	if !l.loaded {
+		return nil
+	}
+	var rec storage.JobRecord
+	if json.Unmarshal(item.Value, &rec) != nil || rec.Spec.UID != id {
+		return nil
+	}
+	return l.addJob(rec, item.Version)
+}
+
+func (l *leadership) partOf(j *job, index int) (*partState, int, byte) {
+	p := &j.parts[index/l.partTasks]
+	in := index % l.partTasks
+	if p.bits == nil {
+		size := min(l.partTasks, j.spec.Tasks-index/l.partTasks*l.partTasks)
+		p.bits = make([]byte, (size+7)/8)
+	}
+	return p, in / 8, 1 << (in % 8)
+}
+
+// durable tells whether a finished task's bit is in the state service.
+func (l *leadership) durable(j *job, index int) bool {
+	p, at, bit := l.partOf(j, index)
+	return at < len(p.stored) && p.stored[at]&bit != 0
+}
+
+// setDone counts a task as finished.
+func (l *leadership) setDone(j *job, index int) {
+	if j.tasks[index] == taskDone {
+		return
+	}
+	if j.tasks[index] == taskPending {
+		j.pending--
+	}
+	j.tasks[index] = taskDone
+	j.done++
+	delete(j.trouble, index)
+	j.bad = false
+	p, at, bit := l.partOf(j, index)
+	p.bits[at] |= bit
+	l.dirty = true
+	if j.gone {
+		return
+	}
+	if j.done == j.spec.Tasks {
+		l.finish(j, protocol.Done)
+		return
+	}
+	l.storeBits(j, index/l.partTasks)
+}
+
+// storeBits queues the write of one part of the bitmap. The part is taken as it
+// is when its turn comes, so tasks that finish meanwhile share the write.
+func (l *leadership) storeBits(j *job, part int) {
+	p := &j.parts[part]
+	if p.queued {
+		return
+	}
+	p.queued = true
+	var written []byte
+	l.writer.AddLazy(storage.Unit{
+		Build: func() []storage.Write {
+			if j.gone {
+				return nil
+			}
+			written = append([]byte(nil), p.bits...)
+			return []storage.Write{storage.Set(storage.BitsKey(j.spec.UID, part), storage.EncodeBits(written))}
+		},
+		Done: func() {
+			p.queued = false
+			if j.gone {
+				return
+			}
+			p.stored = written
+			if !bytes.Equal(p.stored, p.bits) {
+				l.storeBits(j, part)
+			}
+		},
+	})
+}
+
+// finish moves a job from the open ones to those that are over. Users are told
+// only after the write.
+func (l *leadership) finish(j *job, state string) {
+	j.gone = true
+	id := j.spec.UID
+	final := storage.FinalRecord{State: state, Tasks: j.spec.Tasks, Done: j.done}
+	for _, r := range j.runs {
+		l.stopRun(r, 0)
+	}
+	l.writer.Add(storage.Unit{
+		Build: func() []storage.Write {
+			return []storage.Write{storage.Drop(storage.JobKey(id)), storage.Set(storage.FinalKey(id), final)}
+		},
+		Done: func() {
+			l.n.log.Debug("job over", "job", id, "state", state)
+			l.n.finals.put(id, final)
+			l.over[id] = true
+			delete(l.jobs, id)
+			for _, o := range j.cancel {
+				l.n.reply(o, 200, 0, protocol.JobState{UID: id, State: state})
+			}
+			j.cancel = nil
+			for part := range j.parts {
+				l.dropBits(id, part)
+			}
+		},
+	})
+}
+
+// dropBits removes a part of a bitmap that is no longer needed.
+func (l *leadership) dropBits(id string, part int) {
+	key := storage.BitsKey(id, part)
+	l.writer.AddLazy(storage.Unit{Build: func() []storage.Write {
+		if l.writer.Version(key) == 0 {
+			return nil
+		}
+		return []storage.Write{storage.Drop(key)}
+	}})
+}
+
+// onUser serves a user's request as the leader.
+func (l *leadership) onUser(r Request) {
+	n := l.n
+	if !l.loaded && r.Kind != ReqSubmit {
+		if r.Kind == ReqQuery {
+			n.queryDirect(r, l)
+			return
+		}
+		n.unavailable(r.Origin)
+		return
+	}
+	switch r.Kind {
+	case ReqSubmit:
+		if j := l.jobs[r.Job.UID]; j != nil {
+			n.reply(r.Origin, 200, 0, j.state())
+			return
+		}
+		if f, ok := n.finals.byID[r.Job.UID]; ok {
+			n.reply(r.Origin, 200, 0, finalState(r.Job.UID, f))
+			return
+		}
+		n.submitDirect(r, l)
+	case ReqQuery:
+		if j := l.jobs[r.ID]; j != nil {
+			n.reply(r.Origin, 200, 0, j.state())
+			return
+		}
+		n.queryDirect(r, l)
+	case ReqCancel:
+		l.onCancel(r)
+	}
+}
+
+func (l *leadership) onCancel(r Request) {
+	n := l.n
+	if j := l.jobs[r.ID]; j != nil {
+		l.cancelJob(j, r.Origin)
+		return
+	}
+	if !protocol.ValidJobID(r.ID) {
+		n.reply(r.Origin, 404, 0, nil)
+		return
+	}
+	n.readJob(r.ID, func(ok bool, open *storage.Item, final *storage.FinalRecord) {
+		switch {
+		case !ok || n.lead != l || !n.authority():
+			n.unavailable(r.Origin)
+		case final != nil:
+			n.reply(r.Origin, 200, 0, protocol.JobState{UID: r.ID, State: final.State})
+		case open != nil:
+			if j := l.adopt(r.ID, *open); j != nil {
+				l.cancelJob(j, r.Origin)
+				return
+			}
+			n.unavailable(r.Origin)
+		default:
+			n.reply(r.Origin, 404, 0, nil)
+		}
+	})
+}
+
+// cancelJob stops a job at once and answers when its end is durable. While the
+// state service is down the user is told to come back; the stop stands.
+func (l *leadership) cancelJob(j *job, o Origin) {
+	if !j.gone {
+		l.finish(j, protocol.Withdrawn)
+	}
+	if l.n.elect.stateDown() {
+		l.n.unavailable(o)
+		return
+	}
+	j.cancel = append(j.cancel, o)
+	if len(j.cancel) > maxForwards {
+		l.n.unavailable(j.cancel[0])
+		j.cancel = j.cancel[1:]
+	}
+}
--- /dev/null
+++ b/internal/coordination/leadership.go
@@ -0,0 +1,362 @@
+package coordination
+
+import (
+	"strings"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/config"
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+// leadership is all that a node knows while it leads. It is made anew for each
+// term and dropped when the term ends.
+type leadership struct {
+	n      *Node
+	term   uint64
+	since  Instant
+	loaded bool
+	dirty  bool
+
+	attempts  uint64
+	partTasks int
+	writer    *storage.Writer
+	retryAt   Instant
+	probing   bool
+
+	jobs    map[string]*job
+	over    map[string]bool // ended in this term
+	classes map[string]*class
+	within  map[string]time.Duration // aims by class
+	usage   map[string]*usage        // by team
+
+	machines    map[string]*machine
+	gone        map[string]Instant // returned or taken, and when
+	heardWorker Instant
+	held        []Request // reports that came while loading
+
+	watchRev  uint64
+	watching  bool
+	scheduled Instant
+	fleet     fleet
+}
+
+// usage is what a team's tasks hold, from command to confirmed end.
+type usage struct{ cores, accelerators float64 }
+
+func newLeadership(n *Node, term, leaderVer uint64) *leadership {
+	l := &leadership{
+		n: n, term: term, since: n.now, heardWorker: n.now,
+		partTasks: storage.PartTasks(n.cfg.Cluster.State.ValueKB),
+		writer:    storage.NewWriter(n.cfg.Cluster.State.TxnOps, leaderVer),
+		retryAt:   never, scheduled: never,
+		jobs: map[string]*job{}, over: map[string]bool{}, classes: map[string]*class{},
+		within: map[string]time.Duration{}, usage: map[string]*usage{},
+		machines: map[string]*machine{}, gone: map[string]Instant{},
+	}
+	for _, o := range n.cfg.Cluster.Objectives {
+		within := config.Seconds(o.WithinS)
+		if o.Kind == "finished" && (l.within[o.Class] == 0 || within < l.within[o.Class]) {
+			l.within[o.Class] = within
+		}
+	}
+	for _, t := range n.cfg.Cluster.Teams {
+		l.usage[t.Name] = &usage{}
+	}
+	l.fleet.init(l)
+	return l
+}
+
+// maxHeldReports bounds the reports that wait for the records to be read.
+const maxHeldReports = 1000
+
+// attemptBits is the counter's share of an attempt; the term is above it, so
+// that an attempt is never used twice. Together they stay under 2^53.
+const attemptBits = 24
+
+func (l *leadership) nextAttempt() uint64 {
+	l.attempts++
+	return l.term<<attemptBits | l.attempts
+}
+
+// close answers everybody who waits.
+func (l *leadership) close() {
+	for _, j := range l.jobs {
+		for _, o := range j.cancel {
+			l.n.unavailable(o)
+		}
+	}
+	for _, r := range l.held {
+		l.n.reply(r.Origin, 503, 1, nil)
+	}
+}
+
+// load reads all records. Nothing is decided before they are all there.
+func (l *leadership) load() {
+	steps := []struct {
+		prefix string
+		take   func([]storage.Item)
+	}{
+		{storage.JobPrefix, l.loadJobs},
+		{storage.BitsPrefix, l.loadBits},
+		{storage.MachinePrefix, l.loadMachines},
+		{storage.RentPrefix, l.loadRentals},
+	}
+	var next func(int)
+	next = func(i int) {
+		if i == len(steps) {
+			l.ready()
+			return
+		}
+		l.readAll(steps[i].prefix, "", steps[i].take, func() { next(i + 1) })
+	}
+	next(0)
+}
+
+// pageItems bounds one page of a listing, so that it fits the memory.
+const pageItems = 200
+
+func (l *leadership) readAll(prefix, since string, take func([]storage.Item), then func()) {
+	n := l.n
+	n.stateCall("GET", storage.ListPath(prefix, since, pageItems), nil, func(r Result) {
+		if n.lead != l {
+			return
+		}
+		var page storage.Page
+		if r.Status != 200 || json.Unmarshal(r.Body, &page) != nil {
+			l.later(func() { l.readAll(prefix, since, take, then) })
+			return
+		}
+		if prefix == storage.JobPrefix && since == "" {
+			l.watchRev = page.Revision
+		}
+		take(page.Items)
+		if page.Truncated && len(page.Items) > 0 {
+			l.readAll(prefix, page.Items[len(page.Items)-1].Key, take, then)
+			return
+		}
+		then()
+	})
+}
+
+// later tries again after a short while, by way of a cheap read.
+func (l *leadership) later(f func()) {
+	at := l.n.now + l.n.lease()/50
+	l.fleet.timers = append(l.fleet.timers, timer{at, f})
+}
+
+type timer struct {
+	at Instant
+	f  func()
+}
+
+func (l *leadership) loadJobs(items []storage.Item) {
+	for _, it := range items {
+		var rec storage.JobRecord
+		if json.Unmarshal(it.Value, &rec) != nil || storage.JobKey(rec.Spec.UID) != it.Key {
+			l.n.log.Error("record can't be read", "key", it.Key)
+			continue
+		}
+		l.addJob(rec, it.Version)
+	}
+}
+
+func (l *leadership) loadBits(items []storage.Item) {
+	for _, it := range items {
+		l.writer.Know(it.Key, it.Version)
+		id, part, ok := storage.ParseBitsKey(it.Key)
+		var rec storage.BitsRecord
+		if !ok || json.Unmarshal(it.Value, &rec) != nil {
+			continue
+		}
+		j := l.jobs[id]
+		bits, err := storage.DecodeBits(rec)
+		if j == nil || err != nil || part >= len(j.parts) {
+			l.dropBits(id, part)
+			continue
+		}
+		j.parts[part].stored = bits
+		for i := range bits {
+			for b := 0; b < 8; b++ {
+				index := part*l.partTasks + i*8 + b
+				if bits[i]&(1<<b) != 0 && index < j.spec.Tasks {
+					l.setDone(j, index)
+				}
+			}
+		}
+	}
+}
+
+func (l *leadership) loadMachines(items []storage.Item) {
+	for _, it := range items {
+		var rec storage.MachineRecord
+		if json.Unmarshal(it.Value, &rec) != nil {
+			continue
+		}
+		name := strings.TrimPrefix(it.Key, storage.MachinePrefix)
+		l.writer.Know(it.Key, it.Version)
+		m := l.newMachine(name, rec.Type, rec.Zone, rec.Spot)
+		m.recorded, m.used = true, rec.Used
+		m.accounted = !rec.Used
+		m.rentedAt = min(l.n.instantOf(rec.AtMS), l.n.now)
+	}
+}
+
+func (l *leadership) loadRentals(items []storage.Item) {
+	for _, it := range items {
+		var rental protocol.Rental
+		if json.Unmarshal(it.Value, &rental) != nil {
+			continue
+		}
+		l.writer.Know(it.Key, it.Version)
+		l.fleet.rentals = append(l.fleet.rentals, &renting{Rental: rental, durable: true})
+	}
+}
+
+// ready begins to decide.
+func (l *leadership) ready() {
+	l.loaded, l.dirty = true, true
+	l.n.log.Info("records read", "jobs", len(l.jobs), "machines", len(l.machines))
+	held := l.held
+	l.held = nil
+	for _, r := range held {
+		l.onReport(r)
+	}
+}
+
+func (l *leadership) tick() {
+	n := l.n
+	timers := l.fleet.timers
+	l.fleet.timers = nil
+	for _, t := range timers {
+		if n.now >= t.at {
+			t.f()
+		} else {
+			l.fleet.timers = append(l.fleet.timers, t)
+		}
+	}
+	if !l.loaded || n.lead != l {
+		return
+	}
+	if !l.watching {
+		l.watch()
+	}
+	l.checkMachines()
+	l.fleet.tick()
+	if l.dirty && n.now >= l.scheduled+n.report()/16 {
+		l.schedule()
+	}
+	l.pump()
+}
+
+// pump keeps one transaction of the writer under way.
+func (l *leadership) pump() {
+	n := l.n
+	if l.probing || l.writer.InFlight() || n.now < l.retryAt || l.writer.Pending() == 0 {
+		return
+	}
+	n.writeBudget.refill(n.now)
+	if t := l.writer.Next(int(n.writeBudget.level)); t != nil {
+		l.commit(t)
+	}
+}
+
+func (l *leadership) commit(t *storage.Txn) {
+	n := l.n
+	n.writeBudget.level -= float64(l.writer.Ops())
+	n.stateCall("POST", "/multi", t, func(r Result) {
+		if n.lead != l {
+			return
+		}
+		var res storage.TxnResult
+		switch {
+		case r.Status == 200 && json.Unmarshal(r.Body, &res) == nil:
+			l.writer.Applied(res.Revision)
+			l.pump()
+		case r.Status == 409 && l.writer.WasUnclear():
+			l.resolve()
+		case r.Status == 409 || r.Status == 400:
+			// Somebody else wrote where only a leader writes: we are replaced,
+			// or our picture is wrong. Either way it must be read again.
+			n.log.Warn("transaction refused", "status", r.Status, "body", string(r.Body))
+			n.stepDown("a transaction was refused")
+		default:
+			if r.Status == 0 || r.Status == 504 {
+				l.writer.Unclear()
+			}
+			l.again()
+		}
+	})
+}
+
+// again sends the transaction under way once more after a pause. It is the same
+// to the letter: if the first copy was executed, or is executed late, the
+// conditions let only one of them through.
+func (l *leadership) again() {
+	l.later(func() { l.commit(l.writer.Again()) })
+}
+
+// resolve finds out whether a transaction whose first outcome was unclear was
+// executed, by reading a key of it.
+func (l *leadership) resolve() {
+	n := l.n
+	l.probing = true
+	n.stateCall("GET", "/store/"+l.writer.Probe(), nil, func(r Result) {
+		if n.lead != l {
+			return
+		}
+		l.probing = false
+		var item storage.Item
+		switch {
+		case r.Status == 404 && l.writer.Matches(nil):
+			l.writer.Applied(0)
+		case r.Status == 200 && json.Unmarshal(r.Body, &item) == nil && l.writer.Matches(&item):
+			l.writer.Applied(item.Version)
+		case r.Status == 200 || r.Status == 404:
+			n.stepDown("a transaction was refused")
+		default:
+			l.later(l.resolve)
+			l.probing = true
+		}
+	})
+}
+
+// watch follows the open jobs: any node may have written a submission.
+func (l *leadership) watch() {
+	n := l.n
+	l.watching = true
+	wait := n.lease() / 2
+	n.call(State, "GET", storage.FollowPath(storage.JobPrefix, l.watchRev, wait.Milliseconds()), nil, 4*n.lease(), func(r Result) {
+		if n.lead != l {
+			return
+		}
+		var ev storage.Events
+		switch {
+		case r.Status == 200 && json.Unmarshal(r.Body, &ev) == nil:
+			for _, e := range ev.Log {
+				if e.Set != "" {
+					l.loadJobs([]storage.Item{{Key: e.Set, Value: e.Value, Version: e.Version}})
+				}
+			}
+			l.watchRev = max(l.watchRev, ev.Revision)
+			l.watching = false
+		case r.Status == 410:
+			// Too far behind: read the open jobs again. Jobs in the table stay.
+			l.readAll(storage.JobPrefix, "", l.loadJobs, func() { l.watching = false })
+		default:
+			l.later(func() { l.watching = false })
+		}
+	})
+}
+
+// team finds a team's settings.
+func (n *Node) team(name string) *config.Team {
+	for i := range n.cfg.Cluster.Teams {
+		if n.cfg.Cluster.Teams[i].Name == name {
+			return &n.cfg.Cluster.Teams[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/machines.go
@@ -0,0 +1,576 @@
+package coordination
+
+import (
+	"slices"
+	"time"
+
+	"hitchdoor/internal/config"
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+// machine is a rented machine as its leader knows it.
+type machine struct {
+	name, typ, zone string
+	spot            bool
+	kind            *protocol.MachineType // nil while the catalogue doesn't name it
+
+	recorded, used bool // durable: known by name; may have had tasks
+	recording      bool
+	accounted      bool // nothing runs on it that this leader doesn't know of
+	rentedAt       Instant
+
+	up           bool
+	session, seq uint64
+	lost         uint64  // the highest session declared lost
+	heard        Instant // last report in order
+	answered     Instant // last answer that may have renewed its lease
+	notice       Instant // when the cloud takes it; never: no notice
+
+	runs          map[string]*run
+	strays        int // reported tasks that no run of ours stands for
+	results       int // reported results that the worker must still keep
+	cores, ram    float64
+	accelerators  float64
+	images        []image // most recently used last
+	idleSince     Instant
+	failures      int // in a row
+	failedJobs    map[string]bool
+	sick          bool
+	emptying      bool // to be returned when empty
+	returning     bool
+	returnAt      Instant
+	failedListing bool
+	why           string // why it is returned
+	slow          float64
+	samples       int
+}
+
+type image struct {
+	name string
+	gb   float64
+}
+
+func (l *leadership) newMachine(name, typ, zone string, spot bool) *machine {
+	m := &machine{name: name, typ: typ, zone: zone, spot: spot, runs: map[string]*run{},
+		rentedAt: l.n.now, heard: never, answered: never, notice: never, idleSince: l.n.now,
+		failedJobs: map[string]bool{}, kind: l.n.catalog[typ], returnAt: never}
+	l.machines[name] = m
+	return m
+}
+
+func (l *leadership) typesChanged() {
+	for _, m := range l.machines {
+		if k := l.n.catalog[m.typ]; k != nil {
+			m.kind = k
+		}
+	}
+	l.dirty = true
+}
+
+// record makes the machine's name durable, with used set before its first task.
+func (l *leadership) record(m *machine, used bool) {
+	if m.recording || (m.recorded && m.used == used) {
+		return
+	}
+	m.recording = true
+	rec := storage.MachineRecord{Type: m.typ, Zone: m.zone, Spot: m.spot, Used: used,
+		AtMS: l.n.wall.Add(m.rentedAt).UnixMilli()}
+	l.writer.Add(storage.Unit{
+		Build: func() []storage.Write {
+			return []storage.Write{storage.Set(storage.MachinePrefix+m.name, rec)}
+		},
+		Done: func() {
+			m.recording, m.recorded, m.used = false, true, used
+			l.dirty = true
+		},
+	})
+}
+
+// forgetMachine drops a machine that is surely gone, with everything on it.
+func (l *leadership) forgetMachine(m *machine) {
+	for _, r := range sortedRuns(m) {
+		l.lose(r)
+	}
+	delete(l.machines, m.name)
+	l.gone[m.name] = l.n.now
+	l.dirty = true
+	key := storage.MachinePrefix + m.name
+	l.writer.AddLazy(storage.Unit{Build: func() []storage.Write {
+		if l.writer.Version(key) == 0 {
+			return nil
+		}
+		return []storage.Write{storage.Drop(key)}
+	}})
+}
+
+// sortedRuns lists a machine's runs in a fixed order, so that a step repeats.
+func sortedRuns(m *machine) []*run {
+	runs := make([]*run, 0, len(m.runs))
+	for _, r := range m.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		if a.attempt < b.attempt {
+			return -1
+		}
+		if a.attempt > b.attempt {
+			return 1
+		}
+		return 0
+	})
+	return runs
+}
+
+// place books a run on its machine and with its team.
+func (l *leadership) place(r *run) {
+	j, m := r.job, r.m
+	if j.tasks[r.index] == taskPending {
+		j.pending--
+	}
+	j.tasks[r.index] = taskActive
+	j.runs[r.index] = r
+	m.runs[r.key()] = r
+	m.cores += j.spec.Cores
+	m.ram += j.spec.RAM
+	m.accelerators += j.spec.Accelerators
+	if u := l.usage[j.spec.Team]; u != nil {
+		u.cores += j.spec.Cores
+		u.accelerators += j.spec.Accelerators
+	}
+}
+
+// release ends a run whose end is confirmed and gives back what it held.
+func (l *leadership) release(r *run) {
+	j, m := r.job, r.m
+	if m.runs[r.key()] != r {
+		return
+	}
+	delete(m.runs, r.key())
+	delete(j.runs, r.index)
+	m.cores -= j.spec.Cores
+	m.ram -= j.spec.RAM
+	m.accelerators -= j.spec.Accelerators
+	if u := l.usage[j.spec.Team]; u != nil {
+		u.cores -= j.spec.Cores
+		u.accelerators -= j.spec.Accelerators
+	}
+	if len(m.runs) == 0 {
+		m.idleSince = l.n.now
+		m.cores, m.ram, m.accelerators = 0, 0, 0
+	}
+	if j.tasks[r.index] == taskActive {
+		j.tasks[r.index] = taskPending
+		j.pending++
+		if j.pending == 1 {
+			j.waiting = l.n.now
+		}
+	}
+	l.dirty = true
+}
+
+// lose ends a run whose machine or session is gone.
+func (l *leadership) lose(r *run) { l.release(r) }
+
+// stopRun asks for a run's end; one that was never commanded ends at once.
+func (l *leadership) stopRun(r *run, grace float64) {
+	if r.phase == phaseAssigned {
+		l.release(r)
+		return
+	}
+	if r.stop != nil && *r.stop <= grace {
+		return
+	}
+	r.stop, r.stopAt = &grace, l.n.now
+}
+
+// leaseOver is after what silence a worker's lease is surely over.
+func (l *leadership) leaseOver() time.Duration { return drift(l.n.lease()) + l.n.lease()/50 }
+
+// accountedAll tells whether nothing of an earlier leader can still be running
+// unknown to this one.
+func (l *leadership) accountedAll() bool {
+	for _, m := range l.machines {
+		if !m.accounted {
+			return false
+		}
+	}
+	return true
+}
+
+// checkMachines declares lost what has been silent for a lease.
+func (l *leadership) checkMachines() {
+	now := l.n.now
+	for _, name := range l.names() {
+		m := l.machines[name]
+		since := max(m.answered, l.since)
+		if now <= since+l.leaseOver() {
+			continue
+		}
+		if !m.accounted {
+			m.accounted, l.dirty = true, true
+		}
+		if m.up {
+			// Its session has ended by its own clock: what it ran is dead, and
+			// the session never gets another 200.
+			l.n.log.Info("machine silent for a lease", "machine", name, "tasks", len(m.runs))
+			m.up = false
+			m.lost = m.session
+			m.strays = 0
+			for _, r := range sortedRuns(m) {
+				l.lose(r)
+			}
+			l.leave(m, "silent")
+		}
+	}
+	for name, at := range l.gone {
+		if now > at+8*config.Seconds(l.n.cfg.Cluster.Cloud.ListLagS)+l.n.lease() {
+			delete(l.gone, name)
+		}
+	}
+}
+
+// names lists the machines in order of their names.
+func (l *leadership) names() []string {
+	names := make([]string, 0, len(l.machines))
+	for name := range l.machines {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// onReport takes a worker's report and answers it.
+func (l *leadership) onReport(r Request) {
+	n := l.n
+	if !l.loaded {
+		if len(l.held) >= maxHeldReports {
+			n.reply(r.Origin, 503, 1, nil)
+			return
+		}
+		l.held = append(l.held, r)
+		return
+	}
+	rep := r.Report
+	l.heardWorker = n.now
+	if rep.Token > l.term {
+		// The worker has seen a newer leader: our answers would be dropped.
+		n.reply(r.Origin, 503, 1, nil)
+		n.stepDown("a worker has seen a higher token")
+		return
+	}
+	m := l.machines[rep.Machine]
+	if m == nil {
+		if _, gone := l.gone[rep.Machine]; gone {
+			n.reply(r.Origin, 503, 1, nil)
+			return
+		}
+		m = l.newMachine(rep.Machine, rep.Type, rep.Zone, rep.Spot)
+		// Nobody recorded it, so no leader has commanded a task to it; its
+		// report must still show our token before it gets one.
+		m.accounted = len(rep.Tasks) == 0
+		n.log.Info("unknown machine reports", "machine", m.name, "type", m.typ)
+	}
+	if rep.Session < m.session || (rep.Session == m.session && rep.Seq <= m.seq) || rep.Session <= m.lost {
+		// Late, or of a session that we have declared lost: never a 200.
+		n.reply(r.Origin, 503, 1, nil)
+		return
+	}
+	if rep.Session > m.session && m.session != 0 {
+		// The worker began a new session, so it has killed everything.
+		m.strays = 0
+		for _, x := range sortedRuns(m) {
+			if x.phase != phaseAssigned {
+				l.lose(x)
+			}
+		}
+	}
+	if !m.up {
+		m.up, l.dirty = true, true
+		if m.idleSince < n.now && len(m.runs) == 0 {
+			m.idleSince = n.now
+		}
+	}
+	m.session, m.seq, m.heard = rep.Session, rep.Seq, n.now
+	shown := rep.Token == l.term
+	forget := l.reconcile(m, rep)
+	if shown && !m.accounted {
+		m.accounted, l.dirty = true, true
+	}
+	l.takeNotice(m, rep.NoticeS)
+	if !m.used {
+		l.record(m, true)
+	}
+	if l.dirty {
+		l.schedule()
+	}
+	l.pump()
+	if n.lead != l || !n.authority() {
+		n.reply(r.Origin, 503, 1, nil)
+		return
+	}
+	m.answered = n.now
+	n.reply(r.Origin, 200, 0, protocol.ReportAnswer{Token: l.term, Commands: l.commands(m, shown, forget)})
+}
+
+// maxCommands bounds an answer well inside 64 KiB.
+const maxCommands = 300
+
+func (l *leadership) commands(m *machine, shown bool, commands []protocol.Command) []protocol.Command {
+	if commands == nil {
+		commands = []protocol.Command{}
+	}
+	for _, r := range sortedRuns(m) {
+		if len(commands) >= maxCommands {
+			break
+		}
+		switch {
+		case r.stop != nil && r.phase != phaseAssigned:
+			commands = append(commands, protocol.Command{Op: protocol.OpStop, Task: r.key(), Attempt: r.attempt, GraceS: r.stop})
+		case r.phase == phaseAssigned && shown && m.used:
+			r.phase = phaseSent
+			commands = append(commands, protocol.Command{Op: protocol.OpStart, Task: r.key(), Attempt: r.attempt})
+		}
+	}
+	return commands
+}
+
+// reconcile compares a report with what we believe of the machine, and returns
+// the commands that end what should not be there.
+func (l *leadership) reconcile(m *machine, rep *protocol.Report) []protocol.Command {
+	now := l.n.now
+	var commands []protocol.Command
+	present := make(map[string]uint64, len(rep.Tasks))
+	m.strays, m.results = 0, 0
+	for _, t := range rep.Tasks {
+		id, index, ok := splitTask(t.Task)
+		j := l.jobs[id]
+		if !ok || j == nil || index >= j.spec.Tasks {
+			j = nil
+		}
+		r := m.runs[t.Task]
+		if r != nil && r.attempt == t.Attempt {
+			present[t.Task] = t.Attempt
+		}
+		if t.State == protocol.TaskExited {
+			if l.exited(m, j, index, r, t) && len(commands) < maxCommands {
+				commands = append(commands, protocol.Command{Op: protocol.OpForget, Task: t.Task, Attempt: t.Attempt})
+			} else {
+				m.results++
+			}
+			continue
+		}
+		if r == nil && j != nil && j.tasks[index] == taskPending && !j.gone {
+			// Started by an earlier leader: it goes on.
+			r = &run{job: j, index: index, attempt: t.Attempt, m: m, phase: phaseSent, since: now}
+			l.place(r)
+			present[t.Task] = t.Attempt
+		}
+		if r == nil || r.attempt != t.Attempt {
+			m.strays++
+			if len(commands) < maxCommands {
+				zero := 0.0
+				commands = append(commands, protocol.Command{Op: protocol.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
+			}
+			continue
+		}
+		l.seen(m, r, t)
+	}
+	for _, r := range sortedRuns(m) {
+		if present[r.key()] == r.attempt || r.phase == phaseAssigned {
+			continue
+		}
+		if r.phase == phaseSent {
+			// This report is newer than the answer that held the command, and
+			// workers drop answers they no longer wait for: it was not executed
+			// and never will be.
+			if r.stop != nil || r.job.gone {
+				l.release(r)
+			} else {
+				r.phase = phaseAssigned
+			}
+			continue
+		}
+		l.release(r)
+	}
+	return commands
+}
+
+// seen updates a run that is on its machine.
+func (l *leadership) seen(m *machine, r *run, t protocol.TaskReport) {
+	switch t.State {
+	case protocol.TaskFetching:
+		r.phase = phaseFetching
+	case protocol.TaskRunning:
+		if r.phase != phaseRunning {
+			r.phase, r.started = phaseRunning, l.n.now
+			m.touch(r.job.spec.Image, r.job.spec.ImageGB)
+		}
+	case protocol.TaskSaving:
+		r.phase = phaseSaving
+	}
+}
+
+// touch notes an image as the machine's most recently used.
+func (m *machine) touch(name string, gb float64) {
+	m.images = slices.DeleteFunc(m.images, func(i image) bool { return i.name == name })
+	m.images = append(m.images, image{name, gb})
+	if m.kind == nil {
+		return
+	}
+	total := 0.0
+	for i := len(m.images) - 1; i >= 0; i-- {
+		total += m.images[i].gb
+		if total > m.kind.CacheGB {
+			m.images = slices.Clone(m.images[i+1:])
+			return
+		}
+	}
+}
+
+func (m *machine) hasImage(name string) bool {
+	return name == "" || slices.ContainsFunc(m.images, func(i image) bool { return i.name == name })
+}
+
+// exited handles a task that has ended and tells whether the worker may forget
+// it: a result only once it is durable, as it is the only copy.
+func (l *leadership) exited(m *machine, j *job, index int, r *run, t protocol.TaskReport) bool {
+	now := l.n.now
+	mine := r != nil && r.attempt == t.Attempt
+	if j == nil {
+		if mine {
+			l.release(r)
+		}
+		return true // the job is over, and its end is durable
+	}
+	if t.Why == protocol.WhyDone {
+		if mine {
+			if r.phase == phaseRunning && r.started > r.since {
+				took := now - r.started
+				l.learn(j, took)
+			}
+			m.failures = 0
+			clear(m.failedJobs)
+			clear(j.failedOn)
+			m.touch(j.spec.Image, j.spec.ImageGB)
+			l.release(r)
+		}
+		if x := j.runs[index]; x != nil && x != r {
+			l.stopRun(x, 0)
+		}
+		l.setDone(j, index)
+		return l.durable(j, index)
+	}
+	if !mine {
+		return true
+	}
+	l.release(r)
+	if j.gone {
+		return true
+	}
+	switch t.Why {
+	case protocol.WhyError:
+		l.failed(m, j, index)
+	case protocol.WhyHalted:
+	default: // refused: our picture of the machine was behind
+		l.delay(j, index, m, l.n.report())
+	}
+	return true
+}
+
+func (l *leadership) delay(j *job, index int, m *machine, d time.Duration) {
+	t := j.trouble[index]
+	if t == nil {
+		t = &trouble{}
+		j.trouble[index] = t
+	}
+	t.after, t.avoid = l.n.now+d, m.name
+}
+
+// Failures: from how many machines a job without any success is taken for bad,
+// and from how many tasks in a row a machine is taken for sick.
+const (
+	badJobMachines   = 3
+	sickMachineTasks = 2
+)
+
+// failed counts a failure. The task is retried at once on another machine; if it
+// fails again it backs off, as an accepted job must run in the end.
+func (l *leadership) failed(m *machine, j *job, index int) {
+	j.failedOn[m.name] = true
+	if len(j.failedOn) >= badJobMachines && j.done == 0 {
+		// It fails everywhere: that is the job's own mistake, and no machine's.
+		if !j.bad {
+			l.n.log.Info("job fails on every machine", "job", j.spec.UID)
+		}
+		j.bad = true
+	}
+	l.delay(j, index, m, 0)
+	t := j.trouble[index]
+	t.failures++
+	if t.failures > 1 {
+		t.after = l.n.now + min(l.n.report()<<min(t.failures-1, 10), 4*l.n.lease())
+	}
+	if j.bad {
+		t.after = max(t.after, l.n.now+l.n.lease())
+		return
+	}
+	m.failures++
+	m.failedJobs[j.spec.UID] = true
+	if m.failures >= sickMachineTasks && !m.sick && (len(m.failedJobs) > 1 || j.done > 0 || m.failures >= 2*sickMachineTasks) {
+		m.sick = true
+		l.leave(m, "sick")
+	}
+}
+
+// takeNotice drains a machine that the cloud is about to take.
+func (l *leadership) takeNotice(m *machine, notice *float64) {
+	if notice == nil {
+		return
+	}
+	left := config.Seconds(*notice)
+	if m.notice == never {
+		l.n.log.Info("spot notice", "machine", m.name, "left", left)
+		l.dirty = true
+	}
+	m.notice = l.n.now + left
+	l.leave(m, "notice")
+	for _, r := range sortedRuns(m) {
+		if r.stop != nil {
+			continue
+		}
+		if l.remaining(r) <= left {
+			continue
+		}
+		grace := 0.0
+		if r.job.spec.CheckpointS > 0 {
+			grace = *notice
+		}
+		l.stopRun(r, grace)
+	}
+}
+
+// remaining is how long a run should still take.
+func (l *leadership) remaining(r *run) time.Duration {
+	want := l.expected(r.job)
+	if r.phase == phaseRunning {
+		return max(want-(l.n.now-r.started), want/8)
+	}
+	return want
+}
+
+// leave marks a machine to be returned as soon as it is empty.
+func (l *leadership) leave(m *machine, why string) {
+	if m.why == "" || why != "surplus" {
+		m.why = why
+	}
+	if !m.emptying {
+		m.emptying = true
+		l.dirty = true
+		for _, r := range sortedRuns(m) {
+			if r.phase == phaseAssigned {
+				l.release(r)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/node.go
@@ -0,0 +1,371 @@
+// Package coordination decides: who leads, what is admitted, where tasks run
+// and which machines are held. It is a pure step from the time and a batch of
+// commands to effects; clocks, luck and I/O come from outside, so that any race
+// can be written down as a test.
+package coordination
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/config"
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+// Instant is a moment of the steady clock, counted from the process's start.
+type Instant = time.Duration
+
+// never is an instant long before any other.
+const never Instant = -1 << 60
+
+// Origin tells whom a request came from: a connection of this node, or a peer
+// that forwarded it.
+type Origin struct {
+	Ticket uint64
+	Peer   string
+}
+
+// Request kinds.
+const (
+	ReqSubmit  = "submit"
+	ReqQuery   = "query"
+	ReqCancel  = "cancel"
+	ReqReport  = "report"
+	ReqStatus  = "status"
+	ReqHealth  = "health"
+	ReqMetrics = "metrics"
+)
+
+// Request is a user's or a worker's request.
+type Request struct {
+	Origin Origin
+	Kind   string
+	ID     string // job id, of queries and cancellations
+	Body   []byte
+	Job    *protocol.Job    // parsed body of a submission
+	Report *protocol.Report // parsed body of a report
+}
+
+// Message is one line between controllers.
+type Message struct {
+	Type  string          `json:"type"`
+	Term  uint64          `json:"term,omitempty"`
+	Lead  bool            `json:"lead,omitempty"`
+	Want  bool            `json:"want,omitempty"`
+	Sent  int64           `json:"sent,omitempty"`
+	OK    bool            `json:"ok,omitempty"`
+	ID    uint64          `json:"id,omitempty"`
+	Kind  string          `json:"kind,omitempty"`
+	Job   string          `json:"job,omitempty"`
+	Code  int             `json:"code,omitempty"`
+	Retry int             `json:"retry,omitempty"`
+	Body  json.RawMessage `json:"body,omitempty"`
+}
+
+// Message types.
+const (
+	msgBeat    = "beat"    // "I am here", from everybody to everybody
+	msgPromise = "promise" // answer to a leader's beat that wants a promise
+	msgClear   = "clear"   // a candidate asks whether a peer is free of promises
+	msgCleared = "cleared" // the answer
+	msgAsk     = "ask"     // a forwarded request
+	msgAnswer  = "answer"  // its answer
+)
+
+// PeerMessage is a message with its sender.
+type PeerMessage struct {
+	From string
+	Msg  Message
+}
+
+// Target is the kind of service that a call goes to.
+type Target int
+
+// Targets.
+const (
+	State Target = iota
+	Cloud
+)
+
+// Result is the outcome of a call; status 0 means that no answer came, so that
+// the call may or may not have been carried out, now or later.
+type Result struct {
+	ID     uint64
+	Status int
+	Body   []byte
+}
+
+// Call is an effect: an HTTP request to an outside service.
+type Call struct {
+	ID      uint64
+	Target  Target
+	Method  string
+	Path    string
+	Body    []byte
+	Timeout time.Duration
+}
+
+// Reply is an effect: the answer to a request of this node's own connections.
+type Reply struct {
+	Ticket     uint64
+	Status     int
+	RetryAfter int
+	Body       []byte
+}
+
+// Send is an effect: a message to a peer.
+type Send struct {
+	To  string
+	Msg Message
+}
+
+// Node is the owner of all state of a controller.
+type Node struct {
+	cfg *config.Platform
+	set config.Settings
+	log *slog.Logger
+	rng *rand.Rand
+	// wall is the time of day at instant 0, for records only.
+	wall time.Time
+
+	now     Instant
+	effects []any
+
+	nextCall uint64
+	calls    map[uint64]func(Result)
+
+	elect    election
+	peers    map[string]*peer
+	forwards map[uint64]*forward
+	nextFwd  uint64
+	relays   map[string]*relay
+
+	catalog     map[string]*protocol.MachineType
+	catalogAt   Instant
+	catalogBusy bool
+
+	finals *finalCache
+	lead   *leadership
+
+	stateBudget bucket // reads and writes of a node that is not leading
+	cloudBudget bucket
+	writeBudget bucket
+}
+
+type peer struct {
+	name     string
+	heard    Instant
+	term     uint64
+	leads    bool
+	promised Instant // until when it won't stand against us
+}
+
+// bucket is a token bucket.
+type bucket struct {
+	rate, burst, level float64
+	at                 Instant
+}
+
+func newBucket(rate, burst float64) bucket { return bucket{rate: rate, burst: burst, level: burst} }
+
+func (b *bucket) refill(now Instant) {
+	if now > b.at {
+		b.level = min(b.burst, b.level+b.rate*(now-b.at).Seconds())
+		b.at = now
+	}
+}
+
+func (b *bucket) take(now Instant, n float64) bool {
+	b.refill(now)
+	if b.level < n {
+		return false
+	}
+	b.level -= n
+	return true
+}
+
+// Options is what a node is made of.
+type Options struct {
+	Platform *config.Platform
+	Settings config.Settings
+	Log      *slog.Logger
+	Rand     *rand.Rand
+	Wall     time.Time
+}
+
+// Shares of the outside services' limits. The leader has most of the writes;
+// every node keeps a margin for requests of a predecessor that are still under way.
+const (
+	leaderWriteShare   = 0.6
+	followerWriteShare = 0.1
+	followerReadShare  = 0.1
+	cloudShare         = 0.75
+	probesPerLease     = 28
+	beatsPerLease      = 32
+	termsPerLease      = 6 // leader leases and promises that fit one worker lease
+)
+
+// New makes a node.
+func New(o Options) *Node {
+	c := &o.Platform.Cluster
+	n := &Node{
+		cfg: o.Platform, set: o.Settings, log: o.Log, rng: o.Rand, wall: o.Wall,
+		calls: map[uint64]func(Result){}, peers: map[string]*peer{}, forwards: map[uint64]*forward{},
+		relays: map[string]*relay{}, finals: newFinalCache(finalCacheSize),
+		catalogAt:   never,
+		stateBudget: newBucket(c.State.RPS*followerReadShare, c.State.RPS*followerReadShare),
+		cloudBudget: newBucket(c.Cloud.RPS*cloudShare, max(1, c.Cloud.RPS*cloudShare)),
+		writeBudget: newBucket(c.State.WriteRPS*leaderWriteShare, c.State.WriteRPS*leaderWriteShare),
+	}
+	for _, k := range o.Platform.Known {
+		n.peers[k.Node] = &peer{name: k.Node, heard: never, promised: never}
+	}
+	n.elect = newElection()
+	return n
+}
+
+// Step carries out a batch of commands at an instant and returns the effects.
+func (n *Node) Step(now Instant, batch []any) []any {
+	if now > n.now {
+		n.now = now
+	}
+	n.effects = nil
+	for _, c := range batch {
+		switch c := c.(type) {
+		case Request:
+			n.onRequest(c)
+		case PeerMessage:
+			n.onPeer(c)
+		case Result:
+			if f, ok := n.calls[c.ID]; ok {
+				delete(n.calls, c.ID)
+				f(c)
+			}
+		case nil: // a tick
+		default:
+			panic(fmt.Sprintf("coordination: command %T", c))
+		}
+	}
+	n.tick()
+	out := n.effects
+	n.effects = nil
+	return out
+}
+
+func (n *Node) tick() {
+	n.tickElection()
+	n.tickCatalog()
+	n.tickForwards()
+	if n.lead != nil && n.authority() {
+		n.lead.tick()
+	}
+}
+
+// lease is the workers' lease, to which most times of a controller are ratios.
+func (n *Node) lease() time.Duration { return config.Seconds(n.cfg.Cluster.Workers.LeaseS) }
+
+func (n *Node) report() time.Duration { return config.Seconds(n.cfg.Cluster.Workers.ReportS) }
+
+// drift lengthens a span by twice the bound on how far two steady clocks drift apart.
+func drift(d time.Duration) time.Duration { return d + d/1000 }
+
+// wallMS is the time of day in milliseconds.
+func (n *Node) wallMS() int64 { return n.wall.Add(n.now).UnixMilli() }
+
+// instantOf turns a recorded time of day into an instant.
+func (n *Node) instantOf(ms int64) Instant { return time.UnixMilli(ms).Sub(n.wall) }
+
+func (n *Node) call(t Target, method, path string, body any, timeout time.Duration, then func(Result)) {
+	n.nextCall++
+	var raw []byte
+	switch b := body.(type) {
+	case nil:
+	case []byte:
+		raw = b
+	default:
+		raw = storage.Encode(b)
+	}
+	n.calls[n.nextCall] = then
+	n.effects = append(n.effects, Call{ID: n.nextCall, Target: t, Method: method, Path: path, Body: raw, Timeout: timeout})
+}
+
+// stateTimeout bounds one call to the state service.
+func (n *Node) stateTimeout() time.Duration { return n.lease() / 14 }
+
+func (n *Node) stateCall(method, path string, body any, then func(Result)) {
+	n.call(State, method, path, body, n.stateTimeout(), func(r Result) {
+		n.elect.saw(n.now, r.Status)
+		then(r)
+	})
+}
+
+func (n *Node) send(to string, m Message) { n.effects = append(n.effects, Send{To: to, Msg: m}) }
+
+func (n *Node) sendAll(m Message) {
+	for _, k := range n.cfg.Known {
+		n.send(k.Node, m)
+	}
+}
+
+// reply answers a request, wherever it came from.
+func (n *Node) reply(o Origin, status, retry int, body any) {
+	var raw []byte
+	switch b := body.(type) {
+	case nil:
+	case []byte:
+		raw = b
+	default:
+		raw = storage.Encode(b)
+	}
+	if o.Peer != "" {
+		n.send(o.Peer, Message{Type: msgAnswer, ID: o.Ticket, Code: status, Retry: retry, Body: raw})
+		return
+	}
+	n.effects = append(n.effects, Reply{Ticket: o.Ticket, Status: status, RetryAfter: retry, Body: raw})
+}
+
+// unavailable answers at once that the request can't be taken now.
+func (n *Node) unavailable(o Origin) { n.reply(o, 503, 1, nil) }
+
+func (n *Node) tickCatalog() {
+	if n.catalogBusy {
+		return
+	}
+	wait := n.lease()
+	if n.catalog != nil {
+		wait = 4 * n.lease()
+		if n.lead == nil {
+			wait *= 4
+		}
+	} else {
+		wait = n.lease() / 10
+	}
+	if n.catalogAt != never && n.now < n.catalogAt+wait {
+		return
+	}
+	if !n.cloudBudget.take(n.now, 1) {
+		return
+	}
+	n.catalogBusy, n.catalogAt = true, n.now
+	n.call(Cloud, "GET", "/catalog", nil, n.lease()/4, func(r Result) {
+		n.catalogBusy = false
+		var c protocol.Catalog
+		if r.Status != 200 || json.Unmarshal(r.Body, &c) != nil || len(c.Types) == 0 {
+			n.log.Debug("catalogue not read", "status", r.Status)
+			return
+		}
+		types := make(map[string]*protocol.MachineType, len(c.Types))
+		for i := range c.Types {
+			types[c.Types[i].Name] = &c.Types[i]
+		}
+		n.catalog = types
+		if n.lead != nil {
+			n.lead.typesChanged()
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/schedule.go
@@ -0,0 +1,329 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hitchdoor/internal/config"
+	"hitchdoor/internal/protocol"
+)
+
+// The checks of admission, in their order, by the names under which a waiting
+// job shows them.
+const (
+	waitBackoff = "backing off"
+	waitUnknown = "a machine is not accounted for"
+	waitSlots   = "scheduler slots"
+	waitTeam    = "team quota"
+	waitOverall = "overall quota"
+	waitRoom    = "no machine with room"
+)
+
+func fitsType(j *protocol.Job, t *protocol.MachineType) bool {
+	if len(j.Types) > 0 && !slices.Contains(j.Types, t.Name) {
+		return false
+	}
+	if j.Zone != "" && len(t.Zones) > 0 && !slices.Contains(t.Zones, j.Zone) {
+		return false
+	}
+	return j.Cores <= t.Cores && j.RAM <= t.RAM && j.Accelerators <= t.Accelerators
+}
+
+// allowed tells whether a machine is one that the job may use at all.
+func allowed(j *protocol.Job, m *machine) bool {
+	return m.kind != nil && fitsType(j, m.kind) && (j.Zone == "" || j.Zone == m.zone) && (j.Spot || !m.spot)
+}
+
+// ready tells whether a machine takes tasks.
+func (m *machine) ready() bool {
+	return m.up && m.accounted && m.used && !m.emptying && !m.returning && m.kind != nil
+}
+
+const slack = 1e-6 // of sums of decimal amounts
+
+func (m *machine) room(j *protocol.Job) bool {
+	k := m.kind
+	return m.cores+j.Cores <= k.Cores+slack && m.ram+j.RAM <= k.RAM+slack && m.accelerators+j.Accelerators <= k.Accelerators+slack
+}
+
+// slots counts the scheduler slots: of all machines up, and those taken, by
+// class. The second class is the pressing work (prod and urgent).
+type slots struct {
+	total        float64
+	batch, quick int
+	quickWaits   bool
+}
+
+func (s *slots) taken() int { return s.batch + s.quick }
+
+func pressing(j *protocol.Job) bool { return j.Rank() <= 1 }
+
+func (l *leadership) countSlots(waiting []*job) slots {
+	var s slots
+	set := &l.n.set
+	for _, m := range l.machines {
+		if m.up && m.kind != nil {
+			s.total += set.SlotsPerCore*m.kind.Cores + set.SlotsBase
+		}
+	}
+	for _, j := range l.jobs {
+		if pressing(&j.spec) {
+			s.quick += len(j.runs)
+		} else {
+			s.batch += len(j.runs)
+		}
+	}
+	for _, j := range waiting {
+		if pressing(&j.spec) && l.n.now-j.waiting > config.Seconds(set.BorrowWaitS) {
+			s.quickWaits = true
+		}
+	}
+	return s
+}
+
+// waitingJobs lists the open jobs that have tasks to start, most pressing first.
+func (l *leadership) waitingJobs() []*job {
+	type ranked struct {
+		j    *job
+		rank int
+		at   Instant
+	}
+	var list []ranked
+	for _, j := range l.jobs {
+		if j.gone || j.pending == 0 {
+			continue
+		}
+		r := ranked{j: j, rank: j.spec.Rank()}
+		latest := l.due(j) - l.expected(j)
+		if r.rank > 1 {
+			// Standard and low work goes by the latest start that is in time;
+			// what is late already passes behind what can still be in time.
+			r.rank = 2
+			if latest < l.n.now {
+				r.rank = 3
+			}
+		}
+		r.at = latest
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.at, b.at), cmp.Compare(a.j.spec.UID, b.j.spec.UID))
+	})
+	jobs := make([]*job, len(list))
+	for i := range list {
+		jobs[i] = list[i].j
+	}
+	return jobs
+}
+
+// schedule starts what may start: for each job, in order, the scheduler slots,
+// the team's quota and the overall quota are checked, and then the task goes to
+// the least loaded machine.
+func (l *leadership) schedule() {
+	n := l.n
+	l.dirty, l.scheduled = false, n.now
+	waiting := l.waitingJobs()
+	if len(waiting) == 0 {
+		return
+	}
+	s := l.countSlots(waiting)
+	complete := l.accountedAll()
+	unknown := 0.0 // cores that may be in use without our knowing
+	unknownAcc := 0.0
+	var machines []*machine
+	for _, name := range l.names() {
+		m := l.machines[name]
+		if m.kind != nil && (!m.accounted || m.strays > 0) {
+			unknown += m.kind.Cores
+			unknownAcc += m.kind.Accelerators
+		}
+		if m.ready() {
+			machines = append(machines, m)
+		}
+	}
+	for _, j := range waiting {
+		j.waits = l.admit(j, machines, &s, complete, unknown, unknownAcc)
+	}
+}
+
+// admit starts as many tasks of a job as the checks let through, and tells
+// which check stopped it.
+func (l *leadership) admit(j *job, machines []*machine, s *slots, complete bool, unknown, unknownAcc float64) string {
+	n := l.n
+	// A job accepted after our leader key was written can't have been started
+	// by an earlier leader; any other may be running where we don't see it.
+	if !complete && j.version <= l.writer.LeaderVer {
+		return waitUnknown
+	}
+	if n.now < j.notBefore {
+		return waitBackoff
+	}
+	team := n.team(j.spec.Team)
+	use := l.usage[j.spec.Team]
+	if team == nil || use == nil {
+		return waitTeam
+	}
+	stopped := ""
+	for index := range j.tasks {
+		if j.pending == 0 {
+			return stopped
+		}
+		if j.tasks[index] != taskPending {
+			continue
+		}
+		t := j.trouble[index]
+		if t != nil && n.now < t.after {
+			stopped = waitBackoff
+			continue
+		}
+		// 1. scheduler slots
+		if pressing(&j.spec) {
+			if float64(s.quick+1) > s.total {
+				return waitSlots
+			}
+		} else {
+			limit := s.total
+			if s.quickWaits {
+				limit *= n.set.ClassShare
+			}
+			if float64(s.batch+1) > limit {
+				return waitSlots
+			}
+		}
+		// 2. team quota
+		if team.CPUsMax > 0 && use.cores+unknown+j.spec.Cores > team.CPUsMax+slack {
+			return waitTeam
+		}
+		if team.GPUsMax > 0 && use.accelerators+unknownAcc+j.spec.Accelerators > team.GPUsMax+slack {
+			return waitTeam
+		}
+		// 3. overall quota
+		if float64(s.taken()+1) > s.total {
+			return waitOverall
+		}
+		avoid := ""
+		if t != nil {
+			avoid = t.avoid
+		}
+		m := l.leastLoaded(j, machines, avoid)
+		if m == nil {
+			if avoid != "" {
+				stopped = waitRoom
+				continue
+			}
+			return waitRoom
+		}
+		l.place(&run{job: j, index: index, attempt: l.nextAttempt(), m: m, phase: phaseAssigned, since: n.now})
+		if pressing(&j.spec) {
+			s.quick++
+		} else {
+			s.batch++
+		}
+	}
+	return stopped
+}
+
+// leastLoaded chooses the machine for a task: the least loaded in steps, then
+// one that has the image, then the least loaded exactly. A single machine that
+// has room is not refused for being the one on which the task failed.
+func (l *leadership) leastLoaded(j *job, machines []*machine, avoid string) *machine {
+	zone, full := "", map[string]int(nil)
+	if j.spec.SameZone {
+		for _, r := range j.runs {
+			zone = r.m.zone
+			break
+		}
+	}
+	if j.spec.Spread {
+		full = map[string]int{}
+		for _, r := range j.runs {
+			full[r.m.zone]++
+		}
+	}
+	var best *machine
+	var bestStep, bestImage int
+	var bestLoad float64
+	steps := float64(l.n.set.LoadSteps)
+	for _, m := range machines {
+		if !m.ready() || !m.room(&j.spec) || !allowed(&j.spec, m) || m.name == avoid {
+			continue
+		}
+		if zone != "" && m.zone != zone {
+			continue
+		}
+		if full != nil && full[m.zone] >= (j.spec.Tasks+1)/2 {
+			continue
+		}
+		load := max(m.cores/m.kind.Cores, m.ram/m.kind.RAM)
+		step, image := int(load*steps), 1
+		if m.hasImage(j.spec.Image) {
+			image = 0
+		}
+		if best == nil || cmp.Or(cmp.Compare(step, bestStep), cmp.Compare(image, bestImage), cmp.Compare(load, bestLoad)) < 0 {
+			best, bestStep, bestImage, bestLoad = m, step, image, load
+		}
+	}
+	return best
+}
+
+// unassign takes back tasks from machines that don't fetch them.
+func (l *leadership) unassign() {
+	patience := 2*l.n.report() + l.n.report()/2
+	for _, name := range l.names() {
+		m := l.machines[name]
+		for _, r := range sortedRuns(m) {
+			if r.phase == phaseAssigned && l.n.now-max(r.since, m.heard) > patience {
+				l.release(r)
+				l.delay(r.job, r.index, m, 0)
+			}
+		}
+	}
+}
+
+// leadStatus is what the status page shows of a leader.
+type leadStatus struct {
+	Loaded    bool            `json:"loaded"`
+	Accounted bool            `json:"accounted"`
+	Writes    int             `json:"writesWaiting"`
+	Jobs      []jobStatus     `json:"jobs"`
+	Machines  []machineStatus `json:"machines"`
+	Target    float64         `json:"targetCores"`
+}
+
+type jobStatus struct {
+	ID      string  `json:"id"`
+	Class   string  `json:"class"`
+	Team    string  `json:"team"`
+	Done    int     `json:"done"`
+	Active  int     `json:"active"`
+	Pending int     `json:"pending"`
+	Waits   string  `json:"waitsFor,omitempty"`
+	AgeS    float64 `json:"ageS"`
+}
+
+type machineStatus struct {
+	Name  string  `json:"name"`
+	Type  string  `json:"type"`
+	Zone  string  `json:"zone"`
+	Spot  bool    `json:"spot"`
+	Up    bool    `json:"up"`
+	Tasks int     `json:"tasks"`
+	Cores float64 `json:"coresUsed"`
+	Why   string  `json:"leaving,omitempty"`
+}
+
+func (l *leadership) status() *leadStatus {
+	s := &leadStatus{Loaded: l.loaded, Accounted: l.accountedAll(), Writes: l.writer.Pending(), Target: l.fleet.target}
+	for _, j := range l.jobs {
+		s.Jobs = append(s.Jobs, jobStatus{ID: j.spec.UID, Class: j.spec.Class, Team: j.spec.Team, Done: j.done,
+			Active: len(j.runs), Pending: j.pending, Waits: j.waits, AgeS: (l.n.now - j.at).Round(time.Millisecond).Seconds()})
+	}
+	slices.SortFunc(s.Jobs, func(a, b jobStatus) int { return cmp.Compare(a.ID, b.ID) })
+	for _, name := range l.names() {
+		m := l.machines[name]
+		s.Machines = append(s.Machines, machineStatus{Name: name, Type: m.typ, Zone: m.zone, Spot: m.spot, Up: m.up,
+			Tasks: len(m.runs), Cores: m.cores, Why: m.why})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/coordination/users.go
@@ -0,0 +1,431 @@
+package coordination
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+func utoa(v uint64) string { return strconv.FormatUint(v, 10) }
+
+// finalCacheSize bounds how many jobs that are over are kept in memory; older
+// ones are read from the state service again.
+const finalCacheSize = 20_000
+
+// finalCache remembers jobs that are over. They never change.
+type finalCache struct {
+	limit int
+	byID  map[string]storage.FinalRecord
+	order []string
+}
+
+func newFinalCache(limit int) *finalCache {
+	return &finalCache{limit: limit, byID: map[string]storage.FinalRecord{}}
+}
+
+func (c *finalCache) put(id string, r storage.FinalRecord) {
+	if _, ok := c.byID[id]; !ok {
+		c.order = append(c.order, id)
+		if len(c.order) > c.limit {
+			delete(c.byID, c.order[0])
+			c.order = c.order[1:]
+		}
+	}
+	c.byID[id] = r
+}
+
+func finalState(id string, f storage.FinalRecord) protocol.JobState {
+	none := 0
+	return protocol.JobState{UID: id, State: f.State, Done: &f.Done, Running: &none}
+}
+
+func queuedState(id string) protocol.JobState {
+	done, running := 0, 0
+	return protocol.JobState{UID: id, State: protocol.Queued, Done: &done, Running: &running}
+}
+
+// forward is a request that was handed to the leader.
+type forward struct {
+	req   Request
+	until Instant
+}
+
+// onRequest routes a request of this node's own connections.
+func (n *Node) onRequest(r Request) {
+	switch r.Kind {
+	case ReqHealth:
+		n.onHealth(r)
+		return
+	case ReqReport:
+		n.onReport(r)
+		return
+	case ReqStatus:
+		n.onStatus(r)
+		return
+	case ReqMetrics:
+		n.onMetrics(r)
+		return
+	}
+	if n.authority() {
+		n.lead.onUser(r)
+		return
+	}
+	if r.Origin.Peer != "" {
+		// The sender took us for the leader; it falls back by itself.
+		n.unavailable(r.Origin)
+		return
+	}
+	if p := n.leaderPeer(); p != nil && len(n.forwards) < maxForwards {
+		n.forward(p, r)
+		return
+	}
+	n.withoutLeader(r)
+}
+
+// maxForwards bounds the requests that wait for a leader's answer.
+const maxForwards = 1000
+
+func (n *Node) forward(p *peer, r Request) {
+	n.nextFwd++
+	n.forwards[n.nextFwd] = &forward{req: r, until: n.now + n.lease()/30}
+	n.send(p.name, Message{Type: msgAsk, ID: n.nextFwd, Kind: r.Kind, Job: r.ID, Body: r.Body})
+}
+
+func (n *Node) tickForwards() {
+	for id, f := range n.forwards {
+		if n.now >= f.until {
+			delete(n.forwards, id)
+			n.withoutLeader(f.req)
+		}
+	}
+}
+
+// onAsk takes a request that a peer forwards.
+func (n *Node) onAsk(p *peer, m Message) {
+	r := Request{Origin: Origin{Ticket: m.ID, Peer: p.name}, Kind: m.Kind, ID: m.Job, Body: m.Body}
+	var err error
+	switch m.Kind {
+	case ReqSubmit:
+		r.Job, err = protocol.ParseJob(m.Body)
+	case ReqReport:
+		r.Report, err = protocol.ParseReport(m.Body)
+	case ReqQuery, ReqCancel:
+	default:
+		return
+	}
+	if err != nil {
+		n.unavailable(r.Origin)
+		return
+	}
+	n.onRequest(r)
+}
+
+func (n *Node) onAnswer(m Message) {
+	f := n.forwards[m.ID]
+	if f == nil {
+		return
+	}
+	delete(n.forwards, m.ID)
+	if m.Code == 503 && f.req.Kind != ReqReport && f.req.Kind != ReqCancel {
+		// The leader can't answer; the state service may.
+		n.withoutLeader(f.req)
+		return
+	}
+	n.reply(f.req.Origin, m.Code, m.Retry, []byte(m.Body))
+}
+
+// withoutLeader serves what can be served from the state service alone.
+func (n *Node) withoutLeader(r Request) {
+	switch r.Kind {
+	case ReqSubmit:
+		n.submitDirect(r, nil)
+	case ReqQuery:
+		n.queryDirect(r, nil)
+	default:
+		n.unavailable(r.Origin)
+	}
+}
+
+// readJob reads what the state service knows of a job. The open record is read
+// first: a job moves from open to final, never back.
+func (n *Node) readJob(id string, then func(ok bool, open *storage.Item, final *storage.FinalRecord)) {
+	if f, ok := n.finals.byID[id]; ok {
+		then(true, nil, &f)
+		return
+	}
+	if n.elect.stateDown() || !n.stateBudget.take(n.now, 2) {
+		then(false, nil, nil)
+		return
+	}
+	n.stateCall("GET", "/store/"+storage.JobKey(id), nil, func(r Result) {
+		var item storage.Item
+		if r.Status == 200 && json.Unmarshal(r.Body, &item) == nil {
+			then(true, &item, nil)
+			return
+		}
+		if r.Status != 404 {
+			then(false, nil, nil)
+			return
+		}
+		n.stateCall("GET", "/store/"+storage.FinalKey(id), nil, func(r Result) {
+			var final storage.FinalRecord
+			switch {
+			case r.Status == 404:
+				then(true, nil, nil)
+			case r.Status == 200 && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &final) == nil:
+				n.finals.put(id, final)
+				then(true, nil, &final)
+			default:
+				then(false, nil, nil)
+			}
+		})
+	})
+}
+
+// queryDirect answers a query from the state service. lead is the leadership
+// that asks, if any: its authority must still hold when it answers.
+func (n *Node) queryDirect(r Request, lead *leadership) {
+	if !protocol.ValidJobID(r.ID) {
+		n.reply(r.Origin, 404, 0, nil)
+		return
+	}
+	n.readJob(r.ID, func(ok bool, open *storage.Item, final *storage.FinalRecord) {
+		switch {
+		case !ok:
+			n.unavailable(r.Origin)
+		case final != nil:
+			n.reply(r.Origin, 200, 0, finalState(r.ID, *final))
+		case open != nil:
+			if lead != nil && n.lead == lead && n.authority() {
+				if j := lead.adopt(r.ID, *open); j != nil {
+					n.reply(r.Origin, 200, 0, j.state())
+					return
+				}
+			}
+			// The read may be older than a leader's answer to the same user only
+			// if it was overtaken by the job's end; the cache tells.
+			if f, over := n.finals.byID[r.ID]; over {
+				n.reply(r.Origin, 200, 0, finalState(r.ID, f))
+				return
+			}
+			n.reply(r.Origin, 200, 0, queuedState(r.ID))
+		default:
+			n.reply(r.Origin, 404, 0, nil)
+		}
+	})
+}
+
+// canRun tells whether some machine type could ever run a task of the job, and
+// whether its team exists and has room for one task.
+func (n *Node) canRun(j *protocol.Job) bool {
+	team := n.team(j.Team)
+	if team == nil {
+		return false
+	}
+	if (team.CPUsMax > 0 && j.Cores > team.CPUsMax) || (team.GPUsMax > 0 && j.Accelerators > team.GPUsMax) {
+		return false
+	}
+	for _, t := range n.catalog {
+		if fitsType(j, t) {
+			return true
+		}
+	}
+	return false
+}
+
+// submitDirect writes a submission, conditioned on the job being unknown, and
+// answers after the write. Any node may do so; the leader watches.
+func (n *Node) submitDirect(r Request, lead *leadership) {
+	if n.catalog == nil || n.elect.stateDown() {
+		n.unavailable(r.Origin)
+		return
+	}
+	j := r.Job
+	if !n.canRun(j) {
+		// A job that was accepted once stays accepted, even if the catalogue
+		// has shrunk since; only an unknown one is refused.
+		n.answerKnown(r, lead, 422)
+		return
+	}
+	budget := &n.writeBudget
+	if lead == nil {
+		budget = &n.stateBudget
+	}
+	if !budget.take(n.now, 1) {
+		n.unavailable(r.Origin)
+		return
+	}
+	rec := storage.JobRecord{Spec: *j, AtMS: n.wallMS()}
+	txn := storage.Txn{
+		If:     []storage.Cond{{Key: storage.JobKey(j.UID)}, {Key: storage.FinalKey(j.UID)}},
+		Writes: []storage.Write{storage.Set(storage.JobKey(j.UID), rec)},
+	}
+	n.stateCall("POST", "/multi", txn, func(res Result) {
+		var out storage.TxnResult
+		switch {
+		case res.Status == 200 && json.Unmarshal(res.Body, &out) == nil:
+			if lead != nil && n.lead == lead {
+				lead.addJob(rec, out.Revision)
+			}
+			n.reply(r.Origin, 201, 0, protocol.JobState{UID: j.UID, State: protocol.Queued})
+		case res.Status == 409:
+			n.answerKnown(r, lead, 503)
+		default:
+			n.unavailable(r.Origin)
+		}
+	})
+}
+
+// answerKnown answers a submission of a job that should be known already;
+// otherwise is the status if it is not.
+func (n *Node) answerKnown(r Request, lead *leadership, otherwise int) {
+	r.ID = r.Job.UID
+	n.readJob(r.ID, func(ok bool, open *storage.Item, final *storage.FinalRecord) {
+		switch {
+		case !ok:
+			n.unavailable(r.Origin)
+		case final != nil:
+			n.reply(r.Origin, 200, 0, finalState(r.ID, *final))
+		case open != nil:
+			if lead != nil && n.lead == lead && n.authority() {
+				if j := lead.adopt(r.ID, *open); j != nil {
+					n.reply(r.Origin, 200, 0, j.state())
+					return
+				}
+			}
+			n.reply(r.Origin, 200, 0, queuedState(r.ID))
+		case otherwise == 503:
+			n.unavailable(r.Origin)
+		default:
+			n.reply(r.Origin, otherwise, 0, nil)
+		}
+	})
+}
+
+// onHealth is for the load balancer: a node that reaches neither the state
+// service nor another controller has nothing to offer.
+func (n *Node) onHealth(r Request) {
+	alone := len(n.peers) > 0 && n.peersHeard(n.lease()/4) == 0
+	if alone && n.elect.stateDown() && !n.authority() {
+		n.reply(r.Origin, 503, 0, nil)
+		return
+	}
+	n.reply(r.Origin, 200, 0, []byte(`{"ok":true}`))
+}
+
+// relay remembers that a worker was sent to the leader and came back.
+type relay struct {
+	sent  Instant // last time the worker was told to go to the leader
+	until Instant // relayed until then
+}
+
+// onReport answers a worker's report if this node leads, and otherwise sends
+// the worker to the leader. A worker that comes back can't reach the leader, so
+// this node relays for it.
+func (n *Node) onReport(r Request) {
+	if n.authority() {
+		n.lead.onReport(r)
+		return
+	}
+	if r.Origin.Peer != "" {
+		n.reply(r.Origin, 503, 0, nil)
+		return
+	}
+	p := n.leaderPeer()
+	if p == nil {
+		n.reply(r.Origin, 503, 1, nil)
+		return
+	}
+	name := r.Report.Machine
+	rl := n.relays[name]
+	if rl == nil {
+		rl = &relay{sent: never, until: never}
+		n.relays[name] = rl
+		if len(n.relays) > maxForwards {
+			n.relays = map[string]*relay{name: rl}
+		}
+	}
+	if n.now < rl.until || n.now-rl.sent < n.lease()/2 {
+		if n.now >= rl.until {
+			rl.until = n.now + 2*n.lease()
+		}
+		n.nextFwd++
+		n.forwards[n.nextFwd] = &forward{req: r, until: n.now + n.lease()/6}
+		n.send(p.name, Message{Type: msgAsk, ID: n.nextFwd, Kind: ReqReport, Body: r.Body})
+		return
+	}
+	rl.sent = n.now
+	n.reply(r.Origin, 421, 0, protocol.Redirect{ReportTo: p.name})
+}
+
+// status is what the status page shows an operator.
+type status struct {
+	Node      string      `json:"node"`
+	Leads     bool        `json:"leads"`
+	Leader    string      `json:"leader,omitempty"`
+	Term      uint64      `json:"term,omitempty"`
+	StateDown bool        `json:"stateDown"`
+	UptimeS   float64     `json:"uptimeS"`
+	Leading   *leadStatus `json:"leading,omitempty"`
+}
+
+func (n *Node) onStatus(r Request) {
+	s := status{Node: n.cfg.Node, Leads: n.authority(), StateDown: n.elect.stateDown(),
+		UptimeS: n.now.Round(time.Millisecond).Seconds()}
+	if p := n.leaderPeer(); p != nil {
+		s.Leader, s.Term = p.name, p.term
+	}
+	if s.Leads {
+		s.Leader, s.Term = n.cfg.Node, n.lead.term
+		s.Leading = n.lead.status()
+	}
+	n.reply(r.Origin, 200, 0, s)
+}
+
+// onMetrics answers with the figures that an operator would plot.
+func (n *Node) onMetrics(r Request) {
+	var b strings.Builder
+	gauge := func(name, help string, value float64) {
+		fmt.Fprintf(&b, "# HELP hitchdoor_%s %s\n# TYPE hitchdoor_%s gauge\nhitchdoor_%s %g\n", name, help, name, name, value)
+	}
+	flag := func(v bool) float64 {
+		if v {
+			return 1
+		}
+		return 0
+	}
+	gauge("leading", "1 on the node that leads.", flag(n.authority()))
+	gauge("state_down", "1 while the state service can't be reached.", flag(n.elect.stateDown()))
+	if n.authority() {
+		l := n.lead
+		running, pending, up, held := 0, 0, 0, 0.0
+		for _, j := range l.jobs {
+			running += len(j.runs)
+			pending += j.pending
+		}
+		for _, m := range l.machines {
+			if m.up {
+				up++
+			}
+			if m.kind != nil {
+				held += m.kind.Cores
+			}
+		}
+		gauge("term", "The leader's term.", float64(l.term))
+		gauge("jobs_open", "Jobs that are not over.", float64(len(l.jobs)))
+		gauge("tasks_active", "Tasks on machines.", float64(running))
+		gauge("tasks_pending", "Tasks that wait.", float64(pending))
+		gauge("machines", "Machines held.", float64(len(l.machines)))
+		gauge("machines_up", "Machines that report.", float64(up))
+		gauge("cores_held", "Cores of the machines held.", held)
+		gauge("cores_target", "Cores that the fleet aims at.", l.fleet.target)
+		gauge("writes_waiting", "Changes not yet in the state service.", float64(l.writer.Pending()))
+	}
+	n.reply(r.Origin, 200, 0, []byte(b.String()))
+}
--- /dev/null
+++ b/internal/storage/records.go
@@ -0,0 +1,199 @@
+// Package storage holds what the controllers keep in the state service: the
+// layout of the records, the transactions and the messages that carry them.
+package storage
+
+import (
+	"encoding/base64"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/protocol"
+)
+
+// Keys and prefixes.
+const (
+	TermKey       = "term"
+	LeaderKey     = "leader"
+	JobPrefix     = "job/"
+	FinalPrefix   = "final/"
+	BitsPrefix    = "bits/"
+	MachinePrefix = "mach/"
+	RentPrefix    = "rent/"
+)
+
+// JobKey is the key of an open job.
+func JobKey(id string) string { return JobPrefix + id }
+
+// FinalKey is the key of a job that is over.
+func FinalKey(id string) string { return FinalPrefix + id }
+
+// BitsKey is the key of one part of a job's bitmap of finished tasks.
+func BitsKey(id string, part int) string { return fmt.Sprintf("%s%s/%03d", BitsPrefix, id, part) }
+
+// ParseBitsKey is the reverse of BitsKey.
+func ParseBitsKey(key string) (id string, part int, ok bool) {
+	id, num, found := strings.Cut(strings.TrimPrefix(key, BitsPrefix), "/")
+	if !found {
+		return "", 0, false
+	}
+	part, err := strconv.Atoi(num)
+	return id, part, err == nil
+}
+
+// Term is the value of the term key.
+type Term struct {
+	Term uint64 `json:"term"`
+}
+
+// Leader is the value of the leader key.
+type Leader struct {
+	Node string `json:"node"`
+	Term uint64 `json:"term"`
+}
+
+// JobRecord is an open job. AtMS is the time of day of its acceptance; it
+// orders work and counts towards no rule.
+type JobRecord struct {
+	Spec protocol.Job `json:"spec"`
+	AtMS int64        `json:"at"`
+}
+
+// FinalRecord is what remains of a job that is over.
+type FinalRecord struct {
+	State string `json:"state"`
+	Tasks int    `json:"tasks"`
+	Done  int    `json:"done"`
+}
+
+// MachineRecord is a machine that the controllers hold. Used is set before the
+// first task: only such a machine has to be accounted for after a takeover.
+type MachineRecord struct {
+	Type  string `json:"type"`
+	Zone  string `json:"zone"`
+	Spot  bool   `json:"spot"`
+	AtMS  int64  `json:"at"`
+	Addr  string `json:"addr,omitempty"`
+	Used  bool   `json:"used"`
+	Leave bool   `json:"leave,omitempty"`
+}
+
+// BitsRecord is one part of a bitmap.
+type BitsRecord struct {
+	Bits string `json:"b"`
+}
+
+// EncodeBits and DecodeBits turn a part of a bitmap into its record and back.
+func EncodeBits(bits []byte) BitsRecord {
+	return BitsRecord{Bits: base64.StdEncoding.EncodeToString(bits)}
+}
+
+// DecodeBits is the reverse of EncodeBits.
+func DecodeBits(r BitsRecord) ([]byte, error) { return base64.StdEncoding.DecodeString(r.Bits) }
+
+// PartTasks is how many tasks one part of a bitmap covers, so that its record
+// stays well inside the value limit.
+func PartTasks(valueKB float64) int {
+	bytes := int(valueKB * 1024 / 2)
+	if bytes < 1 {
+		bytes = 1
+	}
+	return bytes * 8
+}
+
+// Item is one key with its value.
+type Item struct {
+	Key     string          `json:"path"`
+	Value   json.RawMessage `json:"data"`
+	Version uint64          `json:"versao"`
+	Lease   uint64          `json:"arrendo,omitempty"`
+}
+
+// Page is the answer to a listing.
+type Page struct {
+	Items     []Item `json:"rows"`
+	Truncated bool   `json:"truncated"`
+	Revision  uint64 `json:"edicao"`
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	Set     string          `json:"set"`
+	Drop    string          `json:"drop"`
+	Value   json.RawMessage `json:"data"`
+	Version uint64          `json:"versao"`
+}
+
+// Events is the answer of a watch.
+type Events struct {
+	Revision uint64  `json:"edicao"`
+	Log      []Event `json:"log"`
+}
+
+// Cond is one condition of a transaction; version 0 means that the key does
+// not exist.
+type Cond struct {
+	Key     string `json:"path"`
+	Version uint64 `json:"versao"`
+}
+
+// Write is one change of a transaction: a set or a drop.
+type Write struct {
+	Set   string          `json:"set,omitempty"`
+	Value json.RawMessage `json:"data,omitempty"`
+	Lease uint64          `json:"arrendo,omitempty"`
+	Drop  string          `json:"drop,omitempty"`
+}
+
+// Key is the key that the write touches.
+func (w Write) Key() string { return w.Set + w.Drop }
+
+// Txn is a transaction.
+type Txn struct {
+	If     []Cond  `json:"if"`
+	Writes []Write `json:"writes"`
+}
+
+// TxnResult is the answer to a transaction.
+type TxnResult struct {
+	Revision uint64   `json:"edicao"`
+	Failed   []string `json:"failed"`
+}
+
+// Hold is the body and the answer of a lease request.
+type Hold struct {
+	TTLMS int64  `json:"ttlMs,omitempty"`
+	Lease uint64 `json:"arrendo,omitempty"`
+}
+
+// Set makes a write of a value.
+func Set(key string, value any) Write { return Write{Set: key, Value: Encode(value)} }
+
+// Drop makes a write that removes a key.
+func Drop(key string) Write { return Write{Drop: key} }
+
+// Encode turns one of our own records into JSON; they can't fail to.
+func Encode(v any) []byte {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+// ListPath is the path of a listing of a prefix.
+func ListPath(prefix, since string, limit int) string {
+	path := "/store?under=" + url.QueryEscape(prefix) + "&limit=" + strconv.Itoa(limit)
+	if since != "" {
+		path += "&since=" + url.QueryEscape(since)
+	}
+	return path
+}
+
+// FollowPath is the path of a watch on a prefix.
+func FollowPath(prefix string, since uint64, waitMS int64) string {
+	return fmt.Sprintf("/follow?under=%s&since=%d&waitMs=%d", url.QueryEscape(prefix), since, waitMS)
+}
--- /dev/null
+++ b/internal/transport/client.go
@@ -0,0 +1,61 @@
+package transport
+
+import (
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"hitchdoor/internal/coordination"
+)
+
+// Client calls one outside service over pooled connections.
+type Client struct {
+	http *fasthttp.HostClient
+}
+
+// ClientOptions bound a client.
+type ClientOptions struct {
+	Connections int
+	Dial        time.Duration
+	Idle        time.Duration
+	MaxBody     int
+}
+
+// NewClient makes a client of a service. It never repeats a call by itself:
+// whether a call may be repeated is for the owner to decide.
+func NewClient(addr string, opt ClientOptions) *Client {
+	dialer := net.Dialer{Timeout: opt.Dial}
+	return &Client{http: &fasthttp.HostClient{
+		Addr:                          addr,
+		MaxConns:                      opt.Connections,
+		MaxIdleConnDuration:           opt.Idle,
+		MaxIdemponentCallAttempts:     1,
+		RetryIf:                       func(*fasthttp.Request) bool { return false },
+		MaxResponseBodySize:           opt.MaxBody,
+		NoDefaultUserAgentHeader:      true,
+		DisablePathNormalizing:        true,
+		DisableHeaderNamesNormalizing: true,
+		Dial:                          func(a string) (net.Conn, error) { return dialer.Dial("tcp4", a) },
+	}}
+}
+
+// Do carries out a call. Without an answer the status is 0.
+func (c *Client) Do(call coordination.Call) coordination.Result {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.SetRequestURI("http://" + c.http.Addr + call.Path)
+	req.Header.SetMethod(call.Method)
+	if call.Body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(call.Body)
+	}
+	out := coordination.Result{ID: call.ID}
+	err := c.http.DoTimeout(req, resp, call.Timeout)
+	if err == nil {
+		out.Status = resp.StatusCode()
+		out.Body = append([]byte(nil), resp.Body()...)
+	}
+	fasthttp.ReleaseRequest(req)
+	fasthttp.ReleaseResponse(resp)
+	return out
+}
--- /dev/null
+++ b/internal/transport/peers.go
@@ -0,0 +1,146 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/config"
+	"hitchdoor/internal/coordination"
+)
+
+// maxLine bounds one line between controllers: a forwarded body and its frame.
+const maxLine = 256 << 10
+
+// hello is the first line of a connection between controllers.
+type hello struct {
+	Node string `json:"node"`
+}
+
+// Peers keeps a connection to each other controller and takes theirs. Each
+// connection carries lines one way only, from the node that opened it.
+type Peers struct {
+	self  string
+	out   map[string]chan coordination.Message
+	known map[string]bool
+	in    func(coordination.PeerMessage)
+	log   *slog.Logger
+	quiet time.Duration
+}
+
+// NewPeers makes the links to all known peers; in takes what they say. A link
+// that is silent, or can't be written to, for quiet is closed and made anew.
+func NewPeers(self string, known []config.Peer, quiet time.Duration, log *slog.Logger, in func(coordination.PeerMessage)) *Peers {
+	p := &Peers{self: self, out: map[string]chan coordination.Message{}, known: map[string]bool{}, in: in, log: log, quiet: quiet}
+	for _, k := range known {
+		p.known[k.Node] = true
+		ch := make(chan coordination.Message, 256)
+		p.out[k.Node] = ch
+		go p.dial(k.PeerAddr, ch)
+	}
+	return p
+}
+
+// Send queues a message; if the link is behind, the message is dropped.
+func (p *Peers) Send(to string, m coordination.Message) {
+	select {
+	case p.out[to] <- m:
+	default:
+	}
+}
+
+func (p *Peers) dial(addr string, ch chan coordination.Message) {
+	for {
+		conn, err := net.DialTimeout("tcp4", addr, p.quiet)
+		if err == nil {
+			p.write(conn, ch)
+			conn.Close()
+		}
+		// What waited for the link is old by now.
+		for len(ch) > 0 {
+			<-ch
+		}
+		time.Sleep(p.quiet / 8)
+	}
+}
+
+func (p *Peers) write(conn net.Conn, ch chan coordination.Message) {
+	closed := make(chan struct{})
+	go func() {
+		// Nothing is ever said on this side; a read ends when the peer does.
+		var b [1]byte
+		conn.Read(b[:])
+		close(closed)
+	}()
+	buf := bytes.Buffer{}
+	enc := json.NewEncoder(&buf)
+	if enc.Encode(hello{p.self}) != nil {
+		return
+	}
+	for {
+		conn.SetWriteDeadline(time.Now().Add(p.quiet))
+		if _, err := conn.Write(buf.Bytes()); err != nil {
+			return
+		}
+		buf.Reset()
+		select {
+		case <-closed:
+			return
+		case m := <-ch:
+			if enc.Encode(m) != nil {
+				return
+			}
+			for len(ch) > 0 && buf.Len() < maxLine {
+				if enc.Encode(<-ch) != nil {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Serve takes the peers' connections until the listener fails.
+func (p *Peers) Serve(ln net.Listener) error {
+	slots := make(chan struct{}, 8*(len(p.known)+1))
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		select {
+		case slots <- struct{}{}:
+			go func() {
+				p.read(conn)
+				conn.Close()
+				<-slots
+			}()
+		default:
+			conn.Close()
+		}
+	}
+}
+
+func (p *Peers) read(conn net.Conn) {
+	lines := bufio.NewScanner(conn)
+	lines.Buffer(make([]byte, 0, 4<<10), maxLine)
+	next := func() bool {
+		conn.SetReadDeadline(time.Now().Add(p.quiet))
+		return lines.Scan()
+	}
+	var h hello
+	if !next() || json.Unmarshal(lines.Bytes(), &h) != nil || !p.known[h.Node] {
+		return
+	}
+	for next() {
+		var m coordination.Message
+		if err := json.Unmarshal(lines.Bytes(), &m); err != nil {
+			p.log.Warn("peer's line can't be read", "peer", h.Node, "error", err)
+			return
+		}
+		p.in(coordination.PeerMessage{From: h.Node, Msg: m})
+	}
+}
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,137 @@
+// Package transport carries the messages: the HTTP server for users and
+// workers, the HTTP clients of the outside services, and the JSON lines between
+// controllers.
+package transport
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/coordination"
+	"hitchdoor/internal/protocol"
+)
+
+// Asker hands a request to the owner and waits for its answer.
+type Asker interface {
+	Ask(r coordination.Request, patience time.Duration) coordination.Reply
+}
+
+// ServerOptions bound a server.
+type ServerOptions struct {
+	Connections int
+	Idle        time.Duration
+	Patience    time.Duration // how long an answer of the owner is waited for
+}
+
+// Server serves users, workers, the load balancer and operators.
+type Server struct {
+	app *fiber.App
+	ask Asker
+	opt ServerOptions
+}
+
+// NewServer makes a server.
+func NewServer(ask Asker, opt ServerOptions) *Server {
+	s := &Server{ask: ask, opt: opt}
+	s.app = fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		BodyLimit:             2 * protocol.MaxBody,
+		Concurrency:           opt.Connections,
+		IdleTimeout:           opt.Idle,
+		ReadTimeout:           opt.Idle,
+		ReadBufferSize:        4 << 10,
+		WriteBufferSize:       4 << 10,
+		DisableDefaultDate:    true,
+		ErrorHandler: func(c *fiber.Ctx, err error) error {
+			code := fiber.StatusInternalServerError
+			if e, ok := err.(*fiber.Error); ok {
+				code = e.Code
+			}
+			if code == fiber.StatusRequestEntityTooLarge {
+				code = fiber.StatusBadRequest
+			}
+			return fail(c, code, err.Error())
+		},
+	})
+	s.app.Post("/work", s.submit)
+	s.app.Get("/work/:id", s.query)
+	s.app.Post("/work/:id/cancel", s.cancel)
+	s.app.Post("/v1/report", s.report)
+	s.app.Get("/healthz", s.plain(coordination.ReqHealth))
+	s.app.Get("/status", s.plain(coordination.ReqStatus))
+	s.app.Get("/metrics", s.metrics)
+	return s
+}
+
+// Serve answers the listener's connections until it fails.
+func (s *Server) Serve(ln net.Listener) error { return s.app.Listener(ln) }
+
+type failure struct {
+	Error string `json:"error"`
+}
+
+func fail(c *fiber.Ctx, status int, why string) error {
+	raw, err := json.Marshal(failure{why})
+	if err != nil {
+		return err
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Status(status).Send(raw)
+}
+
+func (s *Server) answer(c *fiber.Ctx, r coordination.Request) error {
+	reply := s.ask.Ask(r, s.opt.Patience)
+	if reply.RetryAfter > 0 {
+		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(reply.RetryAfter))
+	}
+	if len(reply.Body) == 0 {
+		return fail(c, reply.Status, "see the status")
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Status(reply.Status).Send(reply.Body)
+}
+
+// body copies the request's body, as the server reuses its buffers.
+func body(c *fiber.Ctx) []byte { return append([]byte(nil), c.Body()...) }
+
+func (s *Server) submit(c *fiber.Ctx) error {
+	raw := body(c)
+	job, err := protocol.ParseJob(raw)
+	if err != nil {
+		return fail(c, fiber.StatusBadRequest, err.Error())
+	}
+	return s.answer(c, coordination.Request{Kind: coordination.ReqSubmit, ID: job.UID, Body: raw, Job: job})
+}
+
+func (s *Server) query(c *fiber.Ctx) error {
+	return s.answer(c, coordination.Request{Kind: coordination.ReqQuery, ID: param(c)})
+}
+
+func (s *Server) cancel(c *fiber.Ctx) error {
+	return s.answer(c, coordination.Request{Kind: coordination.ReqCancel, ID: param(c)})
+}
+
+func param(c *fiber.Ctx) string { return string(append([]byte(nil), c.Params("id")...)) }
+
+func (s *Server) report(c *fiber.Ctx) error {
+	raw := body(c)
+	rep, err := protocol.ParseReport(raw)
+	if err != nil {
+		return fail(c, fiber.StatusBadRequest, err.Error())
+	}
+	return s.answer(c, coordination.Request{Kind: coordination.ReqReport, Body: raw, Report: rep})
+}
+
+func (s *Server) plain(kind string) fiber.Handler {
+	return func(c *fiber.Ctx) error { return s.answer(c, coordination.Request{Kind: kind}) }
+}
+
+func (s *Server) metrics(c *fiber.Ctx) error {
+	reply := s.ask.Ask(coordination.Request{Kind: coordination.ReqMetrics}, s.opt.Patience)
+	c.Set(fiber.HeaderContentType, "text/plain; version=0.0.4")
+	return c.Status(reply.Status).Send(reply.Body)
+}
