Submissions are written by the node they reach, and never wait behind records

Ruled out: the state service's limits (0 refused), the network. Now each node writes what reaches it, from a budget of its own, lets a burst wait its turn for a tenth of a lease at most and repeats what was refused as too much or got no answer.

--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -152,9 +152,12 @@
 	finals *finalCache
 	lead   *leadership
 
-	stateBudget bucket // reads and writes of a node that is not leading
-	cloudBudget bucket
-	writeBudget bucket
+	submits []submission // that wait for their turn to be written
+
+	stateBudget  bucket // reads for users
+	cloudBudget  bucket
+	writeBudget  bucket // the leader's own changes
+	submitBudget bucket // submissions
 }
 
 type peer struct {
@@ -199,16 +202,17 @@
 	Wall     time.Time
 }
 
-// Shares of the outside services' limits. The leader has most of the writes;
+// Shares of the outside services' limits. The leader has most of the writes, and
+// submissions, which all nodes write, never wait behind the leader's records;
 // every node keeps a margin for requests of a predecessor that are still under way.
 const (
-	leaderWriteShare   = 0.6
-	followerWriteShare = 0.1
-	followerReadShare  = 0.1
-	cloudShare         = 0.75
-	probesPerLease     = 28
-	beatsPerLease      = 32
-	termsPerLease      = 6 // leader leases and promises that fit one worker lease
+	leaderWriteShare  = 0.6
+	submitWriteShare  = 0.3 // of all nodes together, but for bursts
+	followerReadShare = 0.1
+	cloudShare        = 0.75
+	probesPerLease    = 28
+	beatsPerLease     = 32
+	termsPerLease     = 6 // leader leases and promises that fit one worker lease
 )
 
 // New makes a node.
@@ -218,10 +222,11 @@
 		cfg: o.Platform, set: o.Settings, log: o.Log, rng: o.Rand, wall: o.Wall,
 		calls: map[uint64]func(Result){}, peers: map[string]*peer{}, forwards: map[uint64]*forward{},
 		relays: map[string]*relay{}, finals: newFinalCache(finalCacheSize),
-		catalogAt:   never,
-		stateBudget: newBucket(c.State.RPS*followerReadShare, c.State.RPS*followerReadShare),
-		cloudBudget: newBucket(c.Cloud.RPS*cloudShare, max(1, c.Cloud.RPS*cloudShare)),
-		writeBudget: newBucket(c.State.WriteRPS*leaderWriteShare, c.State.WriteRPS*leaderWriteShare),
+		catalogAt:    never,
+		stateBudget:  newBucket(c.State.RPS*followerReadShare, c.State.RPS*followerReadShare),
+		cloudBudget:  newBucket(c.Cloud.RPS*cloudShare, max(1, c.Cloud.RPS*cloudShare)),
+		writeBudget:  newBucket(c.State.WriteRPS*leaderWriteShare, c.State.WriteRPS*leaderWriteShare),
+		submitBudget: newBucket(c.State.WriteRPS*submitWriteShare/float64(c.Count), max(1, c.State.WriteRPS*submitWriteShare)),
 	}
 	for _, k := range o.Platform.Known {
 		n.peers[k.Node] = &peer{name: k.Node, heard: never, promised: never}
@@ -262,6 +267,7 @@
 	n.tickElection()
 	n.tickCatalog()
 	n.tickForwards()
+	n.writeSubmissions()
 	if n.lead != nil && n.authority() {
 		n.lead.tick()
 	}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -81,6 +81,11 @@
 		n.unavailable(r.Origin)
 		return
 	}
+	if r.Kind == ReqSubmit {
+		// The leader need not see it first: it watches the open jobs.
+		n.withoutLeader(r)
+		return
+	}
 	if p := n.leaderPeer(); p != nil && len(n.forwards) < maxForwards {
 		n.forward(p, r, n.lease()/30)
 		return
@@ -96,10 +101,7 @@
 	n.forwards[n.nextFwd] = &forward{req: r, until: n.now + patience}
 	// What was parsed is sent, not what came: a body may hold line breaks.
 	m := Message{Type: msgAsk, ID: n.nextFwd, Kind: r.Kind, Job: r.ID}
-	switch r.Kind {
-	case ReqSubmit:
-		m.Body = storage.Encode(r.Job)
-	case ReqReport:
+	if r.Kind == ReqReport {
 		m.Body = storage.Encode(r.Report)
 	}
 	n.send(p.name, m)
@@ -152,6 +154,10 @@
 func (n *Node) withoutLeader(r Request) {
 	switch r.Kind {
 	case ReqSubmit:
+		if f, ok := n.finals.byID[r.Job.UID]; ok {
+			n.reply(r.Origin, 200, 0, finalState(r.Job.UID, f))
+			return
+		}
 		n.submitDirect(r, nil)
 	case ReqQuery:
 		n.queryDirect(r, nil)
@@ -253,6 +259,14 @@
 	return false
 }
 
+// submission is a submission that is to be written.
+type submission struct {
+	r     Request
+	lead  *leadership // that took it, if any
+	until Instant     // when its user is told to come back instead
+	tries int
+}
+
 // submitDirect writes a submission, conditioned on the job being unknown, and
 // answers after the write. Any node may do so; the leader watches.
 func (n *Node) submitDirect(r Request, lead *leadership) {
@@ -260,21 +274,45 @@
 		n.unavailable(r.Origin)
 		return
 	}
-	j := r.Job
-	if !n.canRun(j) {
+	if !n.canRun(r.Job) {
 		// A job that was accepted once stays accepted, even if the catalogue
 		// has shrunk since; only an unknown one is refused.
 		n.answerKnown(r, lead, 422)
 		return
 	}
-	budget := &n.writeBudget
-	if lead == nil {
-		budget = &n.stateBudget
-	}
-	if !budget.take(n.now, 1) {
-		n.unavailable(r.Origin)
+	n.queueSubmission(submission{r: r, lead: lead, until: n.now + n.lease()/10})
+}
+
+// queueSubmission lets a submission wait for its turn: users come in bursts, and
+// the state service takes only so many changes a second.
+func (n *Node) queueSubmission(s submission) {
+	if len(n.submits) >= maxForwards {
+		n.unavailable(s.r.Origin)
 		return
 	}
+	n.submits = append(n.submits, s)
+	n.writeSubmissions()
+}
+
+// writeSubmissions sends what the budget allows, and turns away at once what
+// can't be taken any more.
+func (n *Node) writeSubmissions() {
+	queue := n.submits
+	n.submits = nil
+	for i, s := range queue {
+		switch {
+		case n.now >= s.until || n.elect.stateLost():
+			n.unavailable(s.r.Origin)
+		case n.submitBudget.take(n.now, 1):
+			n.writeSubmission(s)
+		default:
+			n.submits = append(n.submits, queue[i])
+		}
+	}
+}
+
+func (n *Node) writeSubmission(s submission) {
+	j := s.r.Job
 	rec := storage.JobRecord{Spec: *j, AtMS: n.wallMS()}
 	txn := storage.Txn{
 		If:     []storage.Cond{{Key: storage.JobKey(j.UID)}, {Key: storage.FinalKey(j.UID)}},
@@ -284,18 +322,26 @@
 		var out storage.TxnResult
 		switch {
 		case res.Status == 200 && json.Unmarshal(res.Body, &out) == nil:
-			if lead != nil && n.lead == lead {
-				lead.addJob(rec, out.Revision)
+			if s.lead != nil && n.lead == s.lead {
+				s.lead.addJob(rec, out.Revision)
 			}
-			n.reply(r.Origin, 201, 0, protocol.JobState{UID: j.UID, State: protocol.Queued})
+			n.reply(s.r.Origin, 201, 0, protocol.JobState{UID: j.UID, State: protocol.Queued})
 		case res.Status == 409:
-			n.answerKnown(r, lead, 503)
+			n.answerKnown(s.r, s.lead, 503)
+		case (res.Status == 0 || res.Status == 429) && s.tries < submitTries:
+			// Too many changes at once, or an answer lost. Its condition lets only
+			// one copy through, so it may be sent again.
+			s.tries++
+			n.queueSubmission(s)
 		default:
-			n.unavailable(r.Origin)
+			n.unavailable(s.r.Origin)
 		}
 	})
 }
 
+// submitTries is how often a submission is sent again.
+const submitTries = 3
+
 // onHealth is for the load balancer: a node that reaches neither the state
 // service nor another controller has nothing to offer.
 func (n *Node) onHealth(r Request) {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -365,6 +365,8 @@
 	last     uint64
 	down     bool
 	refuse   map[string]bool
+	limited  bool // enforce the changes per second
+	writes   bucket
 	lose     int                                   // answers of executed transactions to swallow
 	hold     func(node string, t storage.Txn) bool // transactions to keep back
 	held     []func()
@@ -456,6 +458,13 @@
 		if err := json.Unmarshal(c.Body, &t); err != nil {
 			s.w.t.Fatal(err)
 		}
+		if rate := s.w.cfg.State.WriteRPS; s.limited {
+			s.writes.rate, s.writes.burst = rate, rate
+			if !s.writes.take(s.w.now, float64(len(t.Writes))) {
+				back(429, nil)
+				return
+			}
+		}
 		if s.hold != nil && s.hold(node, t) {
 			s.held = append(s.held, func() { s.multi(t) })
 			return // no answer: it may be executed later
