Walk machines by time, rank a job's machines once, and fill what reports

Now all machines are looked at eight times per report interval, a full pass is made at most twelve times per interval, a job's machines are ranked in a heap once, and a report fills its own machine from the order of the last pass. A machine on which a task failed last is passed over for a lease only: where no other was to be had, the task waited for good.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -127,8 +127,7 @@
 			}
 		}
 	}
-	for _, name := range l.names() {
-		m := l.machines[name]
+	for _, m := range l.held() {
 		l.checkPace(m)
 		switch {
 		case expected(m) && quiet(m) && 2*silent <= up:
@@ -153,18 +152,21 @@
 
 func (f *fleet) sendReturns() {
 	l, n := f.l, f.l.n
+	if n.now < f.returnAt {
+		return
+	}
+	f.returnAt = n.now + n.report()/checksPerReport
 	var names []string
-	for _, name := range l.names() {
-		m := l.machines[name]
+	for _, m := range l.held() {
 		if m.why == surplus && (n.now-m.rentedAt < minCharge ||
 			n.now-m.spareSince < config.Seconds(n.set.IdleKeep*m.kind.ReadyS)) {
 			continue // it is paid for, or work may be back before it would have booted again
 		}
 		if m.emptying && !m.returning && len(names) < 100 && (m.forced() || (len(m.runs) == 0 && m.results == 0 && m.strays == 0)) {
-			names = append(names, name)
+			names = append(names, m.name)
 		}
 	}
-	if len(names) == 0 || n.now < f.returnAt || !n.cloudBudget.take(n.now, 1) {
+	if len(names) == 0 || !n.cloudBudget.take(n.now, 1) {
 		return
 	}
 	f.returnAt = n.now + n.report()/4
@@ -251,9 +253,8 @@
 // one that is old enough and silent counts; the return call makes sure.
 func (f *fleet) missing(asked Instant) {
 	l := f.l
-	for _, name := range l.names() {
-		m := l.machines[name]
-		if !f.listed[name] && asked-m.rentedAt > 4*f.lag() && asked-max(m.heard, l.since) > l.n.lease()/2 {
+	for _, m := range l.held() {
+		if !f.listed[m.name] && asked-m.rentedAt > 4*f.lag() && asked-max(m.heard, l.since) > l.n.lease()/2 {
 			l.leave(m, "not listed")
 		}
 	}
@@ -383,8 +384,7 @@
 	held := 0.0
 	var kept []*machine
 	var leaving []*machine
-	for _, name := range l.names() {
-		m := l.machines[name]
+	for _, m := range l.held() {
 		switch {
 		case m.kind == nil || m.returning:
 		case !m.emptying:
@@ -429,9 +429,9 @@
 		fresh = append(fresh, opt)
 		held += k.Cores
 	}
-	for _, r := range l.waitingJobs() {
+	for _, r := range l.order {
 		j := r.j
-		if j.bad || len(fresh) >= maxFresh || f.served(j, kept, fresh) {
+		if j.bad || j.gone || j.pending == 0 || len(fresh) >= maxFresh || f.served(j, kept, fresh) {
 			continue
 		}
 		if opt, k := f.choose(&j.spec, j.spec.Cores*float64(j.pending)); k != nil {
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -38,6 +38,7 @@
 	bad      bool
 
 	tookSum, tookCount float64 // logarithms of its finished tasks' run times
+	usual              time.Duration
 
 	cancel                []Origin // who waits for the cancellation
 	gone                  bool     // cancelled or done: nothing starts any more
@@ -50,7 +51,8 @@
 type trouble struct {
 	failures int
 	after    Instant
-	avoid    string
+	avoid    string  // the machine that is passed over,
+	until    Instant // for a while: where no other is to be had it must do
 }
 
 // partState is one part of the bitmap of finished tasks.
@@ -70,6 +72,8 @@
 	since   Instant // assigned
 	started Instant // first seen running
 	stop    *float64
+	shown   bool   // by the report that is being read
+	name    string // see key
 }
 
 type phase uint8
@@ -82,7 +86,12 @@
 	phaseSaving
 )
 
-func (r *run) key() string { return taskKey(r.job.spec.UID, r.index) }
+func (r *run) key() string {
+	if r.name == "" {
+		r.name = taskKey(r.job.spec.UID, r.index)
+	}
+	return r.name
+}
 
 func taskKey(id string, index int) string { return id + "/" + utoa(uint64(index)) }
 
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -35,10 +35,16 @@
 	usage       map[string]*usage          // by team
 
 	machines    map[string]*machine
-	sorted      []string           // their names; nil: to be made anew
+	sorted      []*machine // by name; nil: to be made anew
+	checkedAt   Instant    // when all were looked at
+	census      census     // of them, as of the last change
+	censusOK    bool
+	order       []ranked           // jobs that wait, as of the last full pass
+	pressed     bool               // pressing work had waited for too long then
+	active      [2]int             // tasks on machines, by class: batch, pressing
 	gone        map[string]Instant // returned or taken, and when
 	heardWorker Instant
-	held        []Request // reports that came while loading
+	early       []Request // reports that came while loading
 
 	watchRev  uint64
 	watching  bool
@@ -55,8 +61,8 @@
 		n: n, term: term, since: n.now, heardWorker: n.now,
 		partTasks: storage.PartTasks(n.cfg.Cluster.State.ValueKB),
 		writer:    storage.NewWriter(n.cfg.Cluster.State.TxnOps, leaderVer),
-		scheduled: never,
-		jobs:      map[string]*job{}, over: map[string]bool{}, classes: map[string]*class{},
+		scheduled: never, checkedAt: never,
+		jobs: map[string]*job{}, over: map[string]bool{}, classes: map[string]*class{},
 		within: map[string][]time.Duration{}, usage: map[string]*usage{},
 		machines: map[string]*machine{}, gone: map[string]Instant{},
 	}
@@ -97,7 +103,7 @@
 			l.n.unavailable(o)
 		}
 	}
-	for _, r := range l.held {
+	for _, r := range l.early {
 		l.n.reply(r.Origin, 503, 1, nil)
 	}
 }
@@ -229,9 +235,9 @@
 	l.loaded, l.dirty = true, true
 	l.fleet.inherit()
 	l.n.log.Info("records read", "jobs", len(l.jobs), "machines", len(l.machines))
-	held := l.held
-	l.held = nil
-	for _, r := range held {
+	early := l.early
+	l.early = nil
+	for _, r := range early {
 		l.onReport(r)
 	}
 }
@@ -255,7 +261,7 @@
 	}
 	l.checkMachines()
 	l.fleet.tick()
-	if l.dirty && n.now >= l.scheduled+n.report()/16 {
+	if l.dirty && n.now >= l.scheduled+n.report()/passesPerReport {
 		l.schedule()
 	}
 	l.pump()
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -30,8 +30,9 @@
 	notice       Instant // when the cloud takes it; never: no notice
 
 	runs          map[string]*run
-	strays        int // reported tasks that no run of ours stands for
-	results       int // reported results that the worker must still keep
+	list          []*run // the same, by attempt
+	strays        int    // reported tasks that no run of ours stands for
+	results       int    // reported results that the worker must still keep
 	cores, ram    float64
 	accelerators  float64
 	images        []image // most recently used last
@@ -55,7 +56,8 @@
 	m := &machine{name: name, typ: typ, zone: zone, spot: spot, runs: map[string]*run{},
 		rentedAt: l.n.now, heard: never, answered: never, notice: never, spareSince: l.n.now,
 		failedJobs: map[string]bool{}, kind: l.n.catalog[typ]}
-	l.machines[name], l.sorted = m, nil
+	l.machines[name] = m
+	l.machinesChanged()
 	return m
 }
 
@@ -97,24 +99,32 @@
 
 // forgetMachine drops a machine that is surely gone, with everything on it.
 func (l *leadership) forgetMachine(m *machine) {
-	for _, r := range sortedRuns(m) {
+	for _, r := range m.list {
 		l.release(r)
 	}
 	delete(l.machines, m.name)
-	l.sorted = nil
+	l.machinesChanged()
 	l.gone[m.name] = l.n.now
 	l.dirty = true
 	l.dropKnown(storage.MachinePrefix + m.name)
 }
 
-// sortedRuns lists a machine's runs in a fixed order, so that a step repeats.
-func sortedRuns(m *machine) []*run {
-	runs := make([]*run, 0, len(m.runs))
-	for _, r := range m.runs {
-		runs = append(runs, r)
+// addRun and dropRun keep a machine's runs in order of their attempts, so that a
+// step repeats. Whoever walks the list may release runs meanwhile: it is never
+// changed in place below its end.
+func (m *machine) addRun(r *run) {
+	m.runs[r.key()] = r
+	if n := len(m.list); n == 0 || m.list[n-1].attempt < r.attempt {
+		m.list = append(m.list, r)
+		return
 	}
-	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.attempt, b.attempt) })
-	return runs
+	at, _ := slices.BinarySearchFunc(m.list, r.attempt, func(x *run, attempt uint64) int { return cmp.Compare(x.attempt, attempt) })
+	m.list = slices.Insert(slices.Clone(m.list), at, r)
+}
+
+func (m *machine) dropRun(r *run) {
+	delete(m.runs, r.key())
+	m.list = slices.DeleteFunc(slices.Clone(m.list), func(x *run) bool { return x == r })
 }
 
 // place books a run on its machine and with its team.
@@ -125,7 +135,8 @@
 	}
 	j.tasks[r.index] = taskActive
 	j.runs[r.index] = r
-	m.runs[r.key()] = r
+	m.addRun(r)
+	l.count(j, 1)
 	m.touch(j.spec.Image, j.spec.ImageGB) // held, or fetched once for all
 	m.cores += j.spec.Cores
 	m.ram += j.spec.RAM
@@ -142,7 +153,8 @@
 	if m.runs[r.key()] != r {
 		return
 	}
-	delete(m.runs, r.key())
+	m.dropRun(r)
+	l.count(j, -1)
 	delete(j.runs, r.index)
 	m.cores -= j.spec.Cores
 	m.ram -= j.spec.RAM
@@ -180,37 +192,32 @@
 // leaseOver is after what silence a worker's lease is surely over.
 func (l *leadership) leaseOver() time.Duration { return drift(l.n.lease()) + l.n.lease()/50 }
 
-// accountedAll tells whether nothing of an earlier leader can still be running
-// unknown to this one.
-func (l *leadership) accountedAll() bool {
-	for _, m := range l.machines {
-		if !m.accounted {
-			return false
-		}
-	}
-	return true
-}
+// checksPerReport is how often, per report interval, all machines are looked at.
+const checksPerReport = 8
 
 // checkMachines declares lost what has been silent for a lease.
 func (l *leadership) checkMachines() {
 	now := l.n.now
-	for _, name := range l.names() {
-		m := l.machines[name]
+	if now < l.checkedAt+l.n.report()/checksPerReport {
+		return // each step would walk all machines: it comes with every report
+	}
+	l.checkedAt = now
+	for _, m := range l.held() {
 		since := max(m.answered, l.since)
 		if now <= since+l.leaseOver() {
 			continue
 		}
 		if !m.accounted {
-			m.accounted, l.dirty = true, true
+			m.accounted, l.dirty, l.censusOK = true, true, false
 		}
 		if m.up {
 			// Its session has ended by its own clock: what it ran is dead, and
 			// the session never gets another 200.
-			l.n.log.Info("machine silent for a lease", "machine", name, "tasks", len(m.runs))
-			m.up = false
+			l.n.log.Info("machine silent for a lease", "machine", m.name, "tasks", len(m.runs))
+			m.up, l.censusOK = false, false
 			m.lost = m.session
 			m.strays = 0
-			for _, r := range sortedRuns(m) {
+			for _, r := range m.list {
 				l.release(r)
 			}
 			l.leave(m, "silent")
@@ -223,28 +230,31 @@
 	}
 }
 
-// names lists the machines in order of their names. The list is kept between
+// held lists the machines in order of their names. The list is kept between
 // changes: made anew at each step, it was two thirds of a busy leader's work.
-func (l *leadership) names() []string {
+func (l *leadership) held() []*machine {
 	if l.sorted == nil {
-		l.sorted = make([]string, 0, len(l.machines))
-		for name := range l.machines {
-			l.sorted = append(l.sorted, name)
+		l.sorted = make([]*machine, 0, len(l.machines))
+		for _, m := range l.machines {
+			l.sorted = append(l.sorted, m)
 		}
-		slices.Sort(l.sorted)
+		slices.SortFunc(l.sorted, func(a, b *machine) int { return cmp.Compare(a.name, b.name) })
 	}
 	return l.sorted
 }
 
+// machinesChanged drops what is kept of the list of machines.
+func (l *leadership) machinesChanged() { l.sorted, l.censusOK = nil, false }
+
 // onReport takes a worker's report and answers it.
 func (l *leadership) onReport(r Request) {
 	n := l.n
 	if !l.loaded {
-		if len(l.held) >= maxHeldReports {
+		if len(l.early) >= maxHeldReports {
 			n.reply(r.Origin, 503, 1, nil)
 			return
 		}
-		l.held = append(l.held, r)
+		l.early = append(l.early, r)
 		return
 	}
 	rep := r.Report
@@ -265,6 +275,7 @@
 		// Nobody recorded it, so no leader has commanded a task to it; its
 		// report must still show our token before it gets one.
 		m.accounted = len(rep.Tasks) == 0
+		l.censusOK = false
 		n.log.Info("unknown machine reports", "machine", m.name, "type", m.typ)
 	}
 	if rep.Session < m.session || (rep.Session == m.session && rep.Seq <= m.seq) || rep.Session <= m.lost {
@@ -274,29 +285,31 @@
 	}
 	if rep.Session > m.session && m.session != 0 {
 		// The worker began a new session, so it has killed everything.
-		m.strays = 0
-		for _, x := range sortedRuns(m) {
+		m.strays, l.censusOK = 0, false
+		for _, x := range m.list {
 			if x.phase != phaseAssigned {
 				l.release(x)
 			}
 		}
 	}
 	if !m.up {
-		m.up, l.dirty = true, true
+		m.up, l.dirty, l.censusOK = true, true, false
 	}
+	strays := m.strays
 	m.session, m.seq, m.heard = rep.Session, rep.Seq, n.now
 	shown := rep.Token == l.term
 	forget := l.reconcile(m, rep)
+	if (m.strays > 0) != (strays > 0) {
+		l.censusOK = false
+	}
 	if shown && !m.accounted {
-		m.accounted, l.dirty = true, true
+		m.accounted, l.dirty, l.censusOK = true, true, false
 	}
 	l.takeNotice(m, rep.NoticeS)
 	if !m.used {
 		l.record(m, true)
 	}
-	if l.dirty {
-		l.schedule()
-	}
+	l.fill(m)
 	l.pump()
 	if n.lead != l || !n.authority() {
 		n.reply(r.Origin, 503, 1, nil)
@@ -313,7 +326,7 @@
 	if commands == nil {
 		commands = []protocol.Command{}
 	}
-	for _, r := range sortedRuns(m) {
+	for _, r := range m.list {
 		if len(commands) >= maxCommands {
 			break
 		}
@@ -333,7 +346,9 @@
 func (l *leadership) reconcile(m *machine, rep *protocol.Report) []protocol.Command {
 	now := l.n.now
 	var commands []protocol.Command
-	present := make(map[string]uint64, len(rep.Tasks))
+	for _, r := range m.list {
+		r.shown = false
+	}
 	m.strays, m.results = 0, 0
 	for _, t := range rep.Tasks {
 		id, index, ok := splitTask(t.Task)
@@ -343,7 +358,7 @@
 		}
 		r := m.runs[t.Task]
 		if r != nil && r.attempt == t.Attempt {
-			present[t.Task] = t.Attempt
+			r.shown = true
 		}
 		if t.State == protocol.TaskExited {
 			if l.exited(m, j, index, r, t) && len(commands) < maxCommands {
@@ -357,7 +372,7 @@
 			// Started by an earlier leader: it goes on.
 			r = &run{job: j, index: index, attempt: t.Attempt, m: m, phase: phaseSent, since: now}
 			l.place(r)
-			present[t.Task] = t.Attempt
+			r.shown = true
 		}
 		if r == nil || r.attempt != t.Attempt {
 			m.strays++
@@ -369,8 +384,8 @@
 		}
 		l.seen(m, r, t)
 	}
-	for _, r := range sortedRuns(m) {
-		if present[r.key()] == r.attempt || r.phase == phaseAssigned {
+	for _, r := range m.list {
+		if r.shown || r.phase == phaseAssigned {
 			continue
 		}
 		if r.phase == phaseSent {
@@ -482,7 +497,7 @@
 		t = &trouble{}
 		j.trouble[index] = t
 	}
-	t.after, t.avoid = l.n.now+d, m.name
+	t.after, t.avoid, t.until = l.n.now+d, m.name, l.n.now+d+l.n.lease()
 }
 
 // Failures: from how many machines a job without any success is taken for bad,
@@ -543,6 +558,7 @@
 	}
 	j.tookSum += math.Log(float64(took))
 	j.tookCount++
+	j.usual = time.Duration(math.Exp(j.tookSum / j.tookCount))
 }
 
 // usualTook is how long the job's finished tasks took, once there are some.
@@ -550,7 +566,7 @@
 	if j.tookCount < paceSiblings {
 		return 0, false
 	}
-	return time.Duration(math.Exp(j.tookSum / j.tookCount)), true
+	return j.usual, true
 }
 
 // checkPace empties a machine that runs its tasks far slower than their siblings
@@ -564,10 +580,13 @@
 		sum += p
 		count++
 	}
-	for _, r := range sortedRuns(m) {
+	for _, r := range m.list {
 		// A task that is overdue says as much as one that has ended.
-		usual, ok := r.job.usualTook()
-		if ran := l.n.now - r.started; ok && r.phase == phaseRunning && ran > 3*usual/2 {
+		if r.phase != phaseRunning {
+			continue
+		}
+		if usual, ok := r.job.usualTook(); ok && l.n.now-r.started > 3*usual/2 {
+			ran := l.n.now - r.started
 			sum += math.Log(float64(ran) / float64(usual))
 			count++
 		}
@@ -578,7 +597,7 @@
 	factor := math.Exp(sum / float64(count))
 	l.n.log.Info("machine is slow", "machine", m.name, "factor", factor, "tasks", count)
 	l.leave(m, slow)
-	for _, r := range sortedRuns(m) {
+	for _, r := range m.list {
 		want := l.expected(r.job)
 		if usual, ok := r.job.usualTook(); ok {
 			want = usual
@@ -620,7 +639,7 @@
 	}
 	m.notice = l.n.now + left
 	l.leave(m, "notice")
-	for _, r := range sortedRuns(m) {
+	for _, r := range m.list {
 		if r.stop != nil {
 			continue
 		}
@@ -636,8 +655,10 @@
 }
 
 // remaining is how long a run should still take.
-func (l *leadership) remaining(r *run) time.Duration {
-	want := l.expected(r.job)
+func (l *leadership) remaining(r *run) time.Duration { return l.remainingOf(r, l.expected(r.job)) }
+
+// remainingOf is the same of a run that is expected to take want in all.
+func (l *leadership) remainingOf(r *run, want time.Duration) time.Duration {
 	if r.phase == phaseRunning {
 		return max(want-(l.n.now-r.started), want/8)
 	}
@@ -652,7 +673,7 @@
 	if !m.emptying {
 		m.emptying = true
 		l.dirty = true
-		for _, r := range sortedRuns(m) {
+		for _, r := range m.list {
 			if r.phase == phaseAssigned {
 				l.release(r)
 			}
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -396,6 +396,7 @@
 		t.Fatalf("waits for %q", job.waits)
 	}
 	l.Node.set.SlotsPerCore, l.Node.set.SlotsBase = 0.01, 0
+	l.lead.machinesChanged()
 	l.lead.schedule()
 	if job.waits != waitSlots {
 		t.Fatalf("waits for %q, though the slots come first", job.waits)
@@ -411,11 +412,11 @@
 	w.submit(l.name, low)
 	w.submit(l.name, urgent)
 	x := l.lead
-	if s := x.countSlots(x.waitingJobs()); s.quickWaits {
+	if x.quickWaits(x.waitingJobs()) {
 		t.Fatal("lending ended at once")
 	}
 	x.jobs["j-2"].waiting = x.n.now - config.Seconds(x.n.set.BorrowWaitS) - time.Second
-	if s := x.countSlots(x.waitingJobs()); !s.quickWaits {
+	if !x.quickWaits(x.waitingJobs()) {
 		t.Fatal("lending goes on though pressing work has waited")
 	}
 	if first := x.waitingJobs()[0].j.spec.UID; first != "j-2" {
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 	"time"
 
@@ -63,27 +64,55 @@
 
 func pressing(j *protocol.Job) bool { return j.Rank() <= 1 }
 
-func (l *leadership) countSlots(waiting []ranked) slots {
-	var s slots
+// count keeps the tasks on machines by class.
+func (l *leadership) count(j *job, by int) {
+	class := 0
+	if pressing(&j.spec) {
+		class = 1
+	}
+	l.active[class] += by
+}
+
+// census is what admission needs to know of all machines.
+type census struct {
+	slots    float64 // of the machines up
+	complete bool    // all are accounted for: nothing of an earlier leader runs unknown to this one
+	unknown  usage   // what may be in use without our knowing
+}
+
+// takeCensus walks all machines, if one has changed since.
+func (l *leadership) takeCensus() census {
+	if l.censusOK {
+		return l.census
+	}
+	c := census{complete: true}
 	set := &l.n.set
-	for _, m := range l.machines {
-		if m.up && m.kind != nil {
-			s.total += set.SlotsPerCore*m.kind.Cores + set.SlotsBase
+	for _, m := range l.held() {
+		c.complete = c.complete && m.accounted
+		if m.kind == nil {
+			continue
 		}
-	}
-	for _, j := range l.jobs {
-		if pressing(&j.spec) {
-			s.quick += len(j.runs)
-		} else {
-			s.batch += len(j.runs)
+		if m.up {
+			c.slots += set.SlotsPerCore*m.kind.Cores + set.SlotsBase
 		}
-	}
-	for _, r := range waiting {
-		if pressing(&r.j.spec) && l.n.now-r.j.waiting > config.Seconds(set.BorrowWaitS) {
-			s.quickWaits = true
+		if !m.accounted || m.strays > 0 {
+			c.unknown.cores += m.kind.Cores
+			c.unknown.accelerators += m.kind.Accelerators
 		}
 	}
-	return s
+	l.census, l.censusOK = c, true
+	return c
+}
+
+// accountedAll tells whether nothing of an earlier leader can still be running
+// unknown to this one.
+func (l *leadership) accountedAll() bool { return l.takeCensus().complete }
+
+// quickWaits tells whether pressing work has waited for too long.
+func (l *leadership) quickWaits(waiting []ranked) bool {
+	return slices.ContainsFunc(waiting, func(r ranked) bool {
+		return pressing(&r.j.spec) && l.n.now-r.j.waiting > config.Seconds(l.n.set.BorrowWaitS)
+	})
 }
 
 // ranked is a job with what orders it.
@@ -170,9 +199,10 @@
 
 // workLeft is the core seconds that a job still needs.
 func (l *leadership) workLeft(j *job, p pull) float64 {
-	work := float64(j.pending) * (l.expected(j) + p.time(j.spec.ImageGB)).Seconds()
+	want := l.expected(j)
+	work := float64(j.pending) * (want + p.time(j.spec.ImageGB)).Seconds()
 	for _, r := range j.runs {
-		work += l.remaining(r).Seconds()
+		work += l.remainingOf(r, want).Seconds()
 	}
 	return work * j.spec.Cores
 }
@@ -219,12 +249,20 @@
 // packing is how much of the machines' time tasks fill when there is enough work.
 const packing = 0.9
 
+// passesPerReport is how often, per report interval, a full pass may be made.
+const passesPerReport = 12
+
 // pass is what the admissions of one pass share.
 type pass struct {
 	slots
+	census
 	machines []*machine
-	complete bool  // all machines are accounted for
-	unknown  usage // what may be in use without our knowing
+}
+
+func (l *leadership) newPass(quickWaits bool) *pass {
+	p := &pass{census: l.takeCensus()}
+	p.slots = slots{total: p.census.slots, batch: l.active[0], quick: l.active[1], quickWaits: quickWaits}
+	return p
 }
 
 // schedule starts what may start: for each job, in order, the scheduler slots,
@@ -233,36 +271,49 @@
 func (l *leadership) schedule() {
 	n := l.n
 	l.dirty, l.scheduled = false, n.now
-	waiting := l.waitingJobs()
-	if len(waiting) == 0 {
+	l.order = l.waitingJobs()
+	l.pressed = l.quickWaits(l.order)
+	if len(l.order) == 0 {
 		return
 	}
-	p := pass{slots: l.countSlots(waiting), complete: l.accountedAll()}
+	p := l.newPass(l.pressed)
 	if p.complete && !l.complete {
 		l.complete = true
 		n.log.Info("all machines accounted for", "after", n.now-l.since)
 	}
-	for _, name := range l.names() {
-		m := l.machines[name]
-		if m.kind != nil && (!m.accounted || m.strays > 0) {
-			p.unknown.cores += m.kind.Cores
-			p.unknown.accelerators += m.kind.Accelerators
-		}
-		if m.ready() {
+	for _, m := range l.held() {
+		if m.ready() && m.hasSpace() {
 			p.machines = append(p.machines, m)
 		}
 	}
-	// Within a rank, tasks first go where their image is: a fetch keeps cores
-	// busy with nothing, and may take as long as a task.
-	for len(waiting) > 0 {
+	l.admitAll(p)
+}
+
+// fill gives a machine that reports what waits for room, in the order of the last
+// full pass, so that its answer carries new tasks for those that have ended. A
+// full pass for each report would cost machines x tasks.
+func (l *leadership) fill(m *machine) {
+	if len(l.order) == 0 || !m.ready() || m.emptying || !m.hasSpace() {
+		return
+	}
+	p := l.newPass(l.pressed)
+	p.machines = []*machine{m}
+	l.admitAll(p)
+}
+
+// admitAll admits the waiting jobs to the machines of a pass. Within a rank,
+// tasks first go where their image is: a fetch keeps cores busy with nothing, and
+// may take as long as a task.
+func (l *leadership) admitAll(p *pass) {
+	for waiting := l.order; len(waiting) > 0; {
 		same := 1
 		for same < len(waiting) && waiting[same].rank == waiting[0].rank {
 			same++
 		}
 		for _, fetch := range []bool{false, true} {
 			for _, r := range waiting[:same] {
-				if j := r.j; j.pending > 0 {
-					j.waits = l.admit(j, &p, fetch)
+				if j := r.j; j.pending > 0 && !j.gone {
+					j.waits = l.admit(j, p, fetch)
 				}
 			}
 		}
@@ -270,6 +321,11 @@
 	}
 }
 
+// hasSpace tells whether a machine could take a task of any size at all.
+func (m *machine) hasSpace() bool {
+	return m.cores+slack < m.kind.Cores && m.ram+slack < m.kind.RAM
+}
+
 // admit starts as many tasks of a job as the checks let through, and tells
 // which check stopped it.
 func (l *leadership) admit(j *job, p *pass, fetch bool) string {
@@ -284,6 +340,7 @@
 	if team == nil || use == nil {
 		return waitTeam
 	}
+	var at *candidates
 	stopped := ""
 	leading := true // nothing pending has been passed over yet
 	for index := j.first; index < len(j.tasks); index++ {
@@ -328,10 +385,13 @@
 			return waitOverall
 		}
 		avoid := ""
-		if t != nil {
+		if t != nil && n.now < t.until {
 			avoid = t.avoid
 		}
-		m := l.leastLoaded(j, p.machines, avoid, fetch)
+		if at == nil {
+			at = l.candidates(j, p.machines, fetch)
+		}
+		m := at.leastLoaded(avoid)
 		if m == nil {
 			if avoid != "" {
 				stopped = waitRoom
@@ -343,6 +403,7 @@
 			l.keep(m)
 		}
 		l.place(&run{job: j, index: index, attempt: l.nextAttempt(), m: m, phase: phaseAssigned, since: n.now})
+		at.placed(m)
 		if pressing(&j.spec) {
 			p.quick++
 		} else {
@@ -352,60 +413,117 @@
 	return stopped
 }
 
-// leastLoaded chooses the machine for a task: the least loaded in steps, then
-// the one that has the image soonest, then the least loaded exactly. The machine
-// on which the task failed last is passed over.
-func (l *leadership) leastLoaded(j *job, machines []*machine, avoid string, fetch bool) *machine {
-	zone, full := "", map[string]int(nil)
-	if j.spec.SameZone {
-		for _, r := range j.runs {
-			zone = r.m.zone
-			break
+// candidates are the machines on which tasks of a job may start now, the best
+// first: the least loaded in steps, then the one that has the image soonest, then
+// the least loaded exactly. They are ranked once for all tasks of the job; a walk
+// over all machines for each task would cost machines x tasks.
+type candidates struct {
+	l    *leadership
+	job  *job
+	list []candidate // a heap
+}
+
+type candidate struct {
+	m           *machine
+	spare, step int
+	image, load float64
+}
+
+func (c *candidates) Len() int      { return len(c.list) }
+func (c *candidates) Swap(i, j int) { c.list[i], c.list[j] = c.list[j], c.list[i] }
+func (c *candidates) Push(x any)    { c.list = append(c.list, x.(candidate)) }
+func (c *candidates) Less(i, j int) bool {
+	a, b := &c.list[i], &c.list[j]
+	return cmp.Or(cmp.Compare(a.spare, b.spare), cmp.Compare(a.step, b.step), cmp.Compare(a.image, b.image),
+		cmp.Compare(a.load, b.load), cmp.Compare(a.m.name, b.m.name)) < 0
+}
+
+func (c *candidates) Pop() any {
+	last := c.list[len(c.list)-1]
+	c.list = c.list[:len(c.list)-1]
+	return last
+}
+
+func (l *leadership) candidates(j *job, machines []*machine, fetch bool) *candidates {
+	c := &candidates{l: l, job: j}
+	for _, m := range machines {
+		if m.room(&j.spec) && m.ready() && (fetch || m.hasImage(j.spec.Image)) && allowed(&j.spec, m) {
+			c.list = append(c.list, c.rate(m))
 		}
 	}
-	if j.spec.Spread {
-		full = map[string]int{}
-		for _, r := range j.runs {
-			full[r.m.zone]++
-		}
+	heap.Init(c)
+	return c
+}
+
+func (c *candidates) rate(m *machine) candidate {
+	x := candidate{m: m, load: max(m.cores/m.kind.Cores, m.ram/m.kind.RAM)}
+	x.step = int(x.load * float64(c.l.n.set.LoadSteps))
+	if image := c.job.spec.Image; !m.hasImage(image) {
+		x.image = c.job.spec.ImageGB / m.kind.PullGBPerS
 	}
-	var best *machine
-	var bestStep int
-	var bestImage, bestLoad float64
-	var bestSpare int
-	steps := float64(l.n.set.LoadSteps)
-	for _, m := range machines {
-		if !m.ready() || !m.room(&j.spec) || !allowed(&j.spec, m) || m.name == avoid || (!fetch && !m.hasImage(j.spec.Image)) {
-			continue
-		}
-		if zone != "" && m.zone != zone {
-			continue
-		}
-		if full != nil && full[m.zone] >= (j.spec.Tasks+1)/2 {
-			continue
-		}
-		load := max(m.cores/m.kind.Cores, m.ram/m.kind.RAM)
-		step, image := int(load*steps), 0.0
-		if !m.hasImage(j.spec.Image) {
-			image = j.spec.ImageGB / m.kind.PullGBPerS
-		}
-		spare := 0 // surplus machines are to empty, unless no other has room
-		if m.emptying {
-			spare = 1
+	if m.emptying {
+		x.spare = 1 // surplus machines are to empty, unless no other has room
+	}
+	return x
+}
+
+// leastLoaded chooses the machine for a task. The machine on which the task
+// failed last is passed over.
+func (c *candidates) leastLoaded(avoid string) *machine {
+	var passed *candidate
+	defer func() {
+		if passed != nil {
+			heap.Push(c, *passed)
+		}
+	}()
+	for len(c.list) > 0 {
+		m := c.list[0].m
+		switch {
+		case !c.inPlace(m):
+			heap.Pop(c)
+		case m.name == avoid:
+			x := heap.Pop(c).(candidate)
+			passed = &x
+		default:
+			return m
 		}
-		if best == nil || cmp.Or(cmp.Compare(spare, bestSpare), cmp.Compare(step, bestStep), cmp.Compare(image, bestImage), cmp.Compare(load, bestLoad)) < 0 {
-			best, bestSpare, bestStep, bestImage, bestLoad = m, spare, step, image, load
+	}
+	return nil
+}
+
+// inPlace tells whether the job's other tasks allow one in the machine's zone.
+func (c *candidates) inPlace(m *machine) bool {
+	spec := &c.job.spec
+	if !spec.SameZone && !spec.Spread {
+		return true
+	}
+	there := 0
+	for _, r := range c.job.runs {
+		if r.m.zone == m.zone {
+			there++
+		} else if spec.SameZone {
+			return false
 		}
 	}
-	return best
+	return !spec.Spread || there < (spec.Tasks+1)/2
+}
+
+// placed ranks a machine anew that has got a task.
+func (c *candidates) placed(m *machine) {
+	at := slices.IndexFunc(c.list, func(x candidate) bool { return x.m == m })
+	if m.room(&c.job.spec) {
+		c.list[at] = c.rate(m)
+		heap.Fix(c, at)
+	} else {
+		heap.Remove(c, at)
+	}
 }
 
 // unassign takes back tasks from machines that don't fetch them.
 func (l *leadership) unassign() {
 	patience := 2*l.n.report() + l.n.report()/2
-	for _, name := range l.names() {
-		m := l.machines[name]
-		for _, r := range sortedRuns(m) {
+	for _, m := range l.held() {
+		for _, r := range m.list {
 			if r.phase == phaseAssigned && l.n.now-max(r.since, m.heard) > patience {
 				l.release(r)
 				l.delay(r.job, r.index, m, 0)
@@ -453,9 +571,8 @@
 			Active: len(j.runs), Pending: j.pending, Waits: j.waits, AgeS: (l.n.now - j.at).Round(time.Millisecond).Seconds()})
 	}
 	slices.SortFunc(s.Jobs, func(a, b jobStatus) int { return cmp.Compare(a.ID, b.ID) })
-	for _, name := range l.names() {
-		m := l.machines[name]
-		s.Machines = append(s.Machines, machineStatus{Name: name, Type: m.typ, Zone: m.zone, Spot: m.spot, Up: m.up,
+	for _, m := range l.held() {
+		s.Machines = append(s.Machines, machineStatus{Name: m.name, Type: m.typ, Zone: m.zone, Spot: m.spot, Up: m.up,
 			Tasks: len(m.runs), Cores: m.cores, Why: m.why})
 	}
 	return s
