Find machines that hear no answer, and let no late copy of a report revive anything

Cause, from rereading the owner against the addition to the protocol: tasks assigned to a machine were taken back only once it was silent, so a machine whose reports arrive but which hears nothing kept them; after a takeover each answer to it put off the end of accounting, which holds up all older jobs. A leader that remembers nothing of a returned machine took a late copy of its report for a machine: its cores counted as slots and room, and its tasks against quotas. Now an answer must leave a sign in the next reports (our token, its first command, a lease renewed); after three without one the machine gets neither work nor 200, and is returned. A report with tasks from a machine that no record names is a copy; no machine counts before it has shown the present token. Returned names are kept for the term. Tests fail without the guards: a deaf machine alone, several, across a takeover, hearing again; copies of living and of returned machines, with the same leader and the next.

--- /dev/null
+++ b/internal/coordination/copies_test.go
@@ -0,0 +1,226 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hitchdoor/internal/protocol"
+)
+
+// A machine whose reports arrive but which hears no answer gets no more work, and
+// what waited for it runs elsewhere. Its fresh reports once kept tasks waiting on
+// it for ever.
+func TestDeafMachineGetsNoWork(t *testing.T) {
+	w := newWorld(t, 1)
+	l := w.waitLeader()
+	w.machines(2)
+	w.runTime = func(string, int) time.Duration { return time.Hour }
+	w.workers["m-000001"].dropAnswers = true
+	j := spec("j-1", 60)
+	j.EstimateS = 3600
+	w.submit(l.name, j)
+	w.run(25 * time.Second)
+	if m := l.lead.machines["m-000001"]; m != nil && (m.ready() || len(m.runs) > 0) {
+		t.Fatalf("%d tasks wait for a deaf machine", len(m.runs))
+	}
+	if !w.until(20*time.Second, func() bool { return w.cloud.hosts["m-000001"] == nil }) {
+		t.Fatal("a deaf machine is kept")
+	}
+	w.run(10 * time.Second)
+	if got := w.onMachines("j-1"); got != 60 {
+		t.Fatalf("%d of 60 tasks run beside a deaf machine", got)
+	}
+}
+
+// What a deaf machine runs is free again once its lease is surely over, though it
+// goes on reporting: answers that don't arrive renew nothing. Several at once.
+func TestDeafMachinesLoseTheirTasks(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(string, int) time.Duration { return 25 * time.Second }
+	l := w.waitLeader()
+	w.machines(4)
+	w.submitAndStart(l.name, spec("j-1", 12), 12)
+	w.cloud.noReturn = true
+	for _, name := range []string{"m-000001", "m-000002"} {
+		w.workers[name].dropAnswers = true
+	}
+	w.waitState("j-1", protocol.Done, 2*time.Minute)
+}
+
+// After a takeover a deaf machine must not hold up the older jobs: it never shows
+// the new token, and each answer to it once put off the end of accounting.
+func TestDeafMachineAcrossTakeover(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(task string, _ int) time.Duration {
+		if jobOf(task) == "j-1" {
+			return 20 * time.Second
+		}
+		return 3 * time.Second
+	}
+	l := w.waitLeader()
+	w.submitAndStart(l.name, spec("j-1", 6), 6)
+	for _, x := range w.workers {
+		x.dropAnswers = true
+		break
+	}
+	w.submit(l.name, spec("j-2", 30))
+	w.crash(l.name)
+	w.run(time.Second)
+	next := w.waitLeader()
+	// Its reports all arrive at the new leader, as often as may be.
+	for _, x := range w.workers {
+		if x.dropAnswers {
+			x.node = next.name
+			w.copies = func(y *worker, _ *protocol.Report) {
+				if y == x {
+					x.node = next.name
+				}
+			}
+		}
+	}
+	w.waitState("j-2", protocol.Done, 50*time.Second)
+	w.waitState("j-1", protocol.Done, time.Minute)
+}
+
+// A machine that hears again after it was taken for deaf is safe: nothing of it
+// runs twice, whether it has been returned or not.
+func TestDeafMachineHearsAgain(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(string, int) time.Duration { return 12 * time.Second }
+	l := w.waitLeader()
+	w.submitAndStart(l.name, spec("j-1", 4), 4)
+	w.cloud.noReturn = true
+	for _, x := range w.workers {
+		x.dropAnswers = true
+	}
+	w.run(22 * time.Second)
+	for _, x := range w.workers {
+		x.dropAnswers = false
+	}
+	w.cloud.noReturn = false
+	w.waitState("j-1", protocol.Done, 2*time.Minute)
+}
+
+// Late copies of reports arrive from seconds to well over a lease late: after
+// newer ones, after the machine was returned, after a takeover by a leader that
+// remembers nothing of it. None brings back a machine, a task or a quota.
+func TestLateCopiesReviveNothing(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(task string, _ int) time.Duration {
+		if jobOf(task) == "j-2" {
+			return time.Hour
+		}
+		return 15 * time.Second
+	}
+	w.waitLeader()
+	var seen []*protocol.Report
+	w.copies = func(_ *worker, rep *protocol.Report) {
+		copied := *rep
+		copied.Tasks = append([]protocol.TaskReport(nil), rep.Tasks...)
+		seen = append(seen, &copied)
+	}
+	j := spec("j-1", 16)
+	j.Team = "team" // its limit is 16 cores
+	w.machines(5)
+	w.submitAndStart(w.leader(), j, 16)
+	w.waitState("j-1", protocol.Done, time.Minute)
+	// All machines are returned, and their records dropped.
+	if !w.until(5*time.Minute, func() bool { return len(w.workers) == 0 && len(w.nodes[w.leader()].lead.machines) == 0 }) {
+		t.Fatalf("machines are kept: %d", len(w.workers))
+	}
+	old := seen
+	w.copies = nil
+	replay := func() {
+		for i := range old {
+			rep := *old[i]
+			for _, name := range w.names {
+				w.ask(name, Request{Kind: ReqReport, Report: &rep}, func(Reply) {})
+			}
+		}
+		w.run(time.Second)
+	}
+	look := func(when string) {
+		t.Helper()
+		l := w.nodes[w.leader()].lead
+		if c := l.takeCensus(); c.slots != 0 || c.unknown.cores != 0 || !c.complete {
+			t.Fatalf("%s: late copies count: %+v", when, c)
+		}
+		if u := l.usage["team"]; u.cores != 0 {
+			t.Fatalf("%s: late copies use %v cores of a quota", when, u.cores)
+		}
+		for name, m := range l.machines {
+			if m.ready() {
+				t.Fatalf("%s: late copies make %s ready", when, name)
+			}
+		}
+	}
+	replay()
+	look("same leader")
+	w.crash(w.leader())
+	w.run(time.Second)
+	w.waitLeader()
+	replay()
+	look("after a takeover")
+	// A job of the full quota starts as if nothing had come.
+	j = spec("j-2", 16)
+	j.EstimateS = 3600
+	j.Team = "team"
+	w.submit(w.leader(), j)
+	for i := range 30 {
+		w.run(time.Second)
+		replay()
+		if w.onMachines("j-2") == 16 {
+			return
+		}
+		if i == 29 {
+			t.Fatalf("%d of 16 tasks started among late copies", w.onMachines("j-2"))
+		}
+	}
+}
+
+// Copies that come while the machine lives, in any order and long after, neither
+// bring back a task that has finished or moved, nor free one that runs.
+func TestLateCopiesOfLivingMachines(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(string, int) time.Duration { return 4 * time.Second }
+	l := w.waitLeader()
+	count := 0
+	w.copies = func(x *worker, rep *protocol.Report) {
+		count++
+		copied := *rep
+		copied.Tasks = append([]protocol.TaskReport(nil), rep.Tasks...)
+		for _, late := range []time.Duration{300 * time.Millisecond, 2 * time.Second, 9 * time.Second, 25 * time.Second} {
+			w.after(late, func() {
+				w.ask(l.name, Request{Kind: ReqReport, Report: &copied}, func(r Reply) {
+					if r.Status == 200 && (copied.Session < x.session || copied.Seq < x.seq-1) {
+						t.Errorf("a copy %v late is answered 200", late)
+					}
+				})
+			})
+		}
+	}
+	for i := range 6 {
+		w.submit(l.name, spec(fmt.Sprintf("j-%d", i), 10))
+		w.run(5 * time.Second)
+		if i == 2 {
+			w.cancel(l.name, "j-2")
+		}
+	}
+	w.run(40 * time.Second)
+	for i := range 6 {
+		want := protocol.Done
+		if i == 2 {
+			want = protocol.Withdrawn
+		}
+		w.waitState(fmt.Sprintf("j-%d", i), want, time.Minute)
+	}
+	for task, n := range w.starts {
+		if n != 1 {
+			t.Errorf("%s was started %d times", task, n)
+		}
+	}
+	if count == 0 {
+		t.Fatal("no copies were sent")
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -147,7 +147,7 @@
 
 // forced tells whether a machine is returned with whatever is on it.
 func (m *machine) forced() bool {
-	return m.failedListing || m.why == "silent" || m.why == "never came up" || m.why == "not listed"
+	return m.failedListing || (m.why == deaf && (!m.accounted || len(m.runs)+m.results == 0)) || m.why == "silent" || m.why == "never came up" || m.why == "not listed"
 }
 
 func (f *fleet) sendReturns() {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -24,10 +24,13 @@
 
 	up           bool
 	session, seq uint64
-	lost         uint64  // the highest session declared lost
-	heard        Instant // last report in order
-	answered     Instant // last answer that may have renewed its lease
-	notice       Instant // when the cloud takes it; never: no notice
+	lost         uint64                 // the highest session declared lost
+	heard        Instant                // last report in order
+	answered     Instant                // last answer that may have renewed its lease
+	shown        bool                   // its last report shows our token: it has heard us
+	unheard      int                    // answers in a row that its reports show no sign of
+	last         *protocol.ReportAnswer // the last answer, until the next report
+	notice       Instant                // when the cloud takes it; never: no notice
 
 	runs          map[string]*run
 	list          []*run // the same, by attempt
@@ -223,13 +226,19 @@
 			l.leave(m, "silent")
 		}
 	}
-	for name, at := range l.gone {
-		if now > at+8*config.Seconds(l.n.cfg.Cluster.Cloud.ListLagS)+l.n.lease() {
-			delete(l.gone, name)
+	if len(l.gone) > maxGone {
+		for name, at := range l.gone {
+			if now > at+8*config.Seconds(l.n.cfg.Cluster.Cloud.ListLagS)+l.n.lease() {
+				delete(l.gone, name)
+			}
 		}
 	}
 }
 
+// maxGone bounds the names of returned machines that are kept, within a term, so
+// that neither a lagging list nor a late copy of a report brings one back.
+const maxGone = 20_000
+
 // held lists the machines in order of their names. The list is kept between
 // changes: made anew at each step, it was two thirds of a busy leader's work.
 func (l *leadership) held() []*machine {
@@ -271,11 +280,18 @@
 			n.reply(r.Origin, 503, 1, nil)
 			return
 		}
+		if len(rep.Tasks) > 0 {
+			// A machine is durable by name before its first task, and its record is
+			// dropped only once it is surely gone. So this is a late copy of what a
+			// returned machine once said, however fresh it looks to a leader that
+			// remembers nothing of it: it must not hold up jobs, nor fill a quota.
+			n.reply(r.Origin, 503, 1, nil)
+			return
+		}
 		m = l.newMachine(rep.Machine, rep.Type, rep.Zone, rep.Spot)
 		// Nobody recorded it, so no leader has commanded a task to it; its
-		// report must still show our token before it gets one.
-		m.accounted = len(rep.Tasks) == 0
-		l.censusOK = false
+		// report must still show our token before it counts for anything.
+		m.accounted = true
 		n.log.Info("unknown machine reports", "machine", m.name, "type", m.typ)
 	}
 	if rep.Session < m.session || (rep.Session == m.session && rep.Seq <= m.seq) || rep.Session <= m.lost {
@@ -291,13 +307,21 @@
 				l.release(x)
 			}
 		}
+		if l.n.now-m.heard < l.n.lease()/2 {
+			// It spoke all along and its lease ran out: it hears no answer.
+			m.unheard = max(m.unheard, deafAnswers)
+		}
+	}
+	shown := rep.Token == l.term
+	l.hears(m, rep, shown)
+	if m.shown != shown {
+		m.shown, l.dirty, l.censusOK = shown, true, false
 	}
 	if !m.up {
 		m.up, l.dirty, l.censusOK = true, true, false
 	}
 	strays := m.strays
 	m.session, m.seq, m.heard = rep.Session, rep.Seq, n.now
-	shown := rep.Token == l.term
 	forget := l.reconcile(m, rep)
 	if (m.strays > 0) != (strays > 0) {
 		l.censusOK = false
@@ -305,6 +329,12 @@
 	if shown && !m.accounted {
 		m.accounted, l.dirty, l.censusOK = true, true, false
 	}
+	if l.deaf(m) {
+		// Whatever we say is lost, and a 200 would only put off the moment at which
+		// its lease is surely over.
+		n.reply(r.Origin, 503, 1, nil)
+		return
+	}
 	l.takeNotice(m, rep.NoticeS)
 	if !m.used {
 		l.record(m, true)
@@ -315,14 +345,86 @@
 		n.reply(r.Origin, 503, 1, nil)
 		return
 	}
-	m.answered = n.now
-	n.reply(r.Origin, 200, 0, protocol.ReportAnswer{Token: l.term, Commands: l.commands(m, shown, forget)})
+	m.answered, m.last = n.now, &protocol.ReportAnswer{Token: l.term, Commands: l.commands(m, forget)}
+	n.reply(r.Origin, 200, 0, m.last)
+}
+
+// deafAnswers is how many answers in a row a machine must show no sign of before
+// it is taken for deaf: one that hung for a moment, or whose answer came after it
+// had stopped waiting, misses one or two.
+const deafAnswers = 3
+
+// hears looks in a report for signs that the last answer reached the machine: our
+// token, or what it was told first, as commands are executed in their order.
+func (l *leadership) hears(m *machine, rep *protocol.Report, shown bool) {
+	last := m.last
+	m.last = nil
+	switch {
+	case last == nil:
+	case !shown:
+		m.unheard++
+	case len(last.Commands) > 0:
+		if !executed(last.Commands[0], rep) {
+			m.unheard++
+			return
+		}
+		m.unheard = 0
+	case !m.shown:
+		m.unheard = 0
+	}
+}
+
+// executed tells whether a report shows that a command was carried out.
+func executed(c protocol.Command, rep *protocol.Report) bool {
+	at := slices.IndexFunc(rep.Tasks, func(t protocol.TaskReport) bool { return t.Task == c.Task && t.Attempt == c.Attempt })
+	switch {
+	case c.Op == protocol.OpStart:
+		return at >= 0
+	case at < 0:
+		return true
+	case c.Op == protocol.OpForget:
+		return false
+	default:
+		return rep.Tasks[at].State == protocol.TaskSaving || rep.Tasks[at].State == protocol.TaskExited
+	}
 }
 
+// deaf finds a machine whose reports arrive while answers don't reach it. Its
+// reports look alive, so without this it would keep the tasks given to it, count
+// as room, and, after a takeover, hold up all older jobs for as long as it speaks.
+// It gets no more work and no more answers, and is returned; what it runs ends by
+// report, with its lease or with the machine.
+func (l *leadership) deaf(m *machine) bool {
+	if m.unheard < deafAnswers {
+		return false
+	}
+	if m.why != deaf {
+		silent, up := 0, 0
+		for _, x := range l.held() {
+			if x.up {
+				up++
+				if x.unheard > 0 {
+					silent++
+				}
+			}
+		}
+		if up > 1 && 2*silent > up {
+			return false // then it is our answers that don't get through
+		}
+		l.n.log.Info("machine hears no answer", "machine", m.name, "tasks", len(m.runs))
+		m.why = deaf
+		l.leave(m, deaf)
+	}
+	return true
+}
+
+// deaf is why a machine is returned that hears no answer.
+const deaf = "deaf"
+
 // maxCommands bounds an answer well inside 64 KiB.
 const maxCommands = 300
 
-func (l *leadership) commands(m *machine, shown bool, commands []protocol.Command) []protocol.Command {
+func (l *leadership) commands(m *machine, commands []protocol.Command) []protocol.Command {
 	if commands == nil {
 		commands = []protocol.Command{}
 	}
@@ -333,7 +435,7 @@
 		switch {
 		case r.stop != nil && r.phase != phaseAssigned:
 			commands = append(commands, protocol.Command{Op: protocol.OpStop, Task: r.key(), Attempt: r.attempt, GraceS: r.stop})
-		case r.phase == phaseAssigned && shown && m.used:
+		case r.phase == phaseAssigned && m.shown && m.used:
 			r.phase = phaseSent
 			commands = append(commands, protocol.Command{Op: protocol.OpStart, Task: r.key(), Attempt: r.attempt})
 		}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -40,9 +40,10 @@
 	return fitsOption(j, option{m.typ, m.zone, m.spot}, m.kind)
 }
 
-// ready tells whether a machine takes tasks.
+// ready tells whether a machine takes tasks: it has heard this leader, so that no
+// late copy of a report makes room where there is none.
 func (m *machine) ready() bool {
-	return m.up && m.accounted && m.used && (!m.emptying || m.why == surplus) && !m.returning && m.kind != nil
+	return m.up && m.shown && m.unheard == 0 && m.accounted && m.used && (!m.emptying || m.why == surplus) && !m.returning && m.kind != nil
 }
 
 const slack = 1e-6 // of sums of decimal amounts
@@ -92,7 +93,7 @@
 		if m.kind == nil {
 			continue
 		}
-		if m.up {
+		if m.up && m.shown {
 			c.slots += set.SlotsPerCore*m.kind.Cores + set.SlotsBase
 		}
 		if !m.accounted || m.strays > 0 {
@@ -519,12 +520,13 @@
 	}
 }
 
-// unassign takes back tasks from machines that don't fetch them.
+// unassign takes back tasks from machines that don't fetch them, be they silent or
+// deaf: fresh reports are no sign that a machine will ever start them.
 func (l *leadership) unassign() {
 	patience := 2*l.n.report() + l.n.report()/2
 	for _, m := range l.held() {
 		for _, r := range m.list {
-			if r.phase == phaseAssigned && l.n.now-max(r.since, m.heard) > patience {
+			if r.phase == phaseAssigned && l.n.now-r.since > patience {
 				l.release(r)
 				l.delay(r.job, r.index, m, 0)
 			}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -42,7 +42,8 @@
 	cut     map[[2]string]bool // between nodes
 	far     map[string]bool    // nodes that no worker reaches
 	runTime func(task string, attempt int) time.Duration
-	starts  map[string]int // by task
+	copies  func(x *worker, rep *protocol.Report) // sees every report that is sent
+	starts  map[string]int                        // by task
 }
 
 type event struct {
@@ -709,6 +710,9 @@
 // send sends a report to the worker's node and deals with the answer.
 func (x *worker) send(rep *protocol.Report) {
 	w := x.w
+	if w.copies != nil {
+		w.copies(x, rep)
+	}
 	x.busy, x.changed = true, false
 	sent, session := w.now, x.session
 	x.next = w.now + config.Seconds(w.cfg.Workers.ReportS)
