A test that mixes troubles by seed; a task is moved off a slow machine once

The test plays 24 short runs of three controllers with crashes and quick returns, cuts that hold messages, half-cut controllers, state outages, lost answers, late transactions, deaf, hanging, silent and reborn machines and late copies, on drifting clocks, and checks every rule. After faults a job's usual run time was learnt too short, so each machine that ran its last task looked slow, and the task was stopped on 60 machines one after the other. A task that simply takes longer than its siblings did the same without any fault. Now a task is moved once.

--- /dev/null
+++ b/internal/coordination/chaos_test.go
@@ -0,0 +1,347 @@
+package coordination
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/config"
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+// chaos is one short run of mixed troubles, all of it repeatable by its seed.
+type chaos struct {
+	*world
+	rng      *rand.Rand
+	accepted map[string]bool
+	told     map[string]string // final states that users were told
+	cancels  map[string]Instant
+}
+
+// TestMixedTroubles mixes, in many short runs, crashes and quick returns of
+// controllers, cuts that hold messages, half-cut controllers, state outages, lost
+// answers, late transactions, deaf, hanging and silent machines, machines that are
+// back at once, and late copies of reports. The world checks at each moment that
+// one node leads, no task runs twice and no team is over its limit; this test
+// checks what users are told, and that every accepted job runs in the end.
+func TestMixedTroubles(t *testing.T) {
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runChaos(t, seed)
+		})
+	}
+}
+
+func runChaos(t *testing.T, seed uint64) {
+	c := &chaos{world: newWorld(t, 3), rng: rand.New(rand.NewPCG(seed, 7)), accepted: map[string]bool{},
+		told: map[string]string{}, cancels: map[string]Instant{}}
+	c.holds = seed%2 == 0
+	c.runTime = func(task string, _ int) time.Duration { return time.Duration(2+len(task)%9) * time.Second }
+	for _, name := range c.names {
+		c.nodes[name].rate = 1 + (c.rng.Float64()-0.5)/1000
+	}
+	c.copies = func(_ *worker, rep *protocol.Report) {
+		if c.rng.IntN(4) == 0 {
+			copied := *rep
+			copied.Tasks = append([]protocol.TaskReport(nil), rep.Tasks...)
+			late := time.Duration(c.rng.ExpFloat64() * float64(config.Seconds(c.cfg.Workers.LeaseS)))
+			c.after(late, func() { c.ask(c.anyNode(), Request{Kind: ReqReport, Report: &copied}, func(Reply) {}) })
+		}
+	}
+	c.waitLeader()
+	c.machines(3)
+	troubles := []func(){c.crashSome, c.cutSome, c.halfCut, c.stateOutage, c.refuseOne, c.loseAnswers, c.lateTransaction,
+		c.deafen, c.hang, c.silence, c.reborn, c.quickReturn}
+	for i := range 14 {
+		c.userWork(i)
+		troubles[c.rng.IntN(len(troubles))]()
+		c.poll()
+		c.run(time.Duration(c.rng.IntN(8000)) * time.Millisecond)
+	}
+	c.run(30 * time.Second) // all troubles end by themselves
+	c.poll()
+	for _, id := range slices.Sorted(maps.Keys(c.accepted)) {
+		if _, withdrawn := c.cancels[id]; withdrawn {
+			continue
+		}
+		if !c.until(5*time.Minute, func() bool { return c.over(id) }) {
+			t.Fatalf("at %v: %s is not done: %s; starts %d", c.now, id, c.why(id), c.starts[id+"/4"])
+		}
+	}
+	c.poll()
+}
+
+// user asks any node, and gives up after 5 s as users do.
+func (c *chaos) user(r Request, f func(Reply)) {
+	done := false
+	once := func(r Reply) {
+		if !done {
+			done = true
+			f(r)
+		}
+	}
+	c.ask(c.anyNode(), r, once)
+	c.after(5*time.Second, func() { once(Reply{}) })
+}
+
+func (c *chaos) anyNode() string { return c.names[c.rng.IntN(len(c.names))] }
+
+// over tells whether the state service knows a job as done.
+func (c *chaos) over(id string) bool {
+	var f storage.FinalRecord
+	it, ok := c.state.keys[storage.FinalKey(id)]
+	return ok && json.Unmarshal(it.Value, &f) == nil && f.State == protocol.Done
+}
+
+// userWork submits a job, and at times cancels one.
+func (c *chaos) userWork(i int) {
+	j := spec(fmt.Sprintf("j-%d", i), 1+c.rng.IntN(9))
+	if c.rng.IntN(2) == 0 {
+		j.Team = "team"
+	}
+	c.specs[j.UID] = j
+	var try func(int)
+	try = func(tries int) {
+		c.user(Request{Kind: ReqSubmit, ID: j.UID, Job: &j}, func(r Reply) {
+			switch {
+			case r.Status == 201 || r.Status == 200:
+				c.accepted[j.UID] = true
+			case r.Status == 503 || r.Status == 0:
+				if r.Status == 503 && r.RetryAfter == 0 {
+					c.t.Errorf("%s: 503 without Retry-After", j.UID)
+				}
+				if tries < 40 {
+					c.after(time.Second, func() { try(tries + 1) })
+				}
+			default:
+				c.t.Errorf("%s: submission answered %d", j.UID, r.Status)
+			}
+		})
+	}
+	try(0)
+	if i > 2 && c.rng.IntN(3) == 0 {
+		id := fmt.Sprintf("j-%d", i-2)
+		if c.accepted[id] {
+			c.cancelUntil(id)
+		}
+	}
+}
+
+func (c *chaos) cancelUntil(id string) {
+	c.user(Request{Kind: ReqCancel, ID: id}, func(r Reply) {
+		switch {
+		case r.Status == 200 && strings.Contains(string(r.Body), protocol.Withdrawn):
+			if c.cancels[id] == 0 {
+				c.cancels[id] = c.now
+				c.after(config.Seconds(c.cfg.Workers.CancelS), func() { c.goneForGood(id) })
+			}
+			c.tell(id, protocol.Withdrawn)
+		case r.Status == 200:
+			c.tell(id, protocol.Done)
+		case r.Status == 404 || r.Status == 400:
+			c.t.Errorf("%s: cancellation answered %d", id, r.Status)
+		default:
+			c.after(time.Second, func() { c.cancelUntil(id) })
+		}
+	})
+}
+
+// goneForGood checks that no task of a cancelled job is or comes on a machine.
+func (c *chaos) goneForGood(id string) {
+	if n := c.onMachines(id); n > 0 {
+		c.t.Errorf("at %v: ran_cancelled: %d tasks of %s", c.now, n, id)
+		return
+	}
+	c.after(time.Second, func() { c.goneForGood(id) })
+}
+
+// tell notes a final state that a user was told.
+func (c *chaos) tell(id, state string) {
+	if was := c.told[id]; was != "" && was != state {
+		c.t.Errorf("went_back: %s was %s and is %s", id, was, state)
+	}
+	if state == protocol.Done || state == protocol.Withdrawn {
+		c.told[id] = state
+	}
+}
+
+// poll asks any nodes about all jobs, and about one that nobody submitted.
+func (c *chaos) poll() {
+	for _, id := range slices.Sorted(maps.Keys(c.accepted)) {
+		was := c.told[id]
+		c.user(Request{Kind: ReqQuery, ID: id}, func(r Reply) {
+			if r.Status == 404 {
+				c.t.Errorf("forgotten: %s", id)
+			}
+			if r.Status != 200 {
+				return
+			}
+			_, rest, _ := strings.Cut(string(r.Body), `"situacao":"`)
+			state, _, _ := strings.Cut(rest, `"`)
+			if was != "" {
+				c.tell(id, state)
+			} else if state == protocol.Done || state == protocol.Withdrawn {
+				c.tell(id, state)
+			}
+			if state == protocol.Done {
+				c.allRan(id)
+			}
+		})
+	}
+	c.user(Request{Kind: ReqQuery, ID: "j-nobodys"}, func(r Reply) {
+		if r.Status == 200 {
+			c.t.Error("invented: j-nobodys")
+		}
+	})
+}
+
+// allRan checks that a job called done had all its tasks started at least.
+func (c *chaos) allRan(id string) {
+	for i := range c.specs[id].Tasks {
+		if c.starts[taskKey(id, i)] == 0 {
+			c.t.Errorf("not_done: %s never ran", taskKey(id, i))
+		}
+	}
+}
+
+func (c *chaos) anyWorkers(f func(*worker)) {
+	for i := range c.cloud.last {
+		if x := c.workers[fmt.Sprintf("m-%06d", i+1)]; x != nil && c.rng.IntN(3) == 0 {
+			f(x)
+		}
+	}
+}
+
+func (c *chaos) soon() time.Duration { return time.Duration(200+c.rng.IntN(25_000)) * time.Millisecond }
+
+func (c *chaos) back(name string, after time.Duration) {
+	c.crash(name)
+	c.after(after, func() {
+		if c.nodes[name].down {
+			c.restart(name)
+			c.nodes[name].rate = 1 + (c.rng.Float64()-0.5)/1000
+		}
+	})
+}
+
+func (c *chaos) crashSome() {
+	for range 1 + c.rng.IntN(3) {
+		c.back(c.anyNode(), 3*time.Second)
+	}
+}
+
+func (c *chaos) quickReturn() {
+	for i := range 3 {
+		c.after(time.Duration(i*c.rng.IntN(900))*time.Millisecond, func() {
+			c.back(c.anyNode(), time.Duration(20+c.rng.IntN(400))*time.Millisecond)
+		})
+	}
+}
+
+func (c *chaos) cutSome() {
+	for range 1 + c.rng.IntN(2) {
+		c.cut[[2]string{c.anyNode(), c.anyNode()}] = true
+	}
+	c.after(c.soon(), c.mend)
+}
+
+// halfCut takes the state service and the other controllers from one, not its workers.
+func (c *chaos) halfCut() {
+	name := c.leader()
+	if name == "" || c.rng.IntN(3) == 0 {
+		name = c.anyNode()
+	}
+	c.state.lost[name] = true
+	for _, other := range c.names {
+		c.cut[[2]string{name, other}] = true
+	}
+	c.after(c.soon(), func() { delete(c.state.lost, name); c.mend() })
+}
+
+func (c *chaos) stateOutage() {
+	c.state.setDown(true)
+	c.after(c.soon(), func() { c.state.setDown(false) })
+}
+
+func (c *chaos) refuseOne() {
+	name := c.anyNode()
+	c.state.refuse[name] = true
+	c.after(c.soon(), func() { delete(c.state.refuse, name) })
+}
+
+func (c *chaos) loseAnswers() { c.state.lose += 1 + c.rng.IntN(3) }
+
+// lateTransaction keeps back a transaction, which is executed minutes later.
+func (c *chaos) lateTransaction() {
+	s := c.state
+	s.hold = holdOne(s)
+	c.after(time.Duration(c.rng.IntN(60))*time.Second, func() {
+		held := s.held
+		s.held = nil
+		for _, f := range held {
+			f()
+		}
+	})
+}
+
+func (c *chaos) deafen() {
+	c.anyWorkers(func(x *worker) {
+		x.dropAnswers = true
+		c.after(c.soon(), func() { x.dropAnswers = false })
+	})
+}
+
+func (c *chaos) hang() {
+	c.anyWorkers(func(x *worker) {
+		x.hanging = true
+		c.after(c.soon(), func() { x.hanging = false })
+	})
+}
+
+func (c *chaos) silence() {
+	c.anyWorkers(func(x *worker) {
+		x.silent = true
+		c.after(c.soon(), func() { x.silent = false })
+	})
+}
+
+// reborn brings machines back at once in a new session, with nothing on them.
+func (c *chaos) reborn() {
+	c.anyWorkers(func(x *worker) {
+		x.session++
+		x.tasks, x.renewed, x.changed, x.busy = nil, c.now, true, false
+	})
+}
+
+// why tells what a job that is not done waits for.
+func (c *chaos) why(id string) string {
+	name := c.leader()
+	if name == "" {
+		return "nobody leads"
+	}
+	l := c.nodes[name].lead
+	j := l.jobs[id]
+	if j == nil {
+		return "the leader does not know it"
+	}
+	out := fmt.Sprintf("%d pending, waits for %q", j.pending, j.waits)
+	for _, r := range j.runs {
+		out += fmt.Sprintf("; %s in phase %d on %s (up %v, shown %v, %s)", r.key(), r.phase, r.m.name, r.m.up, r.m.shown, r.m.why)
+	}
+	for name, x := range c.workers {
+		for _, t := range x.tasks {
+			if strings.HasPrefix(t.key, id+"/") {
+				out += fmt.Sprintf("; %s reports %+v to %s, hanging %v, deaf %v, silent %v, session %d", name, *t, x.node, x.hanging, x.dropAnswers, x.silent, x.session)
+			}
+		}
+	}
+	return out
+}
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -36,6 +36,7 @@
 	trouble  map[int]*trouble
 	failedOn map[string]bool // machines on which a task failed, none having completed
 	bad      bool
+	moved    map[int]bool // tasks that were moved off a slow machine
 
 	tookSum, tookCount float64 // logarithms of its finished tasks' run times
 	usual              time.Duration
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -684,7 +684,7 @@
 	}
 	for _, r := range m.list {
 		// A task that is overdue says as much as one that has ended.
-		if r.phase != phaseRunning {
+		if r.phase != phaseRunning || r.job.moved[r.index] {
 			continue
 		}
 		if usual, ok := r.job.usualTook(); ok && l.n.now-r.started > 3*usual/2 {
@@ -710,17 +710,28 @@
 			left = ran // overdue: the factor is but a lower bound
 		}
 		switch {
-		case r.stop != nil:
+		case r.stop != nil || r.job.moved[r.index]:
 		case r.phase != phaseRunning:
 			l.stopRun(r, 0)
 		case r.job.spec.CheckpointS > 0:
-			l.stopRun(r, l.saveGrace(r))
+			l.move(r, l.saveGrace(r))
 		case left > want:
-			l.stopRun(r, 0)
+			l.move(r, 0)
 		}
 	}
 }
 
+// move stops a run so that it goes on elsewhere, once: a task that simply takes
+// longer than its siblings looks the same on every machine, and was stopped on one
+// after the other for ever.
+func (l *leadership) move(r *run, grace float64) {
+	if r.job.moved == nil {
+		r.job.moved = map[int]bool{}
+	}
+	r.job.moved[r.index] = true
+	l.stopRun(r, grace)
+}
+
 // slow is why a machine is emptied that runs its tasks too slowly.
 const slow = "slow"
 
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -192,3 +192,23 @@
 		}
 	}
 }
+
+// A task that takes far longer than its siblings is moved off its machine once, as
+// the machine may be slow, and then runs to its end: stopped again and again it
+// would never be done.
+func TestLongTaskIsMovedOnce(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(task string, _ int) time.Duration {
+		if task == "j-1/7" || task == "j-1/6" {
+			return 60 * time.Second
+		}
+		return 5 * time.Second
+	}
+	l := w.waitLeader()
+	w.machines(2)
+	w.submit(l.name, spec("j-1", 8))
+	w.waitState("j-1", protocol.Done, 4*time.Minute)
+	if n := w.starts["j-1/7"]; n > 2 {
+		t.Fatalf("started %d times", n)
+	}
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"cmp"
+	"container/heap"
 	"fmt"
 	"io"
 	"log/slog"
@@ -38,17 +40,37 @@
 	cloud   *fakeCloud
 	workers map[string]*worker
 	specs   map[string]protocol.Job
-	events  []event
+	events  events
+	planned int
 	cut     map[[2]string]bool // between nodes
-	far     map[string]bool    // nodes that no worker reaches
+	holds   bool               // cuts between nodes keep messages, which arrive once they end
+	kept    []event
+	far     map[string]bool // nodes that no worker reaches
 	runTime func(task string, attempt int) time.Duration
 	copies  func(x *worker, rep *protocol.Report) // sees every report that is sent
 	starts  map[string]int                        // by task
 }
 
 type event struct {
-	at Instant
-	f  func()
+	at  Instant
+	seq int
+	f   func()
+}
+
+// events are what is to happen, as a heap, in their order.
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(e[i].at, e[j].at), e[i].seq-e[j].seq) < 0
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
 }
 
 type simNode struct {
@@ -60,6 +82,15 @@
 	asks   map[uint64]func(Reply)
 	ticket uint64
 	down   bool
+	rate   float64 // of its clock; 0: exact
+}
+
+// clock is the node's steady clock.
+func (n *simNode) clock(now Instant) Instant {
+	if n.rate == 0 {
+		return now - n.boot
+	}
+	return Instant(float64(now-n.boot) * n.rate)
 }
 
 func newWorld(t *testing.T, nodes int) *world {
@@ -74,7 +105,7 @@
 	c.Cloud.RPS, c.Cloud.ListLagS = 4, 10
 	c.Resources.CoreShare, c.Resources.MemMB, c.Resources.MaxConnections = 0.1, 100, 1000
 	c.Teams = []config.Team{{Name: "team", CPUsMax: 16}, {Name: "free"}}
-	w.state = &fakeState{w: w, keys: map[string]storage.Item{}, leases: map[uint64]*fakeLease{}, refuse: map[string]bool{}}
+	w.state = &fakeState{w: w, keys: map[string]storage.Item{}, leases: map[uint64]*fakeLease{}, refuse: map[string]bool{}, lost: map[string]bool{}}
 	w.cloud = &fakeCloud{w: w, requests: map[string][]string{}, hosts: map[string]*worker{}}
 	for i := range nodes {
 		w.names = append(w.names, fmt.Sprintf("n%d", i))
@@ -117,7 +148,10 @@
 
 func (w *world) restart(name string) { w.start(name) }
 
-func (w *world) after(d time.Duration, f func()) { w.events = append(w.events, event{w.now + d, f}) }
+func (w *world) after(d time.Duration, f func()) {
+	w.planned++
+	heap.Push(&w.events, event{w.now + d, w.planned, f})
+}
 
 // run lets the world go on for a while.
 func (w *world) run(d time.Duration) { w.until(d, func() bool { return false }) }
@@ -131,14 +165,8 @@
 		}
 		w.now += step
 		w.state.expire()
-		due := slices.Clone(w.events)
-		w.events = nil
-		for _, e := range due {
-			if e.at <= w.now {
-				e.f()
-			} else {
-				w.events = append(w.events, e)
-			}
+		for len(w.events) > 0 && w.events[0].at <= w.now {
+			heap.Pop(&w.events).(event).f()
 		}
 		for _, name := range w.names {
 			w.stepNode(w.nodes[name])
@@ -163,7 +191,7 @@
 	batch := n.inbox
 	n.inbox = nil
 	epoch := n.epoch
-	for _, e := range n.Step(w.now-n.boot, batch) {
+	for _, e := range n.Step(n.clock(w.now), batch) {
 		switch e := e.(type) {
 		case Reply:
 			if f := n.asks[e.Ticket]; f != nil {
@@ -172,16 +200,21 @@
 			}
 		case Send:
 			to := e.To
-			if !w.cut[[2]string{n.name, to}] && !w.cut[[2]string{to, n.name}] {
-				w.after(step, func() {
-					if peer := w.nodes[to]; !peer.down {
-						peer.inbox = append(peer.inbox, PeerMessage{From: n.name, Msg: e.Msg})
-					}
-				})
+			arrive := func() {
+				if peer := w.nodes[to]; !peer.down {
+					peer.inbox = append(peer.inbox, PeerMessage{From: n.name, Msg: e.Msg})
+				}
+			}
+			if !w.apart(n.name, to) {
+				w.after(step, arrive)
+			} else if w.holds {
+				w.kept = append(w.kept, event{f: arrive})
 			}
 		case Call:
+			answered := false
 			back := func(status int, body any) {
-				if w.nodes[n.name] == n && n.epoch == epoch {
+				if w.nodes[n.name] == n && n.epoch == epoch && !answered {
+					answered = true
 					r := Result{ID: e.ID, Status: status}
 					if body != nil {
 						r.Body = storage.Encode(body)
@@ -189,6 +222,7 @@
 					n.inbox = append(n.inbox, r)
 				}
 			}
+			w.after(e.Timeout, func() { back(0, nil) })
 			w.after(step, func() {
 				if e.Target == State {
 					w.state.serve(n.name, e, back)
@@ -200,6 +234,18 @@
 	}
 }
 
+func (w *world) apart(a, b string) bool { return w.cut[[2]string{a, b}] || w.cut[[2]string{b, a}] }
+
+// mend ends all cuts between nodes; what they held back arrives now.
+func (w *world) mend() {
+	w.cut = map[[2]string]bool{}
+	kept := w.kept
+	w.kept = nil
+	for _, e := range kept {
+		w.after(step, e.f)
+	}
+}
+
 // ask sends a request to a node; a node that is down gives status 0.
 func (w *world) ask(name string, r Request, f func(Reply)) {
 	n := w.nodes[name]
@@ -366,7 +412,8 @@
 	last     uint64
 	down     bool
 	refuse   map[string]bool
-	limited  bool // enforce the changes per second
+	lost     map[string]bool // nodes whose calls vanish
+	limited  bool            // enforce the changes per second
 	writes   bucket
 	lose     int                                   // answers of executed transactions to swallow
 	hold     func(node string, t storage.Txn) bool // transactions to keep back
@@ -418,6 +465,9 @@
 }
 
 func (s *fakeState) serve(node string, c Call, back func(int, any)) {
+	if s.lost[node] {
+		return
+	}
 	if s.down || s.refuse[node] {
 		if !strings.HasPrefix(c.Path, "/follow") {
 			s.w.after(step, func() { back(503, nil) })
@@ -527,6 +577,14 @@
 	}
 }
 
+// holdOne keeps back the next transaction, which was not answered.
+func holdOne(s *fakeState) func(string, storage.Txn) bool {
+	return func(string, storage.Txn) bool {
+		s.hold = nil
+		return true
+	}
+}
+
 func (s *fakeState) multi(t storage.Txn) (int, any) {
 	var failed []string
 	for _, c := range t.If {
@@ -564,6 +622,7 @@
 	last     int
 	down     bool
 	noSpot   bool
+	capacity int // machines to be had in all; 0: any number
 	noReturn bool
 	boot     time.Duration
 	types    []protocol.MachineType
@@ -589,7 +648,7 @@
 		if _, stored := c.w.state.keys[storage.RentPrefix+r.Request]; !stored {
 			c.w.t.Fatalf("rental %s is not stored", r.Request)
 		}
-		if c.noSpot && r.Spot {
+		if (c.noSpot && r.Spot) || (c.capacity > 0 && len(c.hosts)+r.Count > c.capacity) {
 			back(503, map[string]string{"error": "no capacity"})
 			return
 		}
