Every job begins within four minutes, however long a burst goes on

Cause: the largest jobs gave way without a bound, and late work came last for ever; on the fake clock a job of 40 tasks had not begun after 12 minutes of a burst of small and urgent work. Now a job that has not begun after two minutes begins ahead of all with an eighth of its tasks, and one older than four passes with the pressing work, by its age.

--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -125,13 +125,30 @@
 	work float64 // core seconds left
 }
 
-// Ranks: the pressing jobs by priority, then those that can be in time, and
-// last those that can't.
+// Ranks: first the first tasks of what has waited too long, then the pressing jobs
+// by priority, then those that can be in time, and last those that can't.
 const (
-	rankInTime = 2
-	rankLate   = 3
+	rankOverdue  = -1
+	rankPressing = 1
+	rankInTime   = 2
+	rankLate     = 3
 )
 
+// Large jobs give way while not all can be in time, and what is late already comes
+// last; but every job must begin within mustBegin, however long a burst of small
+// and pressing work goes on, and no class or team may starve another. So a job
+// that has not begun after half of that begins, ahead of everything, with a part
+// of its tasks; and one that is older than mustBegin passes with the pressing
+// work, by its age.
+const (
+	mustBegin   = 4 * time.Minute // of the protocol
+	beginsAfter = mustBegin / 2
+	beginShare  = 8 // what begins is one task in so many
+)
+
+// begun tells whether some task of the job has been started.
+func (j *job) begun() bool { return j.done > 0 || len(j.runs) > 0 || j.firstStart != 0 }
+
 // waitingJobs lists the open jobs that have tasks to start, in the order in
 // which they are served.
 func (l *leadership) waitingJobs() []ranked {
@@ -147,6 +164,12 @@
 		if r.rank == rankInTime && j.pending > 0 && r.at < now {
 			r.rank = rankLate
 		}
+		switch age := now - j.at; {
+		case age > beginsAfter && !j.begun():
+			r.rank, r.at = rankOverdue, j.at
+		case age > mustBegin && r.rank > rankPressing:
+			r.rank, r.at = rankPressing, j.at
+		}
 		if start := j.at + l.startWithin; l.startWithin > 0 && start > now && guaranteed[j] {
 			// Guaranteed work has an aim on starting, too.
 			r.at = min(r.at, start)
@@ -225,7 +248,7 @@
 	sum := 0.0
 	var kept []*ranked
 	for _, r := range all {
-		if r.rank == rankLate {
+		if r.rank != rankInTime && !pressing(&r.j.spec) {
 			continue
 		}
 		sum += r.work
@@ -314,7 +337,11 @@
 		for _, fetch := range []bool{false, true} {
 			for _, r := range waiting[:same] {
 				if j := r.j; j.pending > 0 && !j.gone {
-					j.waits = l.admit(j, p, fetch)
+					most := j.pending
+					if r.rank == rankOverdue {
+						most = j.spec.Tasks/beginShare + 1 - len(j.runs)
+					}
+					j.waits = l.admit(j, p, fetch, most)
 				}
 			}
 		}
@@ -327,9 +354,9 @@
 	return m.cores+slack < m.kind.Cores && m.ram+slack < m.kind.RAM
 }
 
-// admit starts as many tasks of a job as the checks let through, and tells
-// which check stopped it.
-func (l *leadership) admit(j *job, p *pass, fetch bool) string {
+// admit starts as many tasks of a job as the checks let through, but no more than
+// most, and tells which check stopped it.
+func (l *leadership) admit(j *job, p *pass, fetch bool, most int) string {
 	n := l.n
 	// A job accepted after our leader key was written can't have been started
 	// by an earlier leader; any other may be running where we don't see it.
@@ -345,7 +372,7 @@
 	stopped := ""
 	leading := true // nothing pending has been passed over yet
 	for index := j.first; index < len(j.tasks); index++ {
-		if j.pending == 0 {
+		if j.pending == 0 || most <= 0 {
 			return stopped
 		}
 		if j.tasks[index] != taskPending {
@@ -405,6 +432,7 @@
 		}
 		l.place(&run{job: j, index: index, attempt: l.nextAttempt(), m: m, phase: phaseAssigned, since: n.now})
 		at.placed(m)
+		most--
 		if pressing(&j.spec) {
 			p.quick++
 		} else {
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -193,6 +193,40 @@
 	}
 }
 
+// A large job gives way to small and pressing work that keeps coming, but only for
+// a while: it begins within four minutes, and is served in the end.
+func TestLargeJobBeginsInLongBurst(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(string, int) time.Duration { return 10 * time.Second }
+	l := w.waitLeader()
+	w.machines(2) // 8 cores
+	w.cloud.capacity = 2
+	due := 60.0
+	large := spec("j-large", 40)
+	large.EstimateS, large.DeadlineS = 10, &due
+	w.submit(l.name, large)
+	begun := Instant(0)
+	for i := 0; w.now < 12*time.Minute; i++ {
+		// Small and urgent work of 10 cores, while there are 8.
+		for k, priority := range []string{"standard", "urgent"} {
+			j := spec(fmt.Sprintf("j-%d-%d", i, k), 5)
+			j.Priority, j.EstimateS, j.DeadlineS = priority, 10, &due
+			w.submit(l.name, j)
+		}
+		for end := w.now + 10*time.Second; w.now < end; {
+			if w.run(time.Second); begun == 0 && w.onMachines("j-large") > 0 {
+				begun = w.now
+			}
+		}
+	}
+	if begun == 0 || begun > mustBegin {
+		t.Fatalf("the large job began after %v", begun)
+	}
+	if code, s := w.query(l.name, "j-large"); code != 200 || s.State != protocol.Done {
+		t.Fatalf("after %v the large job is %s, %d done", w.now, s.State, *s.Done)
+	}
+}
+
 // A task that takes far longer than its siblings is moved off its machine once, as
 // the machine may be slow, and then runs to its end: stopped again and again it
 // would never be done.
