Jobs that are over are read after a start, so that none is left without an answer

Now each node reads them in pages of 500 after a start, and answers for them without asking the leader. Tests: that one, and a half-cut leader and follower (workers move, users get 503 and Retry-After, /healthz tells).

--- /dev/null
+++ b/internal/coordination/forgotten_test.go
@@ -0,0 +1,145 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+// A controller that loses the state service and the other controllers, but not its
+// workers, neither answers reports beyond its authority nor keeps its workers, and
+// tells users and the load balancer at once; another leads meanwhile, and nothing
+// starts twice when it is back.
+func TestHalfCutLeader(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(string, int) time.Duration { return 20 * time.Second }
+	l := w.waitLeader()
+	w.machines(3)
+	w.submitAndStart(l.name, spec("j-1", 8), 8)
+	w.state.lost[l.name] = true
+	for _, other := range w.followers() {
+		w.cut[[2]string{l.name, other}] = true
+	}
+	if !w.until(5*time.Second, func() bool { return !l.authority() }) {
+		t.Fatal("it leads on")
+	}
+	answers := map[string]int{}
+	for name, x := range w.workers {
+		answers[name] = x.answers
+	}
+	if !w.until(8*time.Second, func() bool { return w.leader() != "" && w.leader() != l.name }) {
+		t.Fatal("no other leads")
+	}
+	if !w.until(8*time.Second, func() bool {
+		for name, x := range w.workers {
+			if x.answers == answers[name] {
+				return false
+			}
+		}
+		return true
+	}) {
+		t.Fatal("a worker has not found the new leader")
+	}
+	for _, r := range []Request{
+		{Kind: ReqSubmit, ID: "j-2", Job: &protocol.Job{UID: "j-2", Team: "free", Tasks: 1}},
+		{Kind: ReqQuery, ID: "j-1"}, {Kind: ReqCancel, ID: "j-1"},
+	} {
+		asked := w.now
+		if got := w.request(l.name, r); got.Status != 503 || got.RetryAfter == 0 || w.now-asked > time.Second {
+			t.Errorf("%s: %d, come back after %d, answered in %v", r.Kind, got.Status, got.RetryAfter, w.now-asked)
+		}
+	}
+	if got := w.request(l.name, Request{Kind: ReqHealth}); got.Status != 503 {
+		t.Errorf("health: %d", got.Status)
+	}
+	w.mend()
+	delete(w.state.lost, l.name)
+	w.waitState("j-1", protocol.Done, time.Minute)
+	for task, n := range w.starts {
+		if n != 1 {
+			t.Errorf("%s was started %d times", task, n)
+		}
+	}
+}
+
+// A follower that is cut in the same way sends no worker to a leader that it does
+// not hear any more, and nobody is worse off.
+func TestHalfCutFollower(t *testing.T) {
+	w := newWorld(t, 3)
+	w.waitLeader()
+	f := w.followers()[0]
+	w.state.lost[f] = true
+	for _, other := range w.names {
+		w.cut[[2]string{f, other}] = true
+	}
+	w.run(5 * time.Second)
+	rep := &protocol.Report{Machine: "m-9", Type: "c4", Zone: "a", Session: 1, Seq: 1}
+	if got := w.request(f, Request{Kind: ReqReport, Report: rep}); got.Status != 503 {
+		t.Errorf("report: %d", got.Status)
+	}
+	if got := w.request(f, Request{Kind: ReqQuery, ID: "j-1"}); got.Status != 503 || got.RetryAfter == 0 {
+		t.Errorf("query: %d, come back after %d", got.Status, got.RetryAfter)
+	}
+	if got := w.request(f, Request{Kind: ReqHealth}); got.Status != 503 {
+		t.Errorf("health: %d", got.Status)
+	}
+	w.submitAndStart(w.leader(), spec("j-1", 2), 2)
+}
+
+// Once all troubles are over, some question about each job is answered within 75 s,
+// at whichever node it arrives: here after a state outage during which all
+// controllers restart, with thousands of jobs over and hundreds open, while the
+// leader is still reading its records.
+func TestNothingForgottenAfterEverything(t *testing.T) {
+	w := newWorld(t, 3)
+	w.cloud.capacity = 1
+	const over, open = 4000, 400
+	for i := range over {
+		w.state.put(storage.FinalKey(fmt.Sprintf("j-%d", i)), storage.FinalRecord{State: protocol.Done, Tasks: 1, Done: 1})
+	}
+	for i := over; i < over+open; i++ {
+		w.state.put(storage.JobKey(fmt.Sprintf("j-%d", i)), storage.JobRecord{Spec: spec(fmt.Sprintf("j-%d", i), 3), AtMS: 1})
+	}
+	w.waitLeader()
+	w.state.setDown(true)
+	for _, name := range w.names {
+		w.crash(name)
+	}
+	w.run(3 * time.Second)
+	for _, name := range w.names {
+		w.restart(name)
+	}
+	w.run(10 * time.Second)
+	w.state.setDown(false)
+
+	// Each job is asked about every 5 s, at one node after the other.
+	answered := map[int]bool{}
+	for end := w.now + 75*time.Second; w.now < end && len(answered) < over+open; {
+		round := w.now + 5*time.Second
+		for i := range over + open {
+			if answered[i] {
+				continue
+			}
+			w.ask(w.names[(i+int(w.now/time.Second))%3], Request{Kind: ReqQuery, ID: fmt.Sprintf("j-%d", i)}, func(r Reply) {
+				switch r.Status {
+				case 200:
+					answered[i] = true
+				case 404:
+					t.Errorf("j-%d is forgotten", i)
+				}
+			})
+			if i%40 == 0 {
+				w.run(step)
+			}
+		}
+		if w.now < round {
+			w.run(round - w.now)
+		}
+	}
+	if len(answered) < over+open {
+		t.Fatalf("%d of %d jobs were answered about", len(answered), over+open)
+	}
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -268,6 +268,7 @@
 	n.tickCatalog()
 	n.tickForwards()
 	n.writeSubmissions()
+	n.tickFinals()
 	if n.lead != nil && n.authority() {
 		n.lead.tick()
 	}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -23,6 +23,12 @@
 	limit int
 	byID  map[string]storage.FinalRecord
 	order []string
+
+	// the reading after a start: whether it is complete or under way, what comes
+	// next, and when
+	read, busy bool
+	since      string
+	at         Instant
 }
 
 func newFinalCache(limit int) *finalCache {
@@ -40,6 +46,35 @@
 	c.byID[id] = r
 }
 
+// tickFinals reads the jobs that are over, page by page, after a start: asked one by
+// one when users poll, thousands of them would take longer than users may be left
+// without any answer.
+func (n *Node) tickFinals() {
+	f := n.finals
+	if f.read || f.busy || n.now < f.at || n.elect.stateDown() || n.elect.stateOK == never {
+		return
+	}
+	f.busy = true
+	n.stateCall("GET", storage.ListPath(storage.FinalPrefix, f.since, finalsPage), nil, func(r Result) {
+		f.busy, f.at = false, n.now+n.lease()/28
+		var page storage.Page
+		if r.Status != 200 || json.Unmarshal(r.Body, &page) != nil {
+			return
+		}
+		for _, it := range page.Items {
+			var rec storage.FinalRecord
+			if json.Unmarshal(it.Value, &rec) == nil {
+				f.put(strings.TrimPrefix(it.Key, storage.FinalPrefix), rec)
+			}
+			f.since = it.Key
+		}
+		f.read = !page.Truncated || len(f.byID) >= f.limit
+	})
+}
+
+// finalsPage bounds one page of that reading, in memory and processor time.
+const finalsPage = 500
+
 func finalState(id string, f storage.FinalRecord) protocol.JobState {
 	none := 0
 	return protocol.JobState{UID: id, State: f.State, Done: &f.Done, Running: &none}
@@ -72,6 +107,10 @@
 		n.onMetrics(r)
 		return
 	}
+	if f, ok := n.finals.byID[r.ID]; ok && r.Kind != ReqSubmit {
+		n.reply(r.Origin, 200, 0, finalState(r.ID, f)) // it never changes, so any node may say so
+		return
+	}
 	if n.authority() {
 		n.lead.onUser(r)
 		return
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -577,6 +577,12 @@
 	}
 }
 
+// put writes a value, as some earlier leader did.
+func (s *fakeState) put(key string, value any) {
+	s.rev++
+	s.keys[key] = storage.Item{Key: key, Value: storage.Encode(value), Version: s.rev}
+}
+
 // holdOne keeps back the next transaction, which was not answered.
 func holdOne(s *fakeState) func(string, storage.Txn) bool {
 	return func(string, storage.Txn) bool {
