Machines share records: one value names a group of them

Cause: each rented machine took two changes of the state service before its first task. Now a record names a group (25 machines in 8 KiB), written as it is when its turn comes, so a change carries whatever came up meanwhile. Records of the version before are read and moved.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -455,7 +455,7 @@
 			pending += float64(j.pending) * j.spec.Cores
 		}
 		n.log.Debug("fleet", "held", held, "up", up, "used", used, "pending", pending,
-			"demand", demand, "usual", usual, "target", f.target, "spent", f.spent)
+			"demand", demand, "usual", usual, "target", f.target, "spent", f.spent, "writes", l.writer.Pending())
 	}
 	f.shrink(kept, held, worth)
 }
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -35,6 +35,8 @@
 	usage       map[string]*usage          // by team
 
 	machines    map[string]*machine
+	groups      []*group   // that record them
+	groupSize   int        // machines that one record names
 	sorted      []*machine // by name; nil: to be made anew
 	checkedAt   Instant    // when all were looked at
 	census      census     // of them, as of the last change
@@ -60,6 +62,7 @@
 	l := &leadership{
 		n: n, term: term, since: n.now, heardWorker: n.now,
 		partTasks: storage.PartTasks(n.cfg.Cluster.State.ValueKB),
+		groupSize: storage.GroupMachines(n.cfg.Cluster.State.ValueKB),
 		writer:    storage.NewWriter(n.cfg.Cluster.State.TxnOps, leaderVer),
 		scheduled: never, checkedAt: never,
 		jobs: map[string]*job{}, over: map[string]bool{}, classes: map[string]*class{},
@@ -116,6 +119,7 @@
 	}{
 		{storage.JobPrefix, l.loadJobs},
 		{storage.BitsPrefix, l.loadBits},
+		{storage.GroupPrefix, l.loadGroups},
 		{storage.MachinePrefix, l.loadMachines},
 		{storage.RentPrefix, l.loadRentals},
 	}
@@ -204,6 +208,25 @@
 	}
 }
 
+func (l *leadership) loadGroups(items []storage.Item) {
+	for _, it := range items {
+		var rec storage.GroupRecord
+		if json.Unmarshal(it.Value, &rec) != nil {
+			l.n.log.Error("record can't be read", "key", it.Key)
+			continue
+		}
+		l.writer.Know(it.Key, it.Version)
+		g := l.newGroup(it.Key)
+		for name, r := range rec {
+			m := l.loadMachine(name, r)
+			m.used, m.wantsUse, m.group = r.Used, r.Used, g
+			g.machines[name] = m
+		}
+	}
+}
+
+// loadMachines reads the records of single machines that earlier versions wrote,
+// and moves them into groups.
 func (l *leadership) loadMachines(items []storage.Item) {
 	for _, it := range items {
 		var rec storage.MachineRecord
@@ -212,13 +235,23 @@
 		}
 		name := strings.TrimPrefix(it.Key, storage.MachinePrefix)
 		l.writer.Know(it.Key, it.Version)
-		m := l.newMachine(name, rec.Type, rec.Zone, rec.Spot)
-		m.recorded, m.used = true, rec.Used
-		m.accounted = !rec.Used
-		m.rentedAt = min(l.n.instantOf(rec.AtMS), l.n.now)
+		m := l.machines[name]
+		if m == nil {
+			m = l.loadMachine(name, rec)
+		}
+		m.accounted = m.accounted && !rec.Used
+		l.record(m, rec.Used)
+		l.dropKnown(it.Key)
 	}
 }
 
+func (l *leadership) loadMachine(name string, rec storage.MachineRecord) *machine {
+	m := l.newMachine(name, rec.Type, rec.Zone, rec.Spot)
+	m.accounted = !rec.Used
+	m.rentedAt = min(l.n.instantOf(rec.AtMS), l.n.now)
+	return m
+}
+
 func (l *leadership) loadRentals(items []storage.Item) {
 	for _, it := range items {
 		var rental protocol.Rental
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -17,8 +17,8 @@
 	spot            bool
 	kind            *protocol.MachineType // nil while the catalogue doesn't name it
 
-	recorded, used bool // durable: known by name; may have had tasks
-	recording      bool
+	used, wantsUse bool // may have tasks: durable, and to be made so
+	group          *group
 	accounted      bool // nothing runs on it that this leader doesn't know of
 	rentedAt       Instant
 
@@ -81,21 +81,94 @@
 	l.dirty = true
 }
 
+// group is the machines that one record names. One record for each machine took
+// two changes before its first task, and hundreds of machines that came up together
+// waited for theirs for as long as they had taken to boot.
+type group struct {
+	key      string
+	machines map[string]*machine
+	changed  bool // since the last write was formed
+	queued   bool // a write waits, that will hold whatever changes until then
+	hurried  bool // the same, ahead of what can wait
+}
+
 // record makes the machine's name durable, with used set before its first task.
 func (l *leadership) record(m *machine, used bool) {
-	if m.recording || (m.recorded && m.used == used) {
+	if m.group != nil && (m.wantsUse || !used) {
 		return
 	}
-	m.recording = true
-	rec := storage.MachineRecord{Type: m.typ, Zone: m.zone, Spot: m.spot, Used: used,
-		AtMS: l.n.wall.Add(m.rentedAt).UnixMilli()}
-	l.writer.Add(storage.Unit{
+	m.wantsUse = used
+	if m.group == nil {
+		m.group = l.roomyGroup()
+		m.group.machines[m.name] = m
+	}
+	l.storeGroup(m.group, true)
+}
+
+// roomyGroup finds a group that has room, or makes one.
+func (l *leadership) roomyGroup() *group {
+	for _, g := range l.groups {
+		if len(g.machines) < l.groupSize {
+			return g
+		}
+	}
+	used := map[string]bool{}
+	for _, g := range l.groups {
+		used[g.key] = true
+	}
+	for i := 0; ; i++ {
+		if key := storage.GroupKey(i); !used[key] {
+			return l.newGroup(key)
+		}
+	}
+}
+
+func (l *leadership) newGroup(key string) *group {
+	g := &group{key: key, machines: map[string]*machine{}}
+	l.groups = append(l.groups, g)
+	return g
+}
+
+// storeGroup queues the write of a group, as it is when its turn comes. Machines
+// that are gone can wait for it, those that are to be used can't.
+func (l *leadership) storeGroup(g *group, hurry bool) {
+	g.changed = true
+	if g.hurried || (g.queued && !hurry) {
+		return
+	}
+	waits, add := &g.queued, l.writer.AddLazy
+	if hurry {
+		waits, add = &g.hurried, l.writer.Add
+	}
+	*waits = true
+	var used []*machine
+	add(storage.Unit{
 		Build: func() []storage.Write {
-			return []storage.Write{storage.Set(storage.MachinePrefix+m.name, rec)}
+			used = used[:0]
+			switch {
+			case !g.changed || (len(g.machines) == 0 && l.writer.Version(g.key) == 0):
+				*waits = false
+				return nil
+			case len(g.machines) == 0:
+				return []storage.Write{storage.Drop(g.key)}
+			}
+			rec := make(storage.GroupRecord, len(g.machines))
+			for name, m := range g.machines {
+				rec[name] = storage.MachineRecord{Type: m.typ, Zone: m.zone, Spot: m.spot, Used: m.wantsUse,
+					AtMS: l.n.wall.Add(m.rentedAt).UnixMilli()}
+				if m.wantsUse {
+					used = append(used, m)
+				}
+			}
+			return []storage.Write{storage.Set(g.key, rec)}
 		},
+		Taken: func() { *waits, g.changed = false, false },
 		Done: func() {
-			m.recording, m.recorded, m.used = false, true, used
-			l.dirty = true
+			for _, m := range used {
+				if !m.used {
+					m.used, l.dirty = true, true
+				}
+			}
 		},
 	})
 }
@@ -109,7 +182,10 @@
 	l.machinesChanged()
 	l.gone[m.name] = l.n.now
 	l.dirty = true
-	l.dropKnown(storage.MachinePrefix + m.name)
+	if g := m.group; g != nil {
+		delete(g.machines, m.name)
+		l.storeGroup(g, false)
+	}
 }
 
 // addRun and dropRun keep a machine's runs in order of their attempts, so that a
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
@@ -670,3 +672,71 @@
 		t.Fatalf("%d of 9 submissions answered in a second", answered)
 	}
 }
+
+// Hundreds of machines that come up together must be durable by name before their
+// first task without waiting for one another's changes.
+func TestMachinesShareRecords(t *testing.T) {
+	w := newWorld(t, 1)
+	w.cfg.State.WriteRPS = 25
+	w.start("n0")
+	l := w.waitLeader()
+	w.state.limited = true
+	for i := range 300 {
+		w.cloud.rent("c4", []string{"a", "b"}[i%2], true)
+	}
+	ready := func() int {
+		count := 0
+		for _, m := range l.lead.machines {
+			if m.ready() {
+				count++
+			}
+		}
+		return count
+	}
+	if !w.until(10*time.Second, func() bool { return len(w.workers) == 300 }) {
+		t.Fatal("machines did not come up")
+	}
+	if !w.until(3*time.Second, func() bool { return ready() == 300 }) {
+		t.Fatalf("%d of 300 machines are ready", ready())
+	}
+	w.crash(l.name)
+	w.restart(l.name)
+	l = w.waitLeader()
+	if n := len(l.lead.machines); n != 300 {
+		t.Fatalf("%d of 300 machines were read", n)
+	}
+	if !w.until(5*time.Minute, func() bool { return len(w.cloud.hosts) == 0 }) {
+		t.Fatalf("%d machines are kept", len(w.cloud.hosts))
+	}
+	w.run(5 * time.Second)
+	for key := range w.state.keys {
+		if strings.HasPrefix(key, storage.GroupPrefix) {
+			t.Errorf("%s is kept for machines that are gone", key)
+		}
+	}
+}
+
+// Records of single machines, as the version before wrote them, are still read: a
+// machine that had tasks is waited for, and its record moves into a group.
+func TestRecordsOfTheVersionBefore(t *testing.T) {
+	w := newWorld(t, 1)
+	x := w.cloud.rent("c4", "a", true)
+	w.cloud.boot = time.Hour
+	w.cloud.rent("c4", "a", true) // recorded, but never up
+	w.state.put(storage.MachinePrefix+x.name, storage.MachineRecord{Type: "c4", Zone: "a", Spot: true, Used: true})
+	w.state.put(storage.MachinePrefix+"m-000002", storage.MachineRecord{Type: "c4", Zone: "a", Spot: true})
+	l := w.waitLeader()
+	if a, b := l.lead.machines[x.name], l.lead.machines["m-000002"]; a == nil || a.accounted || b == nil || !b.accounted {
+		t.Fatalf("read as %+v and %+v", a, b)
+	}
+	w.run(2 * time.Second)
+	for key := range w.state.keys {
+		if strings.HasPrefix(key, storage.MachinePrefix) {
+			t.Errorf("%s is kept", key)
+		}
+	}
+	var rec storage.GroupRecord
+	if json.Unmarshal(w.state.keys[storage.GroupKey(0)].Value, &rec) != nil || !rec[x.name].Used || rec["m-000002"].Used {
+		t.Errorf("moved as %+v", rec)
+	}
+}
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -21,7 +21,8 @@
 	JobPrefix     = "job/"
 	FinalPrefix   = "final/"
 	BitsPrefix    = "bits/"
-	MachinePrefix = "mach/"
+	GroupPrefix   = "machines/"
+	MachinePrefix = "mach/" // of single machines, as earlier versions wrote them
 	RentPrefix    = "rent/"
 )
 
@@ -31,6 +32,9 @@
 // FinalKey is the key of a job that is over.
 func FinalKey(id string) string { return FinalPrefix + id }
 
+// GroupKey is the key of one group of machines.
+func GroupKey(i int) string { return fmt.Sprintf("%s%03d", GroupPrefix, i) }
+
 // BitsKey is the key of one part of a job's bitmap of finished tasks.
 func BitsKey(id string, part int) string { return fmt.Sprintf("%s%s/%03d", BitsPrefix, id, part) }
 
@@ -79,6 +83,17 @@
 	Used bool   `json:"used"`
 }
 
+// GroupRecord is a group of machines by name, in one value: many changes of many
+// machines share one write.
+type GroupRecord map[string]MachineRecord
+
+// GroupMachines is how many machines one group names, so that its record stays
+// well inside the value limit.
+func GroupMachines(valueKB float64) int { return max(1, int(valueKB*1024/2/recordBytes)) }
+
+// recordBytes is what one machine takes in a group's record, with long names.
+const recordBytes = 160
+
 // BitsRecord is one part of a bitmap.
 type BitsRecord struct {
 	Bits string `json:"b"`
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -11,6 +11,7 @@
 // means that there is nothing left to do.
 type Unit struct {
 	Build func() []Write
+	Taken func() // the last built writes are under way: later changes need another unit
 	Done  func()
 }
 
@@ -98,6 +99,9 @@
 			}
 			w.writes = append(w.writes, writes...)
 			w.flight = append(w.flight, queue[0])
+			if queue[0].Taken != nil {
+				queue[0].Taken()
+			}
 			queue = queue[1:]
 		}
 		return queue
