Let patient work wait for cheap machines, and leave room for what usually comes

The forecast is believed by the number of jobs seen and handed on in a record. Machines are let go by how long their cores would idle until empty.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -31,13 +31,17 @@
 	planAt   Instant
 	returnAt Instant
 
-	work        float64 // arrived, in core seconds, decaying
-	workAt      Instant
+	flows       map[string]*flow // what arrives, by class
+	inherited   float64          // work that a predecessor saw arrive, as flow.work
+	flowAt      Instant          // when they were last decayed
+	flowsFrom   Instant          // since when they are counted
+	savedAt     Instant
 	loggedAt    Instant
 	accountedAt Instant
 	spent       spending
 	target      float64 // cores to hold
 	thrift      float64 // how much less is held of what is dearer
+	patient     bool    // all aims leave time to queue
 }
 
 // option is a kind of machine that can be asked for.
@@ -63,18 +67,19 @@
 func (f *fleet) init(l *leadership) {
 	f.l = l
 	f.refused = map[option]*refusal{}
-	f.thrift = 2
+	f.flows = map[string]*flow{}
+	f.thrift, f.patient = 2, true
 	for _, o := range l.n.cfg.Cluster.Objectives {
-		if o.Kind == "wait" || o.Kind == "guarantee" {
-			// Aims on starting are met only by machines that are up already;
-			// aims on finishing leave time to queue.
-			f.thrift = 0.3
+		if (o.Kind == "wait" || o.Kind == "guarantee") && config.Seconds(o.WithinS) < 2*l.n.lease() {
+			// Aims on starting soon are met only by machines that are up already;
+			// other aims leave time to queue.
+			f.thrift, f.patient = 0.3, false
 		}
 	}
 	if t := l.n.set.Thrift; t != nil {
 		f.thrift = *t
 	}
-	f.listAt, f.planAt, f.retryAt, f.returnAt, f.loggedAt = never, never, never, never, never
+	f.listAt, f.planAt, f.retryAt, f.returnAt, f.loggedAt, f.savedAt = never, never, never, never, never, f.l.n.now
 }
 
 func (f *fleet) lag() time.Duration { return config.Seconds(f.l.n.cfg.Cluster.Cloud.ListLagS) }
@@ -88,6 +93,7 @@
 		if l.n.catalog != nil {
 			f.plan()
 		}
+		f.saveFlows()
 	}
 	if now < f.retryAt {
 		return
@@ -324,17 +330,18 @@
 		if j.bad {
 			work = min(work, each.Seconds()*j.spec.Cores)
 		}
-		span := l.due(j) - n.now
+		span := l.due(j) - l.reserve(j) - n.now
 		if span < each {
 			span = lateSpan * each
 		}
 		loads = append(loads, load{due: span, work: work})
 	}
 	slices.SortFunc(loads, func(a, b load) int { return cmp.Or(cmp.Compare(a.due, b.due), cmp.Compare(a.work, b.work)) })
-	need, sum := 0.0, 0.0
+	need, late := 0.0, 0.0
 	for _, x := range loads {
-		sum += x.work
+		late += x.work
 		span := x.due.Seconds()
+		sum := late + f.coming(span)
 		need = max(need, min(held, sum/(span*fluid)))
 		if short := sum - held*span*fluid; short > 0 && span > 1.25*boot {
 			need = max(need, held+short/((span-boot)*fluid))
@@ -343,6 +350,22 @@
 	return need
 }
 
+// reserve is how much of a job's aim on starting the plan does not count on, so that
+// takeovers, outages and lost machines find some slack.
+func (l *leadership) reserve(j *job) time.Duration {
+	if j.spec.DeadlineS != nil {
+		return 0
+	}
+	for _, a := range l.aims[j.spec.Class] {
+		if a.start {
+			return a.within * startReserve / 100
+		}
+	}
+	return 0
+}
+
+const startReserve = 40
+
 // fluid is how much of a machine's time the plan counts on.
 const fluid = 1.0
 
@@ -363,28 +386,116 @@
 // lateSpan is within how many times its run time a late job's work should start.
 const lateSpan = 4
 
+// flow is the work that arrives of a class of jobs.
+type flow struct {
+	work float64       // in core seconds, decaying
+	slow float64       // the same, decaying slowly
+	jobs float64       // how many jobs that is
+	due  time.Duration // how long after its arrival it is due, of the last job
+}
+
 // arrived counts the work that a new job brings.
 func (f *fleet) arrived(j *job) {
 	f.decay()
-	f.work += float64(j.spec.Tasks) * j.spec.Cores * f.l.expected(j).Seconds()
+	x := f.flows[j.spec.Class]
+	if x == nil {
+		x = &flow{}
+		f.flows[j.spec.Class] = x
+	}
+	work := float64(j.spec.Tasks) * j.spec.Cores * f.l.expected(j).Seconds()
+	x.work += work
+	x.slow += work
+	x.jobs++
+	x.due = f.l.due(j) - j.at
 }
 
 func (f *fleet) span() float64 { return levelSpan * f.l.n.lease().Seconds() }
 
+// slowSpan is over how many times the span of the usual load the forecast goes.
+const slowSpan = 6
+
 func (f *fleet) decay() {
 	now := f.l.n.now
-	f.work *= math.Exp(-(now - f.workAt).Seconds() / f.span())
-	f.workAt = now
+	by := math.Exp(-(now - f.flowAt).Seconds() / f.span())
+	slowly := math.Pow(by, 1.0/slowSpan)
+	for _, x := range f.flows {
+		x.work *= by
+		x.slow *= slowly
+		x.jobs *= slowly
+	}
+	f.inherited *= by
+	f.flowAt = now
+}
+
+// saveFlows stores what has been learnt of the arrivals, seldom, for the next leader.
+func (f *fleet) saveFlows() {
+	now := f.l.n.now
+	if now < f.savedAt+2*f.l.n.lease() || len(f.flows) == 0 {
+		return
+	}
+	f.savedAt = now
+	f.l.writer.AddLazy(storage.Unit{Build: func() []storage.Write {
+		f.decay()
+		rec := storage.FlowRecord{AtMS: f.l.n.wallMS(), OverS: (f.l.n.now - f.flowsFrom).Seconds(), Classes: map[string]storage.Flow{}}
+		for class, x := range f.flows {
+			rec.Classes[class] = storage.Flow{Work: x.work, Slow: x.slow, Jobs: x.jobs, DueS: x.due.Seconds()}
+		}
+		return []storage.Write{storage.Set(storage.FlowKey, rec)}
+	}})
+}
+
+// loadFlows takes over what the leader before has learnt of the arrivals.
+func (f *fleet) loadFlows(items []storage.Item) {
+	for _, it := range items {
+		var rec storage.FlowRecord
+		if it.Key != storage.FlowKey || json.Unmarshal(it.Value, &rec) != nil {
+			continue
+		}
+		f.l.writer.Know(it.Key, it.Version)
+		f.flowAt = min(f.l.n.instantOf(rec.AtMS), f.l.n.now)
+		f.flowsFrom = f.flowAt - config.Seconds(rec.OverS)
+		for class, x := range rec.Classes {
+			f.flows[class] = &flow{work: x.Work, slow: x.Slow, jobs: x.Jobs, due: config.Seconds(x.DueS)}
+		}
+		f.decay()
+	}
 }
 
 // usual is the usual load: the work that arrives per second, over the last
 // while. A new leader begins with what its predecessor held.
 func (f *fleet) usual() float64 {
 	f.decay()
-	return f.work / f.span()
+	work := f.inherited
+	for _, x := range f.flows {
+		work += x.work
+	}
+	return work / f.span()
+}
+
+// coming is the work that should arrive, as usual, early enough to be due within
+// a time. It passes ahead of what is due then, so room must be left for it. Where
+// work is to start soon, spare room is held for it anyway.
+func (f *fleet) coming(within float64) float64 {
+	if !f.patient {
+		return 0
+	}
+	work, jobs := 0.0, 0.0
+	for _, x := range f.flows {
+		work += x.slow * max(0, within-x.due.Seconds())
+		jobs += x.jobs
+	}
+	span := slowSpan * f.span()
+	seen := f.span() + (f.l.n.now - f.flowsFrom).Seconds()
+	trust := jobs * jobs / (jobs*jobs + forecastJobs*forecastJobs)
+	return trust * work / (span * (1 - math.Exp(-seen/span)))
 }
 
-// inherit takes the cores found at a takeover for the usual load.
+// forecastJobs is of how many jobs half of the forecast is believed: what a few
+// have brought is mostly luck, and machines rented for it cost more than they help.
+const forecastJobs = 20
+
+// inherit takes the cores found at a takeover for the usual load, if no leader
+// has stored what it has learnt.
 func (f *fleet) inherit() {
 	held := 0.0
 	for _, m := range f.l.machines {
@@ -392,8 +503,11 @@
 			held += m.kind.Cores
 		}
 	}
-	f.workAt, f.accountedAt = f.l.n.now, f.l.n.now
-	f.work = held / (1 + f.l.n.set.Headroom) * f.span()
+	f.accountedAt = f.l.n.now
+	if len(f.flows) == 0 {
+		f.flowAt, f.flowsFrom = f.l.n.now, f.l.n.now
+		f.inherited = held / (1 + f.l.n.set.Headroom) * f.span()
+	}
 }
 
 // plan compares the cores held with those needed, rents what is missing and
@@ -526,12 +640,31 @@
 // surplus is why a machine is emptied that is no longer needed.
 const surplus = "surplus"
 
-// shrink empties machines that have been too many for a while, the dear ones
-// first and among those the emptiest.
+// idleTo is for how long a machine's cores would be idle, on the mean, until the
+// last of its tasks has ended.
+func (l *leadership) idleTo(m *machine) float64 {
+	last, work := 0.0, 0.0
+	for _, r := range m.list {
+		left := l.remaining(r).Seconds()
+		last = max(last, left)
+		work += left * r.job.spec.Cores
+	}
+	return last - work/m.kind.Cores
+}
+
+// shrink empties machines that have been too many for a while: the dear ones first,
+// and among those the ones that would be idle for the shortest time until empty.
 func (f *fleet) shrink(kept []*machine, held float64, worth func(float64) float64) {
 	l, n := f.l, f.l.n
+	if len(kept) == 0 {
+		return
+	}
+	idle := make(map[*machine]float64, len(kept))
+	for _, m := range kept {
+		idle[m] = l.idleTo(m)
+	}
 	slices.SortStableFunc(kept, func(a, b *machine) int {
-		return cmp.Or(cmp.Compare(b.perCore(), a.perCore()), cmp.Compare(len(a.runs), len(b.runs)))
+		return cmp.Or(cmp.Compare(b.perCore(), a.perCore()), cmp.Compare(idle[a], idle[b]))
 	})
 	for _, m := range kept {
 		// A quarter of a machine is no reason to hold a whole one.
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -128,16 +128,28 @@
 	return s
 }
 
+// aim is what is expected of a class of jobs: to be complete, or else to have
+// started, within a time.
+type aim struct {
+	within time.Duration
+	start  bool
+}
+
 // due is when the job should be complete: its deadline, or the first aim of its
-// class that can still be met.
+// class that can still be met. An aim on starting counts for a class that has
+// none on finishing; such work can wait for room on cheap machines.
 func (l *leadership) due(j *job) Instant {
 	if j.spec.DeadlineS != nil {
 		return j.at + config.Seconds(*j.spec.DeadlineS)
 	}
-	within := l.within[j.spec.Class]
-	for i, w := range within {
-		if i == len(within)-1 || j.at+w-l.expected(j) > l.n.now {
-			return j.at + w
+	aims := l.aims[j.spec.Class]
+	for i, a := range aims {
+		end := j.at + a.within
+		if a.start {
+			end += l.expected(j)
+		}
+		if i == len(aims)-1 || end-l.expected(j) > l.n.now {
+			return end
 		}
 	}
 	return j.at + 4*l.expected(j) + l.n.lease()
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -30,9 +31,9 @@
 	jobs        map[string]*job
 	over        map[string]bool // ended in this term
 	classes     map[string]*class
-	within      map[string][]time.Duration // aims by class, shortest first
-	startWithin time.Duration              // aim on starting guaranteed work; 0: none
-	usage       map[string]*usage          // by team
+	aims        map[string][]aim  // by class, shortest first
+	startWithin time.Duration     // aim on starting guaranteed work; 0: none
+	usage       map[string]*usage // by team
 
 	machines    map[string]*machine
 	groups      []*group   // that record them
@@ -66,19 +67,23 @@
 		writer:    storage.NewWriter(n.cfg.Cluster.State.TxnOps, leaderVer),
 		scheduled: never, checkedAt: never,
 		jobs: map[string]*job{}, over: map[string]bool{}, classes: map[string]*class{},
-		within: map[string][]time.Duration{}, usage: map[string]*usage{},
+		aims: map[string][]aim{}, usage: map[string]*usage{},
 		machines: map[string]*machine{}, gone: map[string]Instant{},
 	}
 	for _, o := range n.cfg.Cluster.Objectives {
 		if o.Kind == "guarantee" {
 			l.startWithin = config.Seconds(o.WithinS)
 		}
-		if o.Kind == "finished" {
-			l.within[o.Class] = append(l.within[o.Class], config.Seconds(o.WithinS))
+		if o.Kind == "finished" || o.Kind == "wait" {
+			l.aims[o.Class] = append(l.aims[o.Class], aim{config.Seconds(o.WithinS), o.Kind == "wait"})
 		}
 	}
-	for _, within := range l.within {
-		slices.Sort(within)
+	for class, aims := range l.aims {
+		if slices.ContainsFunc(aims, func(a aim) bool { return !a.start }) {
+			aims = slices.DeleteFunc(aims, func(a aim) bool { return a.start })
+		}
+		slices.SortFunc(aims, func(a, b aim) int { return cmp.Compare(a.within, b.within) })
+		l.aims[class] = aims
 	}
 	for _, t := range n.cfg.Cluster.Teams {
 		l.usage[t.Name] = &usage{}
@@ -122,6 +127,7 @@
 		{storage.GroupPrefix, l.loadGroups},
 		{storage.MachinePrefix, l.loadMachines},
 		{storage.RentPrefix, l.loadRentals},
+		{storage.FlowKey, l.fleet.loadFlows},
 	}
 	var next func(int)
 	next = func(i int) {
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -8,6 +8,7 @@
 
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
 )
 
 // Controllers that come back within a fraction of a second, in the middle of an
@@ -246,3 +247,45 @@
 		t.Fatalf("started %d times", n)
 	}
 }
+
+// Work that may wait to start is due late, and the plan leaves room for the work that
+// usually comes and is due before it. What is known of that outlives the leader: it
+// was once learnt anew after each takeover, while machines were let go.
+func TestForecastOutlivesTheLeader(t *testing.T) {
+	w := newWorld(t, 3)
+	w.cfg.Objectives = []config.Objective{
+		{Kind: "finished", Class: "quick", WithinS: 60, Share: 0.9},
+		{Kind: "wait", Class: "patient", WithinS: 200, Share: 0.9},
+	}
+	for _, name := range w.names {
+		w.start(name)
+	}
+	l := w.waitLeader()
+	w.machines(2)
+	for i := range 60 {
+		j := spec(fmt.Sprintf("j-%d", i), 4)
+		if j.Class = "quick"; i%10 == 0 {
+			j.Class = "patient"
+		}
+		w.submit(l.name, j)
+		w.run(time.Second)
+	}
+	j := l.lead.jobs["j-50"]
+	if j == nil {
+		j = l.lead.addJob(storage.JobRecord{Spec: spec("j-x", 1)}, 1)
+		j.spec.Class = "patient"
+	}
+	if got, want := l.lead.due(j)-j.at, 200*time.Second+l.lead.expected(j); got != want {
+		t.Errorf("due after %v, not %v", got, want)
+	}
+	before := l.lead.fleet.coming(200)
+	if before <= 0 || l.lead.fleet.coming(50) != 0 {
+		t.Fatalf("to come within 200 s: %v, within 50 s: %v", before, l.lead.fleet.coming(50))
+	}
+	w.crash(l.name)
+	w.run(time.Second)
+	next := w.waitLeader()
+	if after := next.lead.fleet.coming(200); after < before/2 || after > before*1.1 {
+		t.Fatalf("to come within 200 s: %v, after the takeover %v", before, after)
+	}
+}
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -24,6 +24,7 @@
 	GroupPrefix   = "machines/"
 	MachinePrefix = "mach/" // of single machines, as earlier versions wrote them
 	RentPrefix    = "rent/"
+	FlowKey       = "flow"
 )
 
 // JobKey is the key of an open job.
@@ -94,6 +95,23 @@
 // recordBytes is what one machine takes in a group's record, with long names.
 const recordBytes = 160
 
+// FlowRecord is what a leader has learnt of the work that arrives, over a time, by
+// class of jobs.
+type FlowRecord struct {
+	AtMS    int64           `json:"at"`
+	OverS   float64         `json:"over"`
+	Classes map[string]Flow `json:"classes"`
+}
+
+// Flow is the work that arrives of one class: decaying sums, and how long after
+// its arrival it is due.
+type Flow struct {
+	Work float64 `json:"work"`
+	Slow float64 `json:"slow"`
+	Jobs float64 `json:"jobs"`
+	DueS float64 `json:"due"`
+}
+
 // BitsRecord is one part of a bitmap.
 type BitsRecord struct {
 	Bits string `json:"b"`
