Plan for every job to begin within 144 s, and begin what waits after 90 s

Cause: due times alone made the plan; classes without an aim were due after four run times and a lease.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -330,8 +330,12 @@
 		if j.bad {
 			work = min(work, each.Seconds()*j.spec.Cores)
 		}
-		span := l.due(j) - l.reserve(j) - n.now
-		if span < each {
+		span := min(l.due(j)-l.reserve(j), j.at+planBegin+each) - n.now
+		switch {
+		case span >= each:
+		case !j.begun():
+			span = each
+		default:
 			span = lateSpan * each
 		}
 		loads = append(loads, load{due: span, work: work})
@@ -366,6 +370,10 @@
 
 const startReserve = 40
 
+// planBegin is within what time the plan lets every job begin, even one without an
+// aim, or with one that leaves more time: well inside mustBegin.
+const planBegin = mustBegin * 3 / 5
+
 // fluid is how much of a machine's time the plan counts on.
 const fluid = 1.0
 
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -152,7 +152,8 @@
 			return end
 		}
 	}
-	return j.at + 4*l.expected(j) + l.n.lease()
+	// Nothing is said of such work: it is not to wait out of all proportion.
+	return j.at + min(4*l.expected(j)+l.n.lease(), planBegin+l.expected(j))
 }
 
 // expected is how long one of the job's tasks should run: the owner's estimate,
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -137,12 +137,12 @@
 // Large jobs give way while not all can be in time, and what is late already comes
 // last; but every job must begin within mustBegin, however long a burst of small
 // and pressing work goes on, and no class or team may starve another. So a job
-// that has not begun after half of that begins, ahead of everything, with a part
+// that has not begun after three eighths of that begins, ahead of everything, with a part
 // of its tasks; and one that is older than mustBegin passes with the pressing
 // work, by its age.
 const (
 	mustBegin   = 4 * time.Minute // of the protocol
-	beginsAfter = mustBegin / 2
+	beginsAfter = mustBegin * 3 / 8
 	beginShare  = 8 // what begins is one task in so many
 )
 
