--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -502,8 +502,8 @@
 // have brought is mostly luck, and machines rented for it cost more than they help.
 const forecastJobs = 20
 
-// inherit takes the cores found at a takeover for the usual load, if no leader
-// has stored what it has learnt.
+// inherit takes the cores found at a takeover for the usual load, where what was
+// stored of it says less: it lacks what has arrived since.
 func (f *fleet) inherit() {
 	held := 0.0
 	for _, m := range f.l.machines {
@@ -514,8 +514,8 @@
 	f.accountedAt = f.l.n.now
 	if len(f.flows) == 0 {
 		f.flowAt, f.flowsFrom = f.l.n.now, f.l.n.now
-		f.inherited = held / (1 + f.l.n.set.Headroom) * f.span()
 	}
+	f.inherited = max(0, held/(1+f.l.n.set.Headroom)-f.usual()) * f.span()
 }
 
 // plan compares the cores held with those needed, rents what is missing and
