Urgent work waits a moment for a machine that has its image

Now, for three fifths of an aim on starting within seconds, a machine that would miss it for sure by its fetch is passed over if another has the image. Test fails without.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -70,7 +70,7 @@
 	f.flows = map[string]*flow{}
 	f.thrift, f.patient = 2, true
 	for _, o := range l.n.cfg.Cluster.Objectives {
-		if (o.Kind == "wait" || o.Kind == "guarantee") && config.Seconds(o.WithinS) < 2*l.n.lease() {
+		if (o.Kind == "wait" || o.Kind == "guarantee") && l.soon(config.Seconds(o.WithinS)) {
 			// Aims on starting soon are met only by machines that are up already;
 			// other aims leave time to queue.
 			f.thrift, f.patient = 0.3, false
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 	"time"
 
@@ -475,8 +476,13 @@
 
 func (l *leadership) candidates(j *job, machines []*machine, fetch bool) *candidates {
 	c := &candidates{l: l, job: j}
+	quick := math.Inf(1)
+	if fetch {
+		quick = l.quickFetch(j)
+	}
 	for _, m := range machines {
-		if m.room(&j.spec) && m.ready() && (fetch || m.hasImage(j.spec.Image)) && allowed(&j.spec, m) {
+		if m.room(&j.spec) && m.ready() && allowed(&j.spec, m) &&
+			(m.hasImage(j.spec.Image) || (fetch && j.spec.ImageGB/m.kind.PullGBPerS <= quick)) {
 			c.list = append(c.list, c.rate(m))
 		}
 	}
@@ -484,6 +490,30 @@
 	return c
 }
 
+// quickFetch is for how many seconds at most a task of the job may fetch its image.
+// Work that is to start within seconds waits for a machine that has the image, where
+// there are some, rather than miss its aim for sure with a long fetch on the first
+// machine that has room; but only for a part of that aim.
+func (l *leadership) quickFetch(j *job) float64 {
+	aims := l.aims[j.spec.Class]
+	if len(aims) == 0 || !aims[0].start || !l.soon(aims[0].within) || l.n.now > j.at+aims[0].within*imageWait/100 {
+		return math.Inf(1)
+	}
+	for _, m := range l.held() {
+		if m.ready() && m.hasImage(j.spec.Image) && allowed(&j.spec, m) {
+			return (j.at + aims[0].within - l.n.now).Seconds()
+		}
+	}
+	return math.Inf(1)
+}
+
+// imageWait is for how much of an aim on starting, in hundredths, work waits for a
+// machine that has its image.
+const imageWait = 60
+
+// soon tells whether an aim on starting leaves no time to rent a machine for it.
+func (l *leadership) soon(within time.Duration) bool { return within < 2*l.n.lease() }
+
 func (c *candidates) rate(m *machine) candidate {
 	x := candidate{m: m, load: max(m.cores/m.kind.Cores, m.ram/m.kind.RAM)}
 	x.step = int(x.load * float64(c.l.n.set.LoadSteps))
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -287,3 +287,41 @@
 		t.Fatalf("to come within 200 s: %v, after the takeover %v", before, after)
 	}
 }
+
+// Work that is to start within seconds waits a moment for a machine that has its
+// image: the first machine with room would miss the aim for sure by a long fetch.
+func TestUrgentWorkWaitsForItsImage(t *testing.T) {
+	w := newWorld(t, 1)
+	w.cloud.types = []protocol.MachineType{{Name: "c4", Cores: 4, RAM: 16, CacheGB: 40, PullGBPerS: 0.2, Rate: 0.3, SpotRate: 0.1, ReadyS: 5, Zones: []string{"a"}}}
+	w.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "c", WithinS: 5, Share: 0.8}}
+	w.start("n0")
+	l := w.waitLeader()
+	w.run(2 * time.Second)
+	w.machines(2)
+	w.cloud.capacity = 2
+	has, other := l.lead.machines["m-000001"], l.lead.machines["m-000002"]
+	has.touch("i", 2)
+	for _, m := range []*machine{has, other} { // both busy
+		m.cores = 4
+	}
+	j := spec("j-1", 1)
+	j.Priority, j.ImageGB = "urgent", 2 // 10 s of fetching
+	w.submit(l.name, j)
+	other.cores = 0
+	w.run(1500 * time.Millisecond)
+	if len(other.runs) > 0 {
+		t.Fatal("it fetches where it must miss its aim, though another machine has the image")
+	}
+	has.cores, l.lead.dirty = 0, true
+	if !w.until(2*time.Second, func() bool { return len(has.runs) == 1 }) {
+		t.Fatal("it does not start where its image is")
+	}
+	// It does not wait for longer than the aim leaves.
+	has.cores, other.cores, l.lead.dirty = 4, 0, true
+	next := spec("j-2", 1)
+	next.Priority, next.ImageGB = "urgent", 2
+	w.submit(l.name, next)
+	if !w.until(6*time.Second, func() bool { return len(other.runs) == 1 }) {
+		t.Fatal("it waits on for a machine that stays busy")
+	}
+}
