--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -300,7 +300,8 @@
 	}
 	l.checkMachines()
 	l.fleet.tick()
-	if l.dirty && n.now >= l.scheduled+n.report()/passesPerReport {
+	if n.now >= l.scheduled+n.report()/passesPerReport && (l.dirty || n.now >= l.scheduled+n.report()) {
+		// Without any change, too: what waits may not wait any longer.
 		l.schedule()
 	}
 	l.pump()
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -8,6 +8,7 @@
 
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
 )
 
 // Controllers that come back within a fraction of a second, in the middle of an
@@ -292,36 +293,56 @@
 // image: the first machine with room would miss the aim for sure by a long fetch.
 func TestUrgentWorkWaitsForItsImage(t *testing.T) {
 	w := newWorld(t, 1)
+	w.runTime = func(string, int) time.Duration { return time.Hour }
 	w.cloud.types = []protocol.MachineType{{Name: "c4", Cores: 4, RAM: 16, CacheGB: 40, PullGBPerS: 0.2, Rate: 0.3, SpotRate: 0.1, ReadyS: 5, Zones: []string{"a"}}}
 	w.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "c", WithinS: 5, Share: 0.8}}
 	w.start("n0")
 	l := w.waitLeader()
 	w.run(2 * time.Second)
 	w.machines(2)
-	w.cloud.capacity = 2
-	has, other := l.lead.machines["m-000001"], l.lead.machines["m-000002"]
+	x := l.lead
+	has, other := x.machines["m-000001"], x.machines["m-000002"]
 	has.touch("i", 2)
-	for _, m := range []*machine{has, other} { // both busy
-		m.cores = 4
+	j := x.addJob(storage.JobRecord{Spec: spec("j-1", 1), AtMS: l.wallMS()}, 1)
+	j.spec.ImageGB = 2 // 10 s of fetching
+	fits := func(m *machine) bool { return x.candidates(j, []*machine{m}, true).leastLoaded("") == m }
+	if fits(other) {
+		t.Error("it fetches where it must miss its aim, though another machine has the image")
 	}
-	j := spec("j-1", 1)
-	j.Priority, j.ImageGB = "urgent", 2 // 10 s of fetching
-	w.submit(l.name, j)
-	other.cores = 0
-	w.run(1500 * time.Millisecond)
-	if len(other.runs) > 0 {
-		t.Fatal("it fetches where it must miss its aim, though another machine has the image")
-	}
-	has.cores, l.lead.dirty = 0, true
-	if !w.until(2*time.Second, func() bool { return len(has.runs) == 1 }) {
-		t.Fatal("it does not start where its image is")
-	}
-	// It does not wait for longer than the aim leaves.
-	has.cores, other.cores, l.lead.dirty = 4, 0, true
-	next := spec("j-2", 1)
-	next.Priority, next.ImageGB = "urgent", 2
-	w.submit(l.name, next)
-	if !w.until(6*time.Second, func() bool { return len(other.runs) == 1 }) {
-		t.Fatal("it waits on for a machine that stays busy")
+	if !fits(has) {
+		t.Error("it does not start where its image is")
+	}
+	j.at -= 4 * time.Second
+	if !fits(other) {
+		t.Error("it waits for longer than its aim leaves")
+	}
+	j.at += 4 * time.Second
+	has.images = nil
+	if !fits(other) {
+		t.Error("it waits for an image that no machine has")
+	}
+}
+
+// What waits for a time, here for its back-off, is taken up when that is over, even
+// if nothing else changes meanwhile.
+func TestBackOffEndsWithoutAnyChange(t *testing.T) {
+	w := newWorld(t, 1)
+	l := w.waitLeader()
+	w.machines(1)
+	x := l.lead
+	w.submit(l.name, spec("j-1", 1))
+	j := x.jobs["j-1"]
+	j.trouble[0] = &trouble{after: l.now + 10*time.Second}
+	for _, r := range j.runs {
+		x.release(r)
+	}
+	w.run(9 * time.Second)
+	if w.starts["j-1/0"] > 0 {
+		t.Fatal("started while backing off")
+	}
+	w.cloud.down = true // nor does the fleet change
+	x.dirty = false
+	if !w.until(5*time.Second, func() bool { return w.starts["j-1/0"] == 1 }) {
+		t.Fatal("not started after its back-off")
 	}
 }
