--- a/internal/coordination/forgotten_test.go
+++ b/internal/coordination/forgotten_test.go
@@ -65,6 +65,42 @@
 	}
 }
 
+// A leader that alone is refused by the state service, while the other controllers
+// refuse its connections, is replaced; it neither leads on by promises nor comes back
+// in the way of the next.
+func TestLeaderRefusedByStateAndPeers(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(string, int) time.Duration { return 25 * time.Second }
+	l := w.waitLeader()
+	w.machines(3)
+	w.submitAndStart(l.name, spec("j-1", 6), 6)
+	w.state.refuse[l.name] = true
+	for _, other := range w.followers() {
+		w.cut[[2]string{l.name, other}] = true
+	}
+	if !w.until(9*time.Second, func() bool { return w.leader() != "" && w.leader() != l.name }) {
+		t.Fatal("it is not replaced")
+	}
+	next := w.leader()
+	w.run(3 * time.Second)
+	if got := w.request(l.name, Request{Kind: ReqHealth}); got.Status != 503 {
+		t.Errorf("health: %d", got.Status)
+	}
+	w.run(7 * time.Second)
+	w.mend()
+	delete(w.state.refuse, l.name)
+	w.run(10 * time.Second)
+	if w.leader() != next {
+		t.Errorf("%s leads, not %s", w.leader(), next)
+	}
+	w.waitState("j-1", protocol.Done, time.Minute)
+	for task, n := range w.starts {
+		if n != 1 {
+			t.Errorf("%s was started %d times", task, n)
+		}
+	}
+}
+
 // A follower that is cut in the same way sends no worker to a leader that it does
 // not hear any more, and nobody is worse off.
 func TestHalfCutFollower(t *testing.T) {
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -20,6 +20,7 @@
 	waitTeam    = "team quota"
 	waitOverall = "overall quota"
 	waitRoom    = "no machine with room"
+	waitImage   = "a machine with its image and room"
 )
 
 func fitsType(j *protocol.Job, t *protocol.MachineType) bool {
@@ -426,6 +427,9 @@
 				stopped = waitRoom
 				continue
 			}
+			if at.quick {
+				return waitImage
+			}
 			return waitRoom
 		}
 		if m.emptying {
@@ -451,6 +455,8 @@
 	l    *leadership
 	job  *job
 	list []candidate // a heap
+
+	quick bool // machines that would have to fetch for long are left out
 }
 
 type candidate struct {
@@ -479,6 +485,7 @@
 	quick := math.Inf(1)
 	if fetch {
 		quick = l.quickFetch(j)
+		c.quick = !math.IsInf(quick, 1)
 	}
 	for _, m := range machines {
 		if m.room(&j.spec) && m.ready() && allowed(&j.spec, m) &&
