Store the machine types, so that a start while the cloud is down can work

Cause, found while looking for what holds up submissions after a full restart: a node without the catalogue answers 503 to every submission, and its machines take no task, so all controllers restarting within a cloud outage stopped the service until the cloud was back. Now the leader stores the types when they change, and a node that has none reads them. A job that no stored type fits gets 503 until the cloud has confirmed it, then 422. Test: fails without (503 and nothing runs).

--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -35,19 +35,20 @@
 	startWithin time.Duration     // aim on starting guaranteed work; 0: none
 	usage       map[string]*usage // by team
 
-	machines    map[string]*machine
-	groups      []*group   // that record them
-	groupSize   int        // machines that one record names
-	sorted      []*machine // by name; nil: to be made anew
-	checkedAt   Instant    // when all were looked at
-	census      census     // of them, as of the last change
-	censusOK    bool
-	order       []ranked           // jobs that wait, as of the last full pass
-	pressed     bool               // pressing work had waited for too long then
-	active      [2]int             // tasks on machines, by class: batch, pressing
-	gone        map[string]Instant // returned or taken, and when
-	heardWorker Instant
-	early       []Request // reports that came while loading
+	machines     map[string]*machine
+	catalogShape string     // of the machine types last stored, without prices
+	groups       []*group   // that record them
+	groupSize    int        // machines that one record names
+	sorted       []*machine // by name; nil: to be made anew
+	checkedAt    Instant    // when all were looked at
+	census       census     // of them, as of the last change
+	censusOK     bool
+	order        []ranked           // jobs that wait, as of the last full pass
+	pressed      bool               // pressing work had waited for too long then
+	active       [2]int             // tasks on machines, by class: batch, pressing
+	gone         map[string]Instant // returned or taken, and when
+	heardWorker  Instant
+	early        []Request // reports that came while loading
 
 	watchRev  uint64
 	watching  bool
@@ -128,6 +129,7 @@
 		{storage.MachinePrefix, l.loadMachines},
 		{storage.RentPrefix, l.loadRentals},
 		{storage.FlowKey, l.fleet.loadFlows},
+		{storage.CatalogKey, l.knowAll},
 	}
 	var next func(int)
 	next = func(i int) {
@@ -214,6 +216,13 @@
 	}
 }
 
+// knowAll notes the versions of records that are read elsewhere.
+func (l *leadership) knowAll(items []storage.Item) {
+	for _, it := range items {
+		l.writer.Know(it.Key, it.Version)
+	}
+}
+
 func (l *leadership) loadGroups(items []storage.Item) {
 	for _, it := range items {
 		var rec storage.GroupRecord
@@ -273,6 +282,7 @@
 func (l *leadership) ready() {
 	l.loaded, l.dirty = true, true
 	l.fleet.inherit()
+	l.storeCatalog()
 	l.n.log.Info("records read", "jobs", len(l.jobs), "machines", len(l.machines))
 	early := l.early
 	l.early = nil
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -78,7 +79,32 @@
 			m.kind = k
 		}
 	}
+	l.machinesChanged()
 	l.dirty = true
+	l.storeCatalog()
+}
+
+// storeCatalog stores the machine types for the next start, when they have changed;
+// prices move all the time and are left as they were.
+func (l *leadership) storeCatalog() {
+	if !l.loaded || !l.n.catalogSure {
+		return
+	}
+	c, shape := protocol.Catalog{}, []protocol.MachineType{}
+	for _, name := range slices.Sorted(maps.Keys(l.n.catalog)) {
+		k := *l.n.catalog[name]
+		c.Types = append(c.Types, k)
+		k.Rate, k.SpotRate = 0, 0
+		shape = append(shape, k)
+	}
+	now := string(storage.Encode(shape))
+	if now == l.catalogShape || len(storage.Encode(c)) > int(l.n.cfg.Cluster.State.ValueKB*1024) {
+		return
+	}
+	l.catalogShape = now
+	l.writer.AddLazy(storage.Unit{Build: func() []storage.Write {
+		return []storage.Write{storage.Set(storage.CatalogKey, c)}
+	}})
 }
 
 // group is the machines that one record names. One record for each machine took
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -146,6 +146,7 @@
 	relays   map[string]*relay
 
 	catalog     map[string]*protocol.MachineType
+	catalogSure bool // it came from the cloud, not from the record of an earlier leader
 	catalogAt   Instant
 	catalogBusy bool
 
@@ -343,7 +344,7 @@
 		return
 	}
 	wait := n.lease()
-	if n.catalog != nil {
+	if n.catalogSure {
 		wait = 4 * n.lease()
 		if n.lead == nil {
 			wait *= 4
@@ -365,13 +366,36 @@
 			n.log.Debug("catalogue not read", "status", r.Status)
 			return
 		}
-		types := make(map[string]*protocol.MachineType, len(c.Types))
-		for i := range c.Types {
-			types[c.Types[i].Name] = &c.Types[i]
-		}
-		n.catalog = types
-		if n.lead != nil {
-			n.lead.typesChanged()
+		n.catalogSure = true
+		n.setCatalog(c)
+	})
+	if n.catalog == nil {
+		n.readCatalog()
+	}
+}
+
+func (n *Node) setCatalog(c protocol.Catalog) {
+	types := make(map[string]*protocol.MachineType, len(c.Types))
+	for i := range c.Types {
+		types[c.Types[i].Name] = &c.Types[i]
+	}
+	n.catalog = types
+	if n.lead != nil {
+		n.lead.typesChanged()
+	}
+}
+
+// readCatalog takes the machine types that an earlier leader stored. Without them, a
+// cluster that starts anew while the cloud is down could neither take jobs nor use
+// the machines it has.
+func (n *Node) readCatalog() {
+	n.stateCall("GET", "/store/"+storage.CatalogKey, nil, func(r Result) {
+		var item storage.Item
+		var c protocol.Catalog
+		if n.catalog == nil && r.Status == 200 && json.Unmarshal(r.Body, &item) == nil &&
+			json.Unmarshal(item.Value, &c) == nil && len(c.Types) > 0 {
+			n.log.Info("machine types taken from the record")
+			n.setCatalog(c)
 		}
 	})
 }
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -768,3 +768,37 @@
 		t.Fatalf("accounted for after %v, about a lease", took)
 	}
 }
+
+// A cluster that starts anew while the cloud is down takes jobs and uses the machines
+// it has: the machine types are stored. A job that no stored type fits is not refused
+// for good, as types may have come since.
+func TestStartWhileTheCloudIsDown(t *testing.T) {
+	w := newWorld(t, 3)
+	l := w.waitLeader()
+	w.machines(2)
+	w.submitAndStart(l.name, spec("j-1", 4), 4)
+	w.cloud.down = true
+	for _, name := range w.names {
+		w.crash(name)
+	}
+	w.run(time.Second)
+	for _, name := range w.names {
+		w.restart(name)
+	}
+	w.waitLeader()
+	w.run(time.Second)
+	if r := w.submit(w.leader(), spec("j-2", 4)); r.Status != 201 {
+		t.Fatalf("answered %d", r.Status)
+	}
+	w.waitState("j-2", protocol.Done, time.Minute)
+	big := spec("j-3", 1)
+	big.Cores = 64
+	if r := w.submit(w.followers()[0], big); r.Status != 503 {
+		t.Errorf("a job that fits no stored type: %d", r.Status)
+	}
+	w.cloud.down = false
+	w.run(time.Minute)
+	if r := w.submit(w.followers()[0], big); r.Status != 422 {
+		t.Errorf("a job that fits no type: %d", r.Status)
+	}
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -315,8 +315,13 @@
 	}
 	if !n.canRun(r.Job) {
 		// A job that was accepted once stays accepted, even if the catalogue
-		// has shrunk since; only an unknown one is refused.
-		n.answerKnown(r, lead, 422)
+		// has shrunk since; only an unknown one is refused, and not by types that
+		// may have changed since they were stored.
+		refusal := 422
+		if !n.catalogSure {
+			refusal = 503
+		}
+		n.answerKnown(r, lead, refusal)
 		return
 	}
 	n.queueSubmission(submission{r: r, lead: lead, until: n.now + n.lease()/10})
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -25,6 +25,7 @@
 	MachinePrefix = "mach/" // of single machines, as earlier versions wrote them
 	RentPrefix    = "rent/"
 	FlowKey       = "flow"
+	CatalogKey    = "catalog"
 )
 
 // JobKey is the key of an open job.
