--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -494,13 +494,13 @@
 	}
 	span := slowSpan * f.span()
 	seen := f.span() + (f.l.n.now - f.flowsFrom).Seconds()
-	trust := jobs * jobs / (jobs*jobs + forecastJobs*forecastJobs)
+	trust := math.Pow(jobs, 4) / (math.Pow(jobs, 4) + math.Pow(forecastJobs, 4))
 	return trust * work / (span * (1 - math.Exp(-seen/span)))
 }
 
 // forecastJobs is of how many jobs half of the forecast is believed: what a few
 // have brought is mostly luck, and machines rented for it cost more than they help.
-const forecastJobs = 20
+const forecastJobs = 35
 
 // inherit takes the cores found at a takeover for the usual load, where what was
 // stored of it says less: it lacks what has arrived since.
