Gather the few saving tasks that keep large surplus machines

Now such tasks move, if all on the machine save, run for longer than the 30 s after which their start counts, others have room, and the cores would be idle for twice as long as the move takes.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -601,6 +601,7 @@
 			"demand", demand, "usual", usual, "target", f.target, "spent", f.spent, "writes", l.writer.Pending())
 	}
 	f.shrink(kept, held, worth)
+	f.gather(kept)
 }
 
 // spending is where the money of this term has gone, as an operator would ask.
@@ -685,6 +686,50 @@
 	}
 }
 
+// countsAfter is how long a task must run without being stopped for its start to
+// count towards the aims, by the protocol.
+const countsAfter = 30 * time.Second
+
+// gather moves the few tasks that keep a surplus machine from being returned, where
+// all of them save when stopped, others have room for them, and both they and the
+// machine's idle cores would go on for twice as long as the move takes.
+func (f *fleet) gather(kept []*machine) {
+	l, n := f.l, f.l.n
+	free := 0.0
+	for _, m := range kept {
+		if m.ready() && !m.emptying {
+			free += m.kind.Cores - m.cores
+		}
+	}
+	for _, j := range l.jobs {
+		if !j.gone {
+			free -= float64(j.pending) * j.spec.Cores
+		}
+	}
+	for _, m := range l.held() {
+		if m.why != surplus || !m.emptying || len(m.list) == 0 || m.cores > free || n.now-m.rentedAt < minCharge {
+			continue
+		}
+		move, last, takes := 0.0, 0.0, 0.0
+		for _, r := range m.list {
+			if r.job.spec.CheckpointS <= 0 || r.phase != phaseRunning || r.stop != nil || n.now-r.started < countsAfter {
+				move = math.Inf(1)
+				break
+			}
+			each := r.job.spec.SaveS + r.job.spec.ImageGB/m.kind.PullGBPerS + 2*n.report().Seconds()
+			move += each * r.job.spec.Cores
+			last, takes = max(last, l.remaining(r).Seconds()), max(takes, each)
+		}
+		if last < 2*takes || l.idleTo(m)*m.kind.Cores < 2*move {
+			continue
+		}
+		free -= m.cores
+		for _, r := range m.list {
+			l.stopRun(r, l.saveGrace(r))
+		}
+	}
+}
+
 func (m *machine) perCore() float64 { return m.kind.PerCore(m.spot) }
 
 // served tells whether some machine held, or about to be rented, can run the job.
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -802,3 +802,46 @@
 		t.Errorf("a job that fits no type: %d", r.Status)
 	}
 }
+
+// A few long tasks that save must not keep a large surplus machine: they move to
+// others that have room, if that is worth it and costs no aim.
+func TestSavingTasksAreGathered(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(from, to *machine, j *job)
+		moves  bool
+	}{
+		{"two of 32 cores are used for minutes", func(*machine, *machine, *job) {}, true},
+		{"they don't save", func(_, _ *machine, j *job) { j.spec.CheckpointS = 0 }, false},
+		{"no other machine has room", func(_, to *machine, _ *job) { to.cores = 31 }, false},
+		{"they are nearly done", func(_, _ *machine, j *job) { j.spec.EstimateS = 62 }, false},
+		{"one has just started", func(from, _ *machine, _ *job) { from.list[0].started += 50 * time.Second }, false},
+		{"the machine is needed", func(from, _ *machine, _ *job) { from.emptying, from.why = false, "" }, false},
+	} {
+		w := newWorld(t, 1)
+		w.cloud.types = []protocol.MachineType{{Name: "c4", Cores: 32, RAM: 128, CacheGB: 40, PullGBPerS: 1, Rate: 0.3, SpotRate: 0.1, ReadyS: 5, Zones: []string{"a", "b"}}}
+		w.start("n0")
+		l := w.waitLeader()
+		w.machines(2)
+		x := l.lead
+		from, to := x.machines["m-000001"], x.machines["m-000002"]
+		x.keep(to)
+		from.emptying, from.why = true, surplus
+		from.rentedAt -= time.Hour
+		spec := spec("j-1", 2)
+		spec.EstimateS, spec.CheckpointS, spec.SaveS = 300, 30, 4
+		j := x.addJob(storage.JobRecord{Spec: spec, AtMS: l.wallMS()}, 1)
+		for i := range 2 {
+			x.place(&run{job: j, index: i, attempt: x.nextAttempt(), m: from, phase: phaseRunning, started: l.now - time.Minute})
+		}
+		c.change(from, to, j)
+		x.fleet.gather([]*machine{to})
+		for _, r := range from.list {
+			if (r.stop != nil) != c.moves {
+				t.Errorf("%s: moved %v", c.name, r.stop != nil)
+			} else if c.moves && *r.stop < spec.SaveS {
+				t.Errorf("%s: %v s to save", c.name, *r.stop)
+			}
+		}
+	}
+}
