Bound what is stored of the arrivals; one check of single starts in the tests

Found while rereading: users name the classes of jobs, so the record of arrivals could outgrow a value; the state service would refuse it, and the leader would step down, again and again. Now the classes with the most work are stored as far as half of the limit goes, and forgotten ones are dropped. The test's state service fails on a value over the limit.

--- a/internal/coordination/copies_test.go
+++ b/internal/coordination/copies_test.go
@@ -215,11 +215,7 @@
 		}
 		w.waitState(fmt.Sprintf("j-%d", i), want, time.Minute)
 	}
-	for task, n := range w.starts {
-		if n != 1 {
-			t.Errorf("%s was started %d times", task, n)
-		}
-	}
+	w.startedOnce()
 	if count == 0 {
 		t.Fatal("no copies were sent")
 	}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -426,10 +426,12 @@
 	now := f.l.n.now
 	by := math.Exp(-(now - f.flowAt).Seconds() / f.span())
 	slowly := math.Pow(by, 1.0/slowSpan)
-	for _, x := range f.flows {
+	for class, x := range f.flows {
 		x.work *= by
 		x.slow *= slowly
-		x.jobs *= slowly
+		if x.jobs *= slowly; x.jobs < 0.01 {
+			delete(f.flows, class) // long forgotten
+		}
 	}
 	f.inherited *= by
 	f.flowAt = now
@@ -445,8 +447,18 @@
 	f.l.writer.AddLazy(storage.Unit{Build: func() []storage.Write {
 		f.decay()
 		rec := storage.FlowRecord{AtMS: f.l.n.wallMS(), OverS: (f.l.n.now - f.flowsFrom).Seconds(), Classes: map[string]storage.Flow{}}
-		for class, x := range f.flows {
+		// Users name the classes, so their number and length are bounded here: a value
+		// over the limit would be refused, and the leader would step down for it.
+		names := slices.SortedFunc(maps.Keys(f.flows), func(a, b string) int {
+			return cmp.Or(cmp.Compare(f.flows[b].slow, f.flows[a].slow), cmp.Compare(a, b))
+		})
+		for _, class := range names {
+			x := f.flows[class]
 			rec.Classes[class] = storage.Flow{Work: x.work, Slow: x.slow, Jobs: x.jobs, DueS: x.due.Seconds()}
+			if len(storage.Encode(rec)) > int(f.l.n.cfg.Cluster.State.ValueKB*1024/2) {
+				delete(rec.Classes, class)
+				break
+			}
 		}
 		return []storage.Write{storage.Set(storage.FlowKey, rec)}
 	}})
--- a/internal/coordination/forgotten_test.go
+++ b/internal/coordination/forgotten_test.go
@@ -58,11 +58,7 @@
 	w.mend()
 	delete(w.state.lost, l.name)
 	w.waitState("j-1", protocol.Done, time.Minute)
-	for task, n := range w.starts {
-		if n != 1 {
-			t.Errorf("%s was started %d times", task, n)
-		}
-	}
+	w.startedOnce()
 }
 
 // A leader that alone is refused by the state service, while the other controllers
@@ -94,11 +90,7 @@
 		t.Errorf("%s leads, not %s", w.leader(), next)
 	}
 	w.waitState("j-1", protocol.Done, time.Minute)
-	for task, n := range w.starts {
-		if n != 1 {
-			t.Errorf("%s was started %d times", task, n)
-		}
-	}
+	w.startedOnce()
 }
 
 // A follower that is cut in the same way sends no worker to a leader that it does
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -289,6 +290,27 @@
 	}
 }
 
+// Users name the classes; however many and long their names, what is stored of the
+// arrivals fits a value, as a refused transaction would end the leadership.
+func TestManyClassesFitTheRecord(t *testing.T) {
+	w := newWorld(t, 1)
+	l := w.waitLeader()
+	w.machines(1)
+	for i := range 300 {
+		j := spec(fmt.Sprintf("j-%d", i), 1)
+		j.Class = strings.Repeat("x", 100) + fmt.Sprint(i)
+		w.submit(l.name, j)
+	}
+	term := l.lead.term
+	w.run(35 * time.Second) // the state service refuses values over the limit
+	if it, ok := w.state.keys[storage.FlowKey]; !ok || len(it.Value) < 1000 {
+		t.Error("nothing is stored")
+	}
+	if l.lead == nil || l.lead.term != term {
+		t.Error("the leader has stepped down")
+	}
+}
+
 // Work that is to start within seconds waits a moment for a machine that has its
 // image: the first machine with room would miss the aim for sure by a long fetch.
 func TestUrgentWorkWaitsForItsImage(t *testing.T) {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -353,6 +353,16 @@
 	w.t.Fatalf("job %s is %q, not %q, after %v", id, last.State, state, d)
 }
 
+// startedOnce checks that no task was started a second time.
+func (w *world) startedOnce() {
+	w.t.Helper()
+	for task, n := range w.starts {
+		if n != 1 {
+			w.t.Errorf("%s was started %d times", task, n)
+		}
+	}
+}
+
 // onMachines counts a job's tasks that are on machines.
 func (w *world) onMachines(id string) int {
 	count := 0
