A job too large for a value is refused with 400, not turned away again and again

Found while rereading: a body may have 64 KiB, a value of the state service 8; such a job can never be kept, and its user got 503 for a minute. Test: fails without (503).

--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -845,3 +845,18 @@
 		}
 	}
 }
+
+// A job whose record outgrows a value can't be kept, so it is refused for good; it
+// was once turned away with 503, to be sent again and again.
+func TestJobTooLargeToStore(t *testing.T) {
+	w := newWorld(t, 1)
+	l := w.waitLeader()
+	w.machines(1)
+	j := spec("j-1", 1)
+	for i := range 1000 {
+		j.Types = append(j.Types, fmt.Sprintf("type-%d", i))
+	}
+	if r := w.submit(l.name, j); r.Status != 400 {
+		t.Errorf("answered %d", r.Status)
+	}
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -313,6 +313,11 @@
 		n.unavailable(r.Origin)
 		return
 	}
+	if rec := (storage.JobRecord{Spec: *r.Job, AtMS: n.wallMS()}); len(storage.Encode(rec)) > int(n.cfg.Cluster.State.ValueKB*1024) {
+		// No record holds it, however often it is sent.
+		n.reply(r.Origin, 400, 0, []byte(`{"error":"the job is too large to be stored"}`))
+		return
+	}
 	if !n.canRun(r.Job) {
 		// A job that was accepted once stays accepted, even if the catalogue
 		// has shrunk since; only an unknown one is refused, and not by types that
