Replace a lost leader while controllers refuse each other, through the state service

Now a node that hears no majority reads who raised the term and writes its clearance, bound by it as by a message; the candidate reads those. Test: 3, 5 and 7 nodes lead again within 10 s (without: not before the refusal ends).

--- a/internal/coordination/chaos_test.go
+++ b/internal/coordination/chaos_test.go
@@ -59,7 +59,7 @@
 	c.waitLeader()
 	c.machines(3)
 	troubles := []func(){c.crashSome, c.cutSome, c.halfCut, c.stateOutage, c.refuseOne, c.loseAnswers, c.lateTransaction,
-		c.deafen, c.hang, c.silence, c.reborn, c.quickReturn}
+		c.deafen, c.hang, c.silence, c.reborn, c.quickReturn, c.peersRefuse}
 	for i := range 14 {
 		c.userWork(i)
 		troubles[c.rng.IntN(len(troubles))]()
@@ -253,6 +253,16 @@
 	c.after(c.soon(), c.mend)
 }
 
+// peersRefuse cuts all controllers from each other.
+func (c *chaos) peersRefuse() {
+	for i, a := range c.names {
+		for _, b := range c.names[i+1:] {
+			c.cut[[2]string{a, b}] = true
+		}
+	}
+	c.after(c.soon(), c.mend)
+}
+
 // halfCut takes the state service and the other controllers from one, not its workers.
 func (c *chaos) halfCut() {
 	name := c.leader()
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/segmentio/encoding/json"
@@ -51,6 +52,7 @@
 	clearing bool
 	since    Instant
 	askedAt  Instant
+	listedAt Instant // when clearances were last read from the state service
 }
 
 func newElection() election {
@@ -167,6 +169,9 @@
 				n.stateCall("DELETE", "/holds/"+utoa(item.Lease), nil, func(Result) { e.probeAt = never })
 			}
 		case 404:
+			if n.peersHeard(n.termSpan()) < n.cfg.Cluster.Count/2 {
+				n.clearByState()
+			}
 			if e.abstain {
 				if n.peersHeard(n.termSpan()) == 0 {
 					return
@@ -201,7 +206,7 @@
 
 func (n *Node) stand() {
 	e := &n.elect
-	c := &candidacy{since: n.now, cleared: map[string]bool{}, askedAt: never}
+	c := &candidacy{since: n.now, cleared: map[string]bool{}, askedAt: never, listedAt: n.now}
 	e.candidate = c
 	n.stateCall("GET", "/store/"+storage.TermKey, nil, func(r Result) {
 		if e.candidate != c {
@@ -219,7 +224,7 @@
 		c.term = t.Term + 1
 		txn := storage.Txn{
 			If:     []storage.Cond{{Key: storage.TermKey, Version: item.Version}, {Key: storage.LeaderKey}},
-			Writes: []storage.Write{storage.Set(storage.TermKey, storage.Term{Term: c.term})},
+			Writes: []storage.Write{storage.Set(storage.TermKey, storage.Term{Term: c.term, Node: n.cfg.Node})},
 		}
 		n.stateCall("POST", "/multi", txn, func(r Result) {
 			var res storage.TxnResult
@@ -253,12 +258,68 @@
 		n.takeLeaderKey(c)
 		return
 	}
+	if n.now > c.listedAt+n.lease()/probesPerLease {
+		n.readClearances(c)
+	}
 	if c.askedAt == never || n.now > c.askedAt+n.lease()/beatsPerLease {
 		c.askedAt = n.now
 		n.sendAll(Message{Type: msgClear, Term: c.term})
 	}
 }
 
+// clearByState clears, through the state service, a candidate that can't ask us: while
+// connections between controllers are refused, a leader that is lost could not be
+// replaced otherwise, as no candidate would hear from a majority. It binds this node
+// just as a message does.
+func (n *Node) clearByState() {
+	e := &n.elect
+	n.stateCall("GET", "/store/"+storage.TermKey, nil, func(r Result) {
+		var item storage.Item
+		var t storage.Term
+		if r.Status != 200 || json.Unmarshal(r.Body, &item) != nil || json.Unmarshal(item.Value, &t) != nil {
+			return
+		}
+		for _, p := range n.peers {
+			if t.Term <= p.term {
+				return // who raised it has led already
+			}
+		}
+		if t.Node == "" || t.Node == n.cfg.Node || !n.clears(t.Term) {
+			return
+		}
+		e.clearedTerm = t.Term
+		e.standAt = n.now + n.termSpan() // its turn comes first
+		n.stateCall("POST", "/multi", storage.Txn{
+			Writes: []storage.Write{storage.Set(storage.ClearPrefix+n.cfg.Node, storage.Clearance{Term: t.Term})},
+		}, func(Result) {})
+	})
+}
+
+// readClearances counts the clearances that other nodes have written.
+func (n *Node) readClearances(c *candidacy) {
+	c.listedAt = n.now
+	n.stateCall("GET", storage.ListPath(storage.ClearPrefix, "", n.cfg.Cluster.Count), nil, func(r Result) {
+		var page storage.Page
+		if n.elect.candidate != c || r.Status != 200 || json.Unmarshal(r.Body, &page) != nil {
+			return
+		}
+		for _, it := range page.Items {
+			var rec storage.Clearance
+			name := strings.TrimPrefix(it.Key, storage.ClearPrefix)
+			if json.Unmarshal(it.Value, &rec) == nil && rec.Term == c.term && n.peers[name] != nil {
+				c.cleared[name] = true
+			}
+		}
+		n.tickCandidate()
+	})
+}
+
+// clears tells whether this node may clear a candidate of a term.
+func (n *Node) clears(term uint64) bool {
+	return n.freeOfPromises() && term > n.elect.clearedTerm &&
+		(n.lead == nil || n.lead.term < term && !n.authority())
+}
+
 func (n *Node) takeLeaderKey(c *candidacy) {
 	e := &n.elect
 	sent := n.now
@@ -388,9 +449,7 @@
 			p.promised = max(p.promised, Instant(m.Sent)+leaseSafe(n.termSpan()))
 		}
 	case msgClear:
-		ok := n.freeOfPromises() && m.Term > e.clearedTerm &&
-			(n.lead == nil || n.lead.term < m.Term && !n.authority())
-		if ok || m.Term == e.clearedTerm {
+		if n.clears(m.Term) || m.Term == e.clearedTerm {
 			e.clearedTerm = m.Term
 			n.send(p.name, Message{Type: msgCleared, Term: m.Term, OK: true})
 		}
--- a/internal/coordination/forgotten_test.go
+++ b/internal/coordination/forgotten_test.go
@@ -171,3 +171,30 @@
 		t.Fatalf("%d of %d jobs were answered about", len(answered), over+open)
 	}
 }
+
+// While the controllers refuse each other's connections, a leader that is lost is
+// replaced all the same: candidates are cleared through the state service.
+func TestLeaderLostWhilePeersRefuse(t *testing.T) {
+	for _, nodes := range []int{3, 5, 7} {
+		w := newWorld(t, nodes)
+		w.runTime = func(string, int) time.Duration { return 20 * time.Second }
+		l := w.waitLeader()
+		w.machines(3)
+		w.submitAndStart(l.name, spec("j-1", 8), 8)
+		for i, a := range w.names {
+			for _, b := range w.names[i+1:] {
+				w.cut[[2]string{a, b}] = true
+			}
+		}
+		w.run(4 * time.Second)
+		if w.leader() != l.name {
+			t.Fatalf("%d nodes: refused connections alone cost the leader", nodes)
+		}
+		w.crash(l.name)
+		if !w.until(10*time.Second, func() bool { return w.leader() != "" }) {
+			t.Fatalf("%d nodes: nobody leads", nodes)
+		}
+		w.waitState("j-1", protocol.Done, time.Minute)
+		w.startedOnce()
+	}
+}
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -24,6 +24,7 @@
 	GroupPrefix   = "machines/"
 	MachinePrefix = "mach/" // of single machines, as earlier versions wrote them
 	RentPrefix    = "rent/"
+	ClearPrefix   = "clear/"
 	FlowKey       = "flow"
 	CatalogKey    = "catalog"
 )
@@ -50,9 +51,16 @@
 	return id, part, err == nil
 }
 
-// Term is the value of the term key.
+// Term is the value of the term key: the last term, and who raised it.
 type Term struct {
 	Term uint64 `json:"term"`
+	Node string `json:"node,omitempty"`
+}
+
+// Clearance is what a node writes for a candidate that it can't reach: the highest
+// term that it has cleared.
+type Clearance struct {
+	Term uint64 `json:"term"`
 }
 
 // Leader is the value of the leader key.
