A leader whose write of a job's end is unanswered says nothing older of it

Now a leader reads the state service for a job whose end is under way, and turns users away if it can't.

--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -43,6 +43,7 @@
 
 	cancel                []Origin // who waits for the cancellation
 	gone                  bool     // cancelled or done: nothing starts any more
+	ending                bool     // its end may be written already, though no answer says so
 	waits                 string   // which check stopped it last
 	waiting               Instant  // since when it has had pending tasks
 	firstStart, lastStart Instant  // of its tasks, for the log
@@ -312,6 +313,7 @@
 		Build: func() []storage.Write {
 			return []storage.Write{storage.Drop(storage.JobKey(id)), storage.Set(storage.FinalKey(id), final)}
 		},
+		Taken: func() { j.ending = true },
 		Done: func() {
 			l.n.log.Debug("job over", "job", id, "state", state, "class", j.spec.Class, "tasks", j.spec.Tasks,
 				"after", l.n.now-j.at, "firstStart", j.firstStart-j.at, "lastStart", j.lastStart-j.at, "expected", l.expected(j))
@@ -356,7 +358,7 @@
 	switch r.Kind {
 	case ReqSubmit:
 		if j := l.jobs[r.Job.UID]; j != nil {
-			n.reply(r.Origin, 200, 0, j.state())
+			l.answer(r, j)
 			return
 		}
 		if f, ok := n.finals.byID[r.Job.UID]; ok {
@@ -366,7 +368,7 @@
 		n.submitDirect(r, l)
 	case ReqQuery:
 		if j := l.jobs[r.ID]; j != nil {
-			n.reply(r.Origin, 200, 0, j.state())
+			l.answer(r, j)
 			return
 		}
 		n.queryDirect(r, l)
@@ -375,6 +377,17 @@
 	}
 }
 
+// answer tells a user how a job is. Once its end is on the way to the state service,
+// another node may have read it there and told a user, though no answer has come
+// here; so it is read, rather than told from a picture that may be older.
+func (l *leadership) answer(r Request, j *job) {
+	if j.ending {
+		l.n.answerKnown(r, l, 503)
+		return
+	}
+	l.n.reply(r.Origin, 200, 0, j.state())
+}
+
 func (l *leadership) onCancel(r Request) {
 	n := l.n
 	if j := l.jobs[r.ID]; j != nil {
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -860,3 +860,31 @@
 		t.Errorf("answered %d", r.Status)
 	}
 }
+
+// Once a job's end is in the state service, any node may tell it, though the leader
+// that wrote it has got no answer yet: the leader must not say anything older.
+func TestEndIsToldByAllOrNone(t *testing.T) {
+	w := newWorld(t, 3)
+	l := w.waitLeader()
+	w.machines(1)
+	w.cloud.capacity = 1
+	w.submit(l.name, spec("j-1", 400))
+	w.run(2 * time.Second)
+	w.state.hold = func(_ string, txn storage.Txn) bool { // executed, but not answered
+		for _, wr := range txn.Writes {
+			if wr.Set == storage.FinalKey("j-1") {
+				w.state.hold = nil
+				w.state.multi(txn)
+				return true
+			}
+		}
+		return false
+	}
+	w.ask(l.name, Request{Kind: ReqCancel, ID: "j-1"}, func(Reply) {})
+	if !w.until(2*time.Second, func() bool { return w.state.keys[storage.FinalKey("j-1")].Version > 0 }) {
+		t.Fatal("not written")
+	}
+	if _, s := w.query(l.name, "j-1"); s.State != protocol.Withdrawn {
+		t.Fatalf("the leader says %q after the end was written", s.State)
+	}
+}
