A machine that is back at once is given work again, not taken for deaf

Found while rereading: a new session of a machine that spoke all along was taken as proof that it hears nothing, but one that ended and was back within a moment looks the same; with no other machine to be had, its tasks were not started again. Now the next command it gets tells the two apart.

--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -30,6 +30,7 @@
 	answered     Instant                // last answer that may have renewed its lease
 	shown        bool                   // its last report shows our token: it has heard us
 	unheard      int                    // answers in a row that its reports show no sign of
+	reborn       bool                   // it began a new session though it spoke all along
 	last         *protocol.ReportAnswer // the last answer, until the next report
 	notice       Instant                // when the cloud takes it; never: no notice
 
@@ -410,8 +411,14 @@
 			}
 		}
 		if l.n.now-m.heard < l.n.lease()/2 {
-			// It spoke all along and its lease ran out: it hears no answer.
-			m.unheard = max(m.unheard, deafAnswers)
+			// It spoke all along: either its lease ran out, as it hears no answer, or it
+			// was back at once after an end. The next command that it gets will tell, or
+			// a second time without any sign.
+			m.unheard++
+			if m.reborn {
+				m.unheard = max(m.unheard, deafAnswers)
+			}
+			m.reborn = true
 		}
 	}
 	shown := rep.Token == l.term
@@ -470,9 +477,9 @@
 			m.unheard++
 			return
 		}
-		m.unheard = 0
+		m.unheard, m.reborn = 0, false
 	case !m.shown:
-		m.unheard = 0
+		m.unheard, m.reborn = 0, false
 	}
 }
 
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -45,7 +45,7 @@
 // ready tells whether a machine takes tasks: it has heard this leader, so that no
 // late copy of a report makes room where there is none.
 func (m *machine) ready() bool {
-	return m.up && m.shown && m.unheard == 0 && m.accounted && m.used && (!m.emptying || m.why == surplus) && !m.returning && m.kind != nil
+	return m.up && m.shown && (m.unheard == 0 || m.reborn) && m.accounted && m.used && (!m.emptying || m.why == surplus) && !m.returning && m.kind != nil
 }
 
 const slack = 1e-6 // of sums of decimal amounts
