A node that the state service refuses alone hands submissions to the leader

Now it hands them to the leader, once each, from the first refusal on. In an outage of all, users are told at once as before.

--- a/internal/coordination/forgotten_test.go
+++ b/internal/coordination/forgotten_test.go
@@ -198,3 +198,26 @@
 		w.startedOnce()
 	}
 }
+
+// A node that the state service refuses alone hands submissions to the leader, from
+// the first on; in an outage of all, users are told at once when to come back.
+func TestSubmissionAtRefusedNode(t *testing.T) {
+	w := newWorld(t, 3)
+	w.waitLeader()
+	w.machines(1)
+	f := w.followers()[0]
+	w.state.refuse[f] = true
+	for i := range 3 {
+		asked := w.now
+		if r := w.submit(f, spec(fmt.Sprintf("j-%d", i), 1)); r.Status != 201 || w.now-asked > 200*time.Millisecond {
+			t.Errorf("submission %d: %d after %v", i, r.Status, w.now-asked)
+		}
+		w.run(time.Second)
+	}
+	w.state.setDown(true)
+	w.run(2 * time.Second)
+	asked := w.now
+	if r := w.submit(f, spec("j-9", 1)); r.Status != 503 || r.RetryAfter == 0 || w.now-asked > 200*time.Millisecond {
+		t.Errorf("in an outage: %d, come back after %d, answered in %v", r.Status, r.RetryAfter, w.now-asked)
+	}
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -48,6 +48,8 @@
 	ID     string           // job id, of queries and cancellations
 	Job    *protocol.Job    // parsed body of a submission
 	Report *protocol.Report // parsed body of a report
+
+	passed bool // a submission that was handed to the leader already
 }
 
 // Message is one line between controllers.
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -121,8 +121,10 @@
 		return
 	}
 	if r.Kind == ReqSubmit {
-		// The leader need not see it first: it watches the open jobs.
-		n.withoutLeader(r)
+		// The leader need not see it first, as it watches the open jobs.
+		if !n.elect.stateDown() || !n.passOn(r) {
+			n.withoutLeader(r)
+		}
 		return
 	}
 	if p := n.leaderPeer(); p != nil && len(n.forwards) < maxForwards {
@@ -140,12 +142,27 @@
 	n.forwards[n.nextFwd] = &forward{req: r, until: n.now + patience}
 	// What was parsed is sent, not what came: a body may hold line breaks.
 	m := Message{Type: msgAsk, ID: n.nextFwd, Kind: r.Kind, Job: r.ID}
-	if r.Kind == ReqReport {
+	switch r.Kind {
+	case ReqSubmit:
+		m.Body = storage.Encode(r.Job)
+	case ReqReport:
 		m.Body = storage.Encode(r.Report)
 	}
 	n.send(p.name, m)
 }
 
+// passOn hands a submission to the leader, once, where this node alone can't write it:
+// the state service may refuse one node while the others are served.
+func (n *Node) passOn(r Request) bool {
+	p := n.leaderPeer()
+	if r.Origin.Peer != "" || r.passed || p == nil || len(n.forwards) >= maxForwards {
+		return false
+	}
+	r.passed = true
+	n.forward(p, r, n.lease()/30)
+	return true
+}
+
 func (n *Node) tickForwards() {
 	for id, f := range n.forwards {
 		if n.now >= f.until {
@@ -382,6 +399,7 @@
 			// one copy through, so it may be sent again.
 			s.tries++
 			n.queueSubmission(s)
+		case res.Status == 503 && s.lead == nil && n.passOn(s.r):
 		default:
 			n.unavailable(s.r.Origin)
 		}
