--- a/internal/coordination/chaos_test.go
+++ b/internal/coordination/chaos_test.go
@@ -255,11 +255,7 @@
 
 // peersRefuse cuts all controllers from each other.
 func (c *chaos) peersRefuse() {
-	for i, a := range c.names {
-		for _, b := range c.names[i+1:] {
-			c.cut[[2]string{a, b}] = true
-		}
-	}
+	c.cutAll()
 	c.after(c.soon(), c.mend)
 }
 
@@ -270,9 +266,7 @@
 		name = c.anyNode()
 	}
 	c.state.lost[name] = true
-	for _, other := range c.names {
-		c.cut[[2]string{name, other}] = true
-	}
+	c.cutOff(name)
 	c.after(c.soon(), func() { delete(c.state.lost, name); c.mend() })
 }
 
--- a/internal/coordination/forgotten_test.go
+++ b/internal/coordination/forgotten_test.go
@@ -20,9 +20,7 @@
 	w.machines(3)
 	w.submitAndStart(l.name, spec("j-1", 8), 8)
 	w.state.lost[l.name] = true
-	for _, other := range w.followers() {
-		w.cut[[2]string{l.name, other}] = true
-	}
+	w.cutOff(l.name)
 	if !w.until(5*time.Second, func() bool { return !l.authority() }) {
 		t.Fatal("it leads on")
 	}
@@ -71,9 +69,7 @@
 	w.machines(3)
 	w.submitAndStart(l.name, spec("j-1", 6), 6)
 	w.state.refuse[l.name] = true
-	for _, other := range w.followers() {
-		w.cut[[2]string{l.name, other}] = true
-	}
+	w.cutOff(l.name)
 	if !w.until(9*time.Second, func() bool { return w.leader() != "" && w.leader() != l.name }) {
 		t.Fatal("it is not replaced")
 	}
@@ -100,9 +96,7 @@
 	w.waitLeader()
 	f := w.followers()[0]
 	w.state.lost[f] = true
-	for _, other := range w.names {
-		w.cut[[2]string{f, other}] = true
-	}
+	w.cutOff(f)
 	w.run(5 * time.Second)
 	rep := &protocol.Report{Machine: "m-9", Type: "c4", Zone: "a", Session: 1, Seq: 1}
 	if got := w.request(f, Request{Kind: ReqReport, Report: rep}); got.Status != 503 {
@@ -181,11 +175,7 @@
 		l := w.waitLeader()
 		w.machines(3)
 		w.submitAndStart(l.name, spec("j-1", 8), 8)
-		for i, a := range w.names {
-			for _, b := range w.names[i+1:] {
-				w.cut[[2]string{a, b}] = true
-			}
-		}
+		w.cutAll()
 		w.run(4 * time.Second)
 		if w.leader() != l.name {
 			t.Fatalf("%d nodes: refused connections alone cost the leader", nodes)
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -236,6 +236,20 @@
 
 func (w *world) apart(a, b string) bool { return w.cut[[2]string{a, b}] || w.cut[[2]string{b, a}] }
 
+// cutOff cuts a node from all others.
+func (w *world) cutOff(name string) {
+	for _, other := range w.names {
+		w.cut[[2]string{name, other}] = true
+	}
+}
+
+// cutAll cuts all nodes from each other.
+func (w *world) cutAll() {
+	for _, name := range w.names {
+		w.cutOff(name)
+	}
+}
+
 // mend ends all cuts between nodes; what they held back arrives now.
 func (w *world) mend() {
 	w.cut = map[[2]string]bool{}
