Clean-up after rereading the change: one place for what was written twice

No change of behaviour is meant. A job that is over is answered for in one place for all requests, instead of a check each in three; users' requests and passed-on submissions share one hand-over to the leader; the two readers of a class's aim on starting share startAim. A submission's record is formed once rather than for the check of its size and for each try (its time of acceptance is now the arrival, a tenth of a lease earlier at most). The record of arrivals is sized class by class instead of encoded anew for each.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -360,12 +360,7 @@
 	if j.spec.DeadlineS != nil {
 		return 0
 	}
-	for _, a := range l.aims[j.spec.Class] {
-		if a.start {
-			return a.within * startReserve / 100
-		}
-	}
-	return 0
+	return l.startAim(j) * startReserve / 100
 }
 
 const startReserve = 40
@@ -452,13 +447,15 @@
 		names := slices.SortedFunc(maps.Keys(f.flows), func(a, b string) int {
 			return cmp.Or(cmp.Compare(f.flows[b].slow, f.flows[a].slow), cmp.Compare(a, b))
 		})
+		size := len(storage.Encode(rec))
 		for _, class := range names {
 			x := f.flows[class]
-			rec.Classes[class] = storage.Flow{Work: x.work, Slow: x.slow, Jobs: x.jobs, DueS: x.due.Seconds()}
-			if len(storage.Encode(rec)) > int(f.l.n.cfg.Cluster.State.ValueKB*1024/2) {
-				delete(rec.Classes, class)
+			one := storage.Flow{Work: x.work, Slow: x.slow, Jobs: x.jobs, DueS: x.due.Seconds()}
+			size += len(storage.Encode(map[string]storage.Flow{class: one}))
+			if size > int(f.l.n.cfg.Cluster.State.ValueKB*1024/2) {
 				break
 			}
+			rec.Classes[class] = one
 		}
 		return []storage.Write{storage.Set(storage.FlowKey, rec)}
 	}})
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -136,6 +136,15 @@
 	start  bool
 }
 
+// startAim is the first aim on starting of the job's class, where it is due by such
+// aims; otherwise 0.
+func (l *leadership) startAim(j *job) time.Duration {
+	if aims := l.aims[j.spec.Class]; len(aims) > 0 && aims[0].start {
+		return aims[0].within
+	}
+	return 0
+}
+
 // due is when the job should be complete: its deadline, or the first aim of its
 // class that can still be met. An aim on starting counts for a class that has
 // none on finishing; such work can wait for room on cheap machines.
@@ -361,10 +370,6 @@
 			l.answer(r, j)
 			return
 		}
-		if f, ok := n.finals.byID[r.Job.UID]; ok {
-			n.reply(r.Origin, 200, 0, finalState(r.Job.UID, f))
-			return
-		}
 		n.submitDirect(r, l)
 	case ReqQuery:
 		if j := l.jobs[r.ID]; j != nil {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -521,7 +521,6 @@
 			return false // then it is our answers that don't get through
 		}
 		l.n.log.Info("machine hears no answer", "machine", m.name, "tasks", len(m.runs))
-		m.why = deaf
 		l.leave(m, deaf)
 	}
 	return true
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -502,13 +502,13 @@
 // there are some, rather than miss its aim for sure with a long fetch on the first
 // machine that has room; but only for a part of that aim.
 func (l *leadership) quickFetch(j *job) float64 {
-	aims := l.aims[j.spec.Class]
-	if len(aims) == 0 || !aims[0].start || !l.soon(aims[0].within) || l.n.now > j.at+aims[0].within*imageWait/100 {
+	within := l.startAim(j)
+	if within == 0 || !l.soon(within) || l.n.now > j.at+within*imageWait/100 {
 		return math.Inf(1)
 	}
 	for _, m := range l.held() {
 		if m.ready() && m.hasImage(j.spec.Image) && allowed(&j.spec, m) {
-			return (j.at + aims[0].within - l.n.now).Seconds()
+			return (j.at + within - l.n.now).Seconds()
 		}
 	}
 	return math.Inf(1)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -56,7 +56,7 @@
 	}
 	f.busy = true
 	n.stateCall("GET", storage.ListPath(storage.FinalPrefix, f.since, finalsPage), nil, func(r Result) {
-		f.busy, f.at = false, n.now+n.lease()/28
+		f.busy, f.at = false, n.now+n.lease()/probesPerLease
 		var page storage.Page
 		if r.Status != 200 || json.Unmarshal(r.Body, &page) != nil {
 			return
@@ -107,7 +107,7 @@
 		n.onMetrics(r)
 		return
 	}
-	if f, ok := n.finals.byID[r.ID]; ok && r.Kind != ReqSubmit {
+	if f, ok := n.finals.byID[r.ID]; ok {
 		n.reply(r.Origin, 200, 0, finalState(r.ID, f)) // it never changes, so any node may say so
 		return
 	}
@@ -127,11 +127,9 @@
 		}
 		return
 	}
-	if p := n.leaderPeer(); p != nil && len(n.forwards) < maxForwards {
-		n.forward(p, r, n.lease()/30)
-		return
+	if !n.askLeader(r) {
+		n.withoutLeader(r)
 	}
-	n.withoutLeader(r)
 }
 
 // maxForwards bounds the requests that wait for a leader's answer.
@@ -154,11 +152,19 @@
 // passOn hands a submission to the leader, once, where this node alone can't write it:
 // the state service may refuse one node while the others are served.
 func (n *Node) passOn(r Request) bool {
-	p := n.leaderPeer()
-	if r.Origin.Peer != "" || r.passed || p == nil || len(n.forwards) >= maxForwards {
+	if r.Origin.Peer != "" || r.passed {
 		return false
 	}
 	r.passed = true
+	return n.askLeader(r)
+}
+
+// askLeader hands a user's request to the leader, if one is known.
+func (n *Node) askLeader(r Request) bool {
+	p := n.leaderPeer()
+	if p == nil || len(n.forwards) >= maxForwards {
+		return false
+	}
 	n.forward(p, r, n.lease()/30)
 	return true
 }
@@ -210,10 +216,6 @@
 func (n *Node) withoutLeader(r Request) {
 	switch r.Kind {
 	case ReqSubmit:
-		if f, ok := n.finals.byID[r.Job.UID]; ok {
-			n.reply(r.Origin, 200, 0, finalState(r.Job.UID, f))
-			return
-		}
 		n.submitDirect(r, nil)
 	case ReqQuery:
 		n.queryDirect(r, nil)
@@ -318,8 +320,10 @@
 // submission is a submission that is to be written.
 type submission struct {
 	r     Request
-	lead  *leadership // that took it, if any
-	until Instant     // when its user is told to come back instead
+	rec   storage.JobRecord
+	write storage.Write // of the record: formed once, as it may be sent again
+	lead  *leadership   // that took it, if any
+	until Instant       // when its user is told to come back instead
 	tries int
 }
 
@@ -330,7 +334,9 @@
 		n.unavailable(r.Origin)
 		return
 	}
-	if rec := (storage.JobRecord{Spec: *r.Job, AtMS: n.wallMS()}); len(storage.Encode(rec)) > int(n.cfg.Cluster.State.ValueKB*1024) {
+	rec := storage.JobRecord{Spec: *r.Job, AtMS: n.wallMS()}
+	write := storage.Set(storage.JobKey(rec.Spec.UID), rec)
+	if len(write.Value) > int(n.cfg.Cluster.State.ValueKB*1024) {
 		// No record holds it, however often it is sent.
 		n.reply(r.Origin, 400, 0, []byte(`{"error":"the job is too large to be stored"}`))
 		return
@@ -346,7 +352,7 @@
 		n.answerKnown(r, lead, refusal)
 		return
 	}
-	n.queueSubmission(submission{r: r, lead: lead, until: n.now + n.lease()/10})
+	n.queueSubmission(submission{r: r, rec: rec, write: write, lead: lead, until: n.now + n.lease()/10})
 }
 
 // queueSubmission lets a submission wait for its turn: users come in bursts, and
@@ -365,33 +371,32 @@
 func (n *Node) writeSubmissions() {
 	queue := n.submits
 	n.submits = nil
-	for i, s := range queue {
+	for _, s := range queue {
 		switch {
 		case n.now >= s.until || n.elect.stateLost():
 			n.unavailable(s.r.Origin)
 		case n.submitBudget.take(n.now, 1):
 			n.writeSubmission(s)
 		default:
-			n.submits = append(n.submits, queue[i])
+			n.submits = append(n.submits, s)
 		}
 	}
 }
 
 func (n *Node) writeSubmission(s submission) {
-	j := s.r.Job
-	rec := storage.JobRecord{Spec: *j, AtMS: n.wallMS()}
+	id := s.rec.Spec.UID
 	txn := storage.Txn{
-		If:     []storage.Cond{{Key: storage.JobKey(j.UID)}, {Key: storage.FinalKey(j.UID)}},
-		Writes: []storage.Write{storage.Set(storage.JobKey(j.UID), rec)},
+		If:     []storage.Cond{{Key: storage.JobKey(id)}, {Key: storage.FinalKey(id)}},
+		Writes: []storage.Write{s.write},
 	}
 	n.stateCall("POST", "/multi", txn, func(res Result) {
 		var out storage.TxnResult
 		switch {
 		case res.Status == 200 && json.Unmarshal(res.Body, &out) == nil:
 			if s.lead != nil && n.lead == s.lead {
-				s.lead.addJob(rec, out.Revision)
+				s.lead.addJob(s.rec, out.Revision)
 			}
-			n.reply(s.r.Origin, 201, 0, protocol.JobState{UID: j.UID, State: protocol.Queued})
+			n.reply(s.r.Origin, 201, 0, protocol.JobState{UID: id, State: protocol.Queued})
 		case res.Status == 409:
 			n.answerKnown(s.r, s.lead, 503)
 		case (res.Status == 0 || res.Status == 429) && s.tries < submitTries:
