--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -330,11 +330,17 @@
 		if j.bad {
 			work = min(work, each.Seconds()*j.spec.Cores)
 		}
-		span := min(l.due(j)-l.reserve(j), j.at+planBegin+each) - n.now
+		due := l.due(j) - n.now
+		span := min(due-l.reserve(j), j.at+planBegin+each-n.now)
 		switch {
 		case span >= each:
 		case !j.begun():
 			span = each
+		case due >= each:
+			// The reserve is used up, but the aim can still be met. A job that was only
+			// begun, lest it wait for too long, was taken for late here, and most of
+			// its tasks were planned for after their time.
+			span = due
 		default:
 			span = lateSpan * each
 		}
