--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -368,3 +368,24 @@
 		t.Fatal("not started after its back-off")
 	}
 }
+
+// A job that was begun only lest it wait for too long, and can still meet its aim, is
+// planned for that aim. Taken for late, it was planned over four run times, and the
+// rest of its tasks started after the aim.
+func TestBegunJobIsPlannedForItsAim(t *testing.T) {
+	w := newWorld(t, 1)
+	w.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "c", WithinS: 200, Share: 0.9}}
+	w.start("n0")
+	x := w.waitLeader().lead
+	w.machines(1)
+	s := spec("j-1", 100)
+	s.EstimateS = 50
+	j := x.addJob(storage.JobRecord{Spec: s, AtMS: x.n.wallMS()}, 1)
+	j.at -= 150 * time.Second // the plan's reserve is used up, 50 s are left to start in
+	unbegun := x.fleet.demand(1000)
+	j.firstStart = x.n.now
+	left := 100.0 // seconds until its last task should have ended
+	if got := x.fleet.demand(1000); got < 100*50/left || got > unbegun {
+		t.Errorf("%v cores are planned, and %v before it began", got, unbegun)
+	}
+}
