No promise is waited out once every node says that it does not lead

Peers now echo the process they heard; a node that every peer has told, having heard this process, that it does not lead clears candidates at once.

--- a/internal/coordination/chaos_test.go
+++ b/internal/coordination/chaos_test.go
@@ -26,8 +26,8 @@
 }
 
 // TestMixedTroubles mixes, in many short runs, crashes and quick returns of
-// controllers, cuts that hold messages, half-cut controllers, state outages, lost
-// answers, late transactions, deaf, hanging and silent machines, machines that are
+// controllers, controllers that stand still, cuts that hold messages, cut zones, half-cut
+// controllers, state outages, lost answers, late transactions, deaf, hanging and silent machines, machines that are
 // back at once, and late copies of reports. The world checks at each moment that
 // one node leads, no task runs twice and no team is over its limit; this test
 // checks what users are told, and that every accepted job runs in the end.
@@ -59,7 +59,7 @@
 	c.waitLeader()
 	c.machines(3)
 	troubles := []func(){c.crashSome, c.cutSome, c.halfCut, c.stateOutage, c.refuseOne, c.loseAnswers, c.lateTransaction,
-		c.deafen, c.hang, c.silence, c.reborn, c.quickReturn, c.peersRefuse}
+		c.deafen, c.hang, c.silence, c.reborn, c.quickReturn, c.peersRefuse, c.standStill, c.cutZone}
 	for i := range 14 {
 		c.userWork(i)
 		troubles[c.rng.IntN(len(troubles))]()
@@ -270,6 +270,39 @@
 	c.after(c.soon(), func() { delete(c.state.lost, name); c.mend() })
 }
 
+// standStill stops controllers for a moment or for longer than every lease, some of
+// them between a decision and what comes of it.
+func (c *chaos) standStill() {
+	for range 1 + c.rng.IntN(2) {
+		n := c.nodes[c.anyNode()]
+		if name := c.leader(); name != "" && c.rng.IntN(2) == 0 {
+			n = c.nodes[name]
+		}
+		if n.down || n.frozen {
+			continue
+		}
+		d := time.Duration(c.rng.ExpFloat64() * float64(c.cfg.Workers.LeaseS) / 3 * float64(time.Second))
+		if c.rng.IntN(2) == 0 {
+			n.stall = d
+		} else {
+			c.freeze(n, d, func() {})
+		}
+	}
+}
+
+// cutZone cuts one node and the workers of a zone from everything else.
+func (c *chaos) cutZone() {
+	name := c.anyNode()
+	c.reach = func(x *worker, node string) bool { return (x.zone == "a") == (node == name) }
+	c.state.lost[name] = true
+	c.cutOff(name)
+	c.after(c.soon(), func() {
+		c.reach = nil
+		delete(c.state.lost, name)
+		c.mend()
+	})
+}
+
 func (c *chaos) stateOutage() {
 	c.state.setDown(true)
 	c.after(c.soon(), func() { c.state.setDown(false) })
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -127,11 +127,14 @@
 	e := &n.elect
 	if n.now >= e.beatAt+n.lease()/beatsPerLease || e.beatAt == never {
 		e.beatAt = n.now
-		m := Message{Type: msgBeat, Sent: int64(n.now), Up: int64(n.now)}
+		m := Message{Type: msgBeat, Sent: int64(n.now), Up: int64(n.now), Run: n.run}
 		if n.lead != nil {
 			m.Term, m.Lead, m.Want = n.lead.term, n.authority(), e.renewBad
 		}
-		n.sendAll(m)
+		for _, k := range n.cfg.Known {
+			m.Heard = n.peers[k.Node].run
+			n.send(k.Node, m)
+		}
 	}
 	if n.lead != nil {
 		n.tickLeader()
@@ -199,9 +202,21 @@
 }
 
 // freeOfPromises tells whether this node may clear a candidate. A restarted
-// node does not remember its promises, so it waits one out.
+// node does not remember its promises, so it waits one out, unless nobody can be
+// living by one: every peer, having heard this process, has said that it does not
+// lead. A leadership that is over never returns, and a promise is for one term.
 func (n *Node) freeOfPromises() bool {
-	return n.now >= drift(n.termSpan()) && n.now >= n.elect.promisedUntil
+	return (n.now >= drift(n.termSpan()) || n.allIdle()) && n.now >= n.elect.promisedUntil
+}
+
+// allIdle tells whether every peer has said, to this process, that it does not lead.
+func (n *Node) allIdle() bool {
+	for _, p := range n.peers {
+		if !p.idle {
+			return false
+		}
+	}
+	return true
 }
 
 func (n *Node) stand() {
@@ -437,7 +452,8 @@
 	e := &n.elect
 	switch m.Type {
 	case msgBeat:
-		p.leads, p.term, p.up = m.Lead, m.Term, time.Duration(m.Up)
+		p.leads, p.term, p.up, p.run = m.Lead, m.Term, time.Duration(m.Up), m.Run
+		p.idle = p.idle || (m.Heard == n.run && !m.Lead)
 		if m.Lead && m.Want {
 			n.promise(p, m)
 		}
--- a/internal/coordination/election_test.go
+++ b/internal/coordination/election_test.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -98,6 +100,43 @@
 	}
 }
 
+// After an end of all controllers the next leader does not wait out a promise: every
+// node has said that it does not lead. What an earlier process of a node was told says
+// nothing, nor does a majority: the one that is missing may live by a promise.
+func TestFullRestartWaitsForNoPromise(t *testing.T) {
+	w := newWorld(t, 3)
+	w.waitLeader()
+	for _, name := range w.names {
+		w.crash(name)
+	}
+	w.run(5 * time.Second) // the leader's lease is over
+	for _, name := range w.names {
+		w.restart(name)
+	}
+	span := w.nodes["n0"].termSpan()
+	if !w.until(span*2/3, func() bool { return w.leader() != "" }) {
+		t.Fatalf("nobody leads %v after a full restart", span*2/3)
+	}
+	n := New(Options{Platform: w.nodes["n0"].cfg, Log: testLog(), Rand: rand.New(rand.NewPCG(1, 2)), Wall: time.Unix(5, 0)})
+	cleared := func(from string, m Message) bool {
+		m.Type = msgBeat
+		out := n.Step(n.now+step, []any{PeerMessage{From: from, Msg: m}, PeerMessage{From: "n1", Msg: Message{Type: msgClear, Term: 99}}})
+		return slices.ContainsFunc(out, func(e any) bool { s, ok := e.(Send); return ok && s.Msg.Type == msgCleared })
+	}
+	if cleared("n1", Message{Heard: n.run}) {
+		t.Error("clears while a peer is not heard")
+	}
+	if cleared("n2", Message{Heard: n.run + 1}) {
+		t.Error("clears by what its earlier process was told")
+	}
+	if cleared("n2", Message{Heard: n.run, Lead: true, Term: 9}) {
+		t.Error("clears while a peer leads")
+	}
+	if !cleared("n2", Message{Heard: n.run}) {
+		t.Error("waits for a promise that nobody can live by")
+	}
+}
+
 // A peer that has promised clears nobody until the promise is over, and one
 // that has cleared a candidate promises nothing to an older leader.
 func TestPromiseAndClearanceExcludeEachOther(t *testing.T) {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -60,6 +60,8 @@
 	Want  bool            `json:"want,omitempty"`
 	Sent  int64           `json:"sent,omitempty"`
 	Up    int64           `json:"up,omitempty"`
+	Run   uint64          `json:"run,omitempty"`   // the sender's process
+	Heard uint64          `json:"heard,omitempty"` // the receiver's process that was heard last
 	OK    bool            `json:"ok,omitempty"`
 	ID    uint64          `json:"id,omitempty"`
 	Kind  string          `json:"kind,omitempty"`
@@ -134,6 +136,8 @@
 	rng *rand.Rand
 	// wall is the time of day at instant 0, for records only.
 	wall time.Time
+	// run tells this process from earlier ones of the same node.
+	run uint64
 
 	now     Instant
 	effects []any
@@ -166,6 +170,8 @@
 type peer struct {
 	name     string
 	heard    Instant
+	run      uint64        // its process, as it was heard last
+	idle     bool          // it has heard this process, and did not lead then
 	up       time.Duration // how long it had been up when it was heard
 	term     uint64
 	leads    bool
@@ -235,6 +241,7 @@
 		n.peers[k.Node] = &peer{name: k.Node, heard: never, promised: never}
 	}
 	n.elect = newElection()
+	n.run = n.rng.Uint64() ^ uint64(n.wall.UnixNano())
 	return n
 }
 
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -45,7 +45,8 @@
 	cut     map[[2]string]bool // between nodes
 	holds   bool               // cuts between nodes keep messages, which arrive once they end
 	kept    []event
-	far     map[string]bool // nodes that no worker reaches
+	far     map[string]bool                   // nodes that no worker reaches
+	reach   func(x *worker, node string) bool // nil: every worker reaches all others
 	runTime func(task string, attempt int) time.Duration
 	copies  func(x *worker, rep *protocol.Report) // sees every report that is sent
 	starts  map[string]int                        // by task
@@ -82,7 +83,9 @@
 	asks   map[uint64]func(Reply)
 	ticket uint64
 	down   bool
-	rate   float64 // of its clock; 0: exact
+	rate   float64       // of its clock; 0: exact
+	frozen bool          // it stands still, while its clocks run on
+	stall  time.Duration // for how long it will, before it carries out what it next decides
 }
 
 // clock is the node's steady clock.
@@ -185,13 +188,35 @@
 }
 
 func (w *world) stepNode(n *simNode) {
-	if n.down {
+	if n.down || n.frozen {
 		return
 	}
 	batch := n.inbox
 	n.inbox = nil
+	effects := n.Step(n.clock(w.now), batch)
+	if n.stall > 0 && len(effects) > 0 {
+		w.freeze(n, n.stall, func() { w.carryOut(n, effects) })
+		n.stall = 0
+		return
+	}
+	w.carryOut(n, effects)
+}
+
+// freeze lets a node stand still for a while and then do something first.
+func (w *world) freeze(n *simNode, d time.Duration, then func()) {
+	n.frozen = true
+	epoch := n.epoch
+	w.after(d, func() {
+		n.frozen = false
+		if !n.down && n.epoch == epoch {
+			then()
+		}
+	})
+}
+
+func (w *world) carryOut(n *simNode, effects []any) {
 	epoch := n.epoch
-	for _, e := range n.Step(n.clock(w.now), batch) {
+	for _, e := range effects {
 		switch e := e.(type) {
 		case Reply:
 			if f := n.asks[e.Ticket]; f != nil {
@@ -330,7 +355,7 @@
 
 func (w *world) leader() string {
 	for _, name := range w.names {
-		if n := w.nodes[name]; !n.down && n.authority() {
+		if n := w.nodes[name]; !n.down && !n.frozen && n.authority() {
 			return name
 		}
 	}
@@ -395,7 +420,7 @@
 	w.t.Helper()
 	leaders := 0
 	for _, n := range w.nodes {
-		if !n.down && n.authority() {
+		if !n.down && !n.frozen && n.authority() {
 			leaders++
 		}
 	}
@@ -775,13 +800,14 @@
 func (x *worker) tick() {
 	w := x.w
 	lease := config.Seconds(w.cfg.Workers.LeaseS)
-	if x.hanging {
-		return
-	}
 	if w.now-x.renewed > lease {
+		// A machine that hangs goes on within its lease or not at all.
 		x.session++
 		x.tasks, x.renewed, x.changed = nil, w.now, true
 	}
+	if x.hanging {
+		return
+	}
 	for _, t := range x.tasks {
 		if t.state == protocol.TaskRunning && w.now >= t.end {
 			t.state, t.why, x.changed = protocol.TaskExited, protocol.WhyDone, true
@@ -814,7 +840,7 @@
 		x.answer(r, sent, session)
 	}
 	w.after(4*time.Second, func() { finish(Reply{}) })
-	if w.far[x.node] {
+	if w.far[x.node] || (w.reach != nil && !w.reach(x, x.node)) {
 		return // packets vanish
 	}
 	w.ask(x.node, Request{Kind: ReqReport, Report: rep}, func(r Reply) {
