Forecasts of arrivals ebb when jobs stay away

Once three jobs more than a lease would explain have stayed away, the forecast is believed less; silence while the state service takes nothing, or before a takeover, does not count.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -34,6 +34,7 @@
 	flows       map[string]*flow // what arrives, by class
 	inherited   float64          // work that a predecessor saw arrive, as flow.work
 	flowAt      Instant          // when they were last decayed
+	quiet       time.Duration    // since the last arrival, while arrivals could be written
 	flowsFrom   Instant          // since when they are counted
 	savedAt     Instant
 	loggedAt    Instant
@@ -415,6 +416,7 @@
 	x.work += work
 	x.slow += work
 	x.jobs++
+	f.quiet = 0
 	x.due = f.l.due(j) - j.at
 }
 
@@ -435,9 +437,39 @@
 		}
 	}
 	f.inherited *= by
+	if !f.l.n.elect.stateDown() {
+		f.quiet += max(0, now-f.flowAt)
+	}
 	f.flowAt = now
 }
 
+// slowTime is over how many seconds the slowly decaying sums go: less than their full
+// span while they have not been kept for that long.
+func (f *fleet) slowTime() float64 {
+	span := slowSpan * f.span()
+	seen := f.span() + (f.l.n.now - f.flowsFrom).Seconds()
+	return span * (1 - math.Exp(-seen/span))
+}
+
+// ebb is how much of what usually comes is still believed. Sums that decay go on for
+// minutes after the last job, and machines were held, and even rented anew, for work
+// that nobody brought; that so many jobs in a row stay away is no luck.
+func (f *fleet) ebb() float64 {
+	jobs := 0.0
+	for _, x := range f.flows {
+		jobs += x.jobs
+	}
+	missed := jobs / f.slowTime() * (f.quiet - f.l.n.lease()).Seconds()
+	if missed <= ebbJobs {
+		return 1
+	}
+	return ebbJobs / missed
+}
+
+// ebbJobs is how many jobs may stay away by luck, at a steady rate. Users who found no
+// node come back within about a lease, so that long says nothing.
+const ebbJobs = 3
+
 // saveFlows stores what has been learnt of the arrivals, seldom, for the next leader.
 func (f *fleet) saveFlows() {
 	now := f.l.n.now
@@ -492,7 +524,7 @@
 	for _, x := range f.flows {
 		work += x.work
 	}
-	return work / f.span()
+	return f.ebb() * work / f.span()
 }
 
 // coming is the work that should arrive, as usual, early enough to be due within
@@ -507,10 +539,8 @@
 		work += x.slow * max(0, within-x.due.Seconds())
 		jobs += x.jobs
 	}
-	span := slowSpan * f.span()
-	seen := f.span() + (f.l.n.now - f.flowsFrom).Seconds()
 	trust := math.Pow(jobs, 4) / (math.Pow(jobs, 4) + math.Pow(forecastJobs, 4))
-	return trust * work / (span * (1 - math.Exp(-seen/span)))
+	return f.ebb() * trust * work / f.slowTime()
 }
 
 // forecastJobs is of how many jobs half of the forecast is believed: what a few
@@ -530,6 +560,7 @@
 	if len(f.flows) == 0 {
 		f.flowAt, f.flowsFrom = f.l.n.now, f.l.n.now
 	}
+	f.quiet = 0 // what users did while nobody led is not known
 	f.inherited = max(0, held/(1+f.l.n.set.Headroom)-f.usual()) * f.span()
 }
 
