--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -389,3 +389,40 @@
 		t.Errorf("%v cores are planned, and %v before it began", got, unbegun)
 	}
 }
+
+// The sums behind the forecast decay over minutes. Once far more jobs in a row stay away
+// than luck explains, no machines are held for them; but silence while nothing could be
+// written, or for the time that users need to come back, says nothing.
+func TestForecastEbbsWhenJobsStayAway(t *testing.T) {
+	w := newWorld(t, 3)
+	w.cloud.capacity = 1
+	l := w.waitLeader()
+	lease := l.lease()
+	for i := range 120 { // one a second
+		w.submit(l.name, spec(fmt.Sprintf("j-%d", i), 1))
+		w.run(time.Second - 2*step)
+	}
+	f := &l.lead.fleet
+	steady, coming := f.usual(), f.coming(100)
+	if f.ebb() != 1 || steady == 0 || coming == 0 {
+		t.Fatalf("jobs arrive: ebb %v, usual %v, coming %v", f.ebb(), steady, coming)
+	}
+	w.state.setDown(true)
+	w.run(2 * lease)
+	if f.usual(); f.ebb() != 1 {
+		t.Error("silence in an outage counts")
+	}
+	w.state.setDown(false)
+	w.run(lease)
+	if f.usual(); f.ebb() != 1 {
+		t.Error("users have had no time to come back")
+	}
+	w.run(lease)
+	if f.usual(); f.ebb() > 0.4 || f.coming(100) > coming/3 {
+		t.Errorf("two leases without a job: ebb %v, coming %v of %v", f.ebb(), f.coming(100), coming)
+	}
+	w.submit(l.name, spec("j-999", 1))
+	if f.ebb() != 1 {
+		t.Error("not believed again with the next job")
+	}
+}
