The plan has a margin where aims leave next to no late jobs

The plan now counts on 1/(1+m) of the machines' time, m growing from 0 at a share of 0.9 to 0.3 at 1, by the work's mean share.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -320,6 +320,7 @@
 		work float64
 	}
 	var loads []load
+	strict, whole := 0.0, 0.0 // work weighted by the share that is to be in time
 	boot := l.bootTime().Seconds()
 	pull := l.pull()
 	for _, j := range l.jobs {
@@ -346,7 +347,10 @@
 			span = lateSpan * each
 		}
 		loads = append(loads, load{due: span, work: work})
+		strict += work * l.shares[j.spec.Class]
+		whole += work
 	}
+	fluid := fluid(strict / max(whole, 1))
 	slices.SortFunc(loads, func(a, b load) int { return cmp.Or(cmp.Compare(a.due, b.due), cmp.Compare(a.work, b.work)) })
 	need, late := 0.0, 0.0
 	for _, x := range loads {
@@ -376,8 +380,19 @@
 // aim, or with one that leaves more time: well inside mustBegin.
 const planBegin = mustBegin * 3 / 5
 
-// fluid is how much of a machine's time the plan counts on.
-const fluid = 1.0
+// fluid is how much of a machine's time the plan counts on, where aims ask for such a
+// share of the work to be in time. Tasks can be neither split nor stopped, so a plan
+// that counts on all of it comes out late for some, and an outage or a takeover for
+// more; where aims leave next to none of that, it is worth machines.
+func fluid(share float64) float64 {
+	return 1 / (1 + max(0, (share-looseShare)/(1-looseShare))*marginMost)
+}
+
+// The share up to which the plan has no margin, and its margin where all is to be in time.
+const (
+	looseShare = 0.9
+	marginMost = 0.3
+)
 
 // levelSpan is over how many worker leases the usual load is taken.
 const levelSpan = 2
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -31,9 +31,10 @@
 	jobs        map[string]*job
 	over        map[string]bool // ended in this term
 	classes     map[string]*class
-	aims        map[string][]aim  // by class, shortest first
-	startWithin time.Duration     // aim on starting guaranteed work; 0: none
-	usage       map[string]*usage // by team
+	aims        map[string][]aim   // by class, shortest first
+	shares      map[string]float64 // by class, the least share of jobs that an aim asks for
+	startWithin time.Duration      // aim on starting guaranteed work; 0: none
+	usage       map[string]*usage  // by team
 
 	machines     map[string]*machine
 	catalogShape string     // of the machine types last stored, without prices
@@ -68,13 +69,16 @@
 		writer:    storage.NewWriter(n.cfg.Cluster.State.TxnOps, leaderVer),
 		scheduled: never, checkedAt: never,
 		jobs: map[string]*job{}, over: map[string]bool{}, classes: map[string]*class{},
-		aims: map[string][]aim{}, usage: map[string]*usage{},
+		aims: map[string][]aim{}, shares: map[string]float64{}, usage: map[string]*usage{},
 		machines: map[string]*machine{}, gone: map[string]Instant{},
 	}
 	for _, o := range n.cfg.Cluster.Objectives {
 		if o.Kind == "guarantee" {
 			l.startWithin = config.Seconds(o.WithinS)
 		}
+		if least, ok := l.shares[o.Class]; o.Class != "" && (!ok || o.Share < least) {
+			l.shares[o.Class] = o.Share
+		}
 		if o.Kind == "finished" || o.Kind == "wait" {
 			l.aims[o.Class] = append(l.aims[o.Class], aim{config.Seconds(o.WithinS), o.Kind == "wait"})
 		}
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -426,3 +426,21 @@
 		t.Error("not believed again with the next job")
 	}
 }
+
+// Where aims leave next to no late jobs, the plan counts on less of the machines' time.
+func TestPlanHasAMarginWhereAimsAreStrict(t *testing.T) {
+	demand := func(share float64) float64 {
+		w := newWorld(t, 1)
+		w.cfg.Objectives = []config.Objective{{Kind: "finished", Class: "c", WithinS: 100, Share: share}}
+		w.start("n0")
+		x := w.waitLeader().lead
+		s := spec("j-1", 200)
+		s.EstimateS = 20
+		x.addJob(storage.JobRecord{Spec: s, AtMS: x.n.wallMS()}, 1)
+		return x.fleet.demand(1000)
+	}
+	loose, usual, strict := demand(0.8), demand(0.9), demand(0.99)
+	if loose != usual || strict < usual*1.2 || strict > usual*1.4 {
+		t.Errorf("cores planned: %v, %v and %v", loose, usual, strict)
+	}
+}
