--- a/internal/coordination/chaos_test.go
+++ b/internal/coordination/chaos_test.go
@@ -41,7 +41,7 @@
 }
 
 func runChaos(t *testing.T, seed uint64) {
-	c := &chaos{world: newWorld(t, 3), rng: rand.New(rand.NewPCG(seed, 7)), accepted: map[string]bool{},
+	c := &chaos{world: newWorld(t, 3+4*int(seed%3/2)), rng: rand.New(rand.NewPCG(seed, 7)), accepted: map[string]bool{},
 		told: map[string]string{}, cancels: map[string]Instant{}}
 	c.holds = seed%2 == 0
 	c.runTime = func(task string, _ int) time.Duration { return time.Duration(2+len(task)%9) * time.Second }
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -174,33 +174,39 @@
 		case 404:
 			if n.peersHeard(n.termSpan()) < n.cfg.Cluster.Count/2 {
 				n.clearByState()
-			}
-			if e.abstain {
-				if n.peersHeard(n.termSpan()) == 0 {
-					return
-				}
-				e.abstain = false
-			}
-			if e.standAt == never {
-				// Luck spreads the candidates, and those that restarted later go
-				// first: in a rolling restart their turn is over.
-				wait := n.rng.Float64()
-				for _, p := range n.peers {
-					if n.now-p.heard < n.termSpan() && p.up < n.now && p.up > drift(n.termSpan()) {
-						wait++
-					}
-				}
-				e.standAt = n.now + time.Duration(wait*float64(n.lease())/probesPerLease)
 				return
 			}
-			if n.now >= e.standAt {
-				e.standAt = never
-				n.stand()
-			}
+			n.standInTurn()
 		}
 	})
 }
 
+// standInTurn stands, once it is this node's turn. Luck spreads the candidates, and
+// those that restarted later go first: in a rolling restart their turn is over.
+func (n *Node) standInTurn() {
+	e := &n.elect
+	if e.abstain {
+		if n.peersHeard(n.termSpan()) == 0 {
+			return
+		}
+		e.abstain = false
+	}
+	if e.standAt == never {
+		wait := n.rng.Float64()
+		for _, p := range n.peers {
+			if n.now-p.heard < n.termSpan() && p.up < n.now && p.up > drift(n.termSpan()) {
+				wait++
+			}
+		}
+		e.standAt = n.now + time.Duration(wait*float64(n.lease())/probesPerLease)
+		return
+	}
+	if n.now >= e.standAt {
+		e.standAt = never
+		n.stand()
+	}
+}
+
 // freeOfPromises tells whether this node may clear a candidate. A restarted
 // node does not remember its promises, so it waits one out, unless nobody can be
 // living by one: every peer, having heard this process, has said that it does not
@@ -285,21 +291,23 @@
 // clearByState clears, through the state service, a candidate that can't ask us: while
 // connections between controllers are refused, a leader that is lost could not be
 // replaced otherwise, as no candidate would hear from a majority. It binds this node
-// just as a message does.
+// just as a message does. Only where there is nobody to clear may this node stand
+// itself: raising the term over one that the others are clearing, in their turn, kept
+// seven nodes without a leader for as long as they refused each other.
 func (n *Node) clearByState() {
 	e := &n.elect
 	n.stateCall("GET", "/store/"+storage.TermKey, nil, func(r Result) {
 		var item storage.Item
 		var t storage.Term
-		if r.Status != 200 || json.Unmarshal(r.Body, &item) != nil || json.Unmarshal(item.Value, &t) != nil {
+		known := r.Status == 200 && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &t) == nil
+		if n.lead != nil || e.candidate != nil || (!known && r.Status != 404) || !n.freeOfPromises() {
 			return
 		}
 		for _, p := range n.peers {
-			if t.Term <= p.term {
-				return // who raised it has led already
-			}
+			known = known && t.Term > p.term // otherwise who raised it has led already
 		}
-		if t.Node == "" || t.Node == n.cfg.Node || !n.clears(t.Term) {
+		if !known || t.Node == "" || t.Node == n.cfg.Node || !n.clears(t.Term) {
+			n.standInTurn()
 			return
 		}
 		e.clearedTerm = t.Term
--- a/internal/coordination/forgotten_test.go
+++ b/internal/coordination/forgotten_test.go
@@ -175,15 +175,26 @@
 		l := w.waitLeader()
 		w.machines(3)
 		w.submitAndStart(l.name, spec("j-1", 8), 8)
+		for _, name := range w.followers() {
+			w.crash(name)
+			w.restart(name)
+			w.run(70 * time.Millisecond) // so that they don't look at the same time
+		}
 		w.cutAll()
 		w.run(4 * time.Second)
 		if w.leader() != l.name {
 			t.Fatalf("%d nodes: refused connections alone cost the leader", nodes)
 		}
+		term := l.lead.term
 		w.crash(l.name)
-		if !w.until(10*time.Second, func() bool { return w.leader() != "" }) {
+		if !w.until(8*time.Second, func() bool { return w.leader() != "" }) {
 			t.Fatalf("%d nodes: nobody leads", nodes)
 		}
+		// Each raise takes the term from a candidate that others are clearing: with
+		// seven nodes they went on until connections were no longer refused.
+		if raised := w.nodes[w.leader()].lead.term - term; raised > 2 {
+			t.Errorf("%d nodes: the term was raised %d times", nodes, raised)
+		}
 		w.waitState("j-1", protocol.Done, time.Minute)
 		w.startedOnce()
 	}
