Relay for any number of workers, and bound what waits by the connections

A leader that two cut nodes' workers could not reach lost 1,678 machines in 20 s. At 1,000 machines or fewer nothing showed. Entries now end by time; held reports, forwards and submissions are bounded by the connections they come on; a link between controllers queues the answers of some seconds of relayed reports.

--- a/internal/coordination/forgotten_test.go
+++ b/internal/coordination/forgotten_test.go
@@ -222,3 +222,44 @@
 		t.Errorf("in an outage: %d, come back after %d, answered in %v", r.Status, r.RetryAfter, w.now-asked)
 	}
 }
+
+// Workers that were sent to the leader and come back, as they can't reach it, are
+// relayed for, however many there are; and they are forgotten once that is over.
+func TestRelayForAnyNumberOfWorkers(t *testing.T) {
+	w := newWorld(t, 3)
+	w.cfg.Resources.MaxConnections = 4000
+	w.waitLeader()
+	f := w.nodes[w.followers()[0]]
+	const workers = 3000
+	round := func() (sent, relayed int) {
+		var batch []any
+		for i := range workers {
+			rep := &protocol.Report{Machine: fmt.Sprintf("m-%06d", i), Type: "c4", Zone: "a", Session: 1, Seq: 1}
+			batch = append(batch, Request{Origin: Origin{Ticket: uint64(i + 1)}, Kind: ReqReport, Report: rep})
+		}
+		for _, e := range f.Step(f.clock(w.now), batch) {
+			switch e := e.(type) {
+			case Reply:
+				if e.Status == 421 {
+					sent++
+				}
+			case Send:
+				if e.Msg.Type == msgAsk {
+					relayed++
+				}
+			}
+		}
+		return sent, relayed
+	}
+	if sent, relayed := round(); sent != workers || relayed != 0 {
+		t.Errorf("at first %d of %d are sent to the leader, %d relayed", sent, workers, relayed)
+	}
+	w.run(3 * time.Second)
+	if sent, relayed := round(); sent != 0 || relayed != workers {
+		t.Errorf("back again, %d are sent to the leader, %d of %d relayed", sent, relayed, workers)
+	}
+	w.run(4 * f.lease())
+	if len(f.relays) > 0 {
+		t.Errorf("%d are remembered for good", len(f.relays))
+	}
+}
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -432,7 +432,7 @@
 		return
 	}
 	j.cancel = append(j.cancel, o)
-	if len(j.cancel) > maxForwards {
+	if len(j.cancel) > l.n.maxWaiting() {
 		l.n.unavailable(j.cancel[0])
 		j.cancel = j.cancel[1:]
 	}
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -97,9 +97,6 @@
 	return l
 }
 
-// maxHeldReports bounds the reports that wait for the records to be read.
-const maxHeldReports = 1000
-
 // attemptBits is the counter's share of an attempt; the term is above it, so
 // that an attempt is never used twice. Together they stay under 2^53.
 const attemptBits = 24
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -362,7 +362,7 @@
 func (l *leadership) onReport(r Request) {
 	n := l.n
 	if !l.loaded {
-		if len(l.early) >= maxHeldReports {
+		if len(l.early) >= n.maxWaiting() {
 			n.reply(r.Origin, 503, 1, nil)
 			return
 		}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -150,6 +150,7 @@
 	forwards map[uint64]*forward
 	nextFwd  uint64
 	relays   map[string]*relay
+	relaysAt Instant // when those that are over were last dropped
 
 	catalog     map[string]*protocol.MachineType
 	catalogSure bool // it came from the cloud, not from the record of an earlier leader
@@ -277,6 +278,7 @@
 	n.tickElection()
 	n.tickCatalog()
 	n.tickForwards()
+	n.tickRelays()
 	n.writeSubmissions()
 	n.tickFinals()
 	if n.lead != nil && n.authority() {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -132,8 +132,9 @@
 	}
 }
 
-// maxForwards bounds the requests that wait for a leader's answer.
-const maxForwards = 1000
+// maxWaiting bounds the requests that wait for something: each has a connection, here
+// or at a peer.
+func (n *Node) maxWaiting() int { return n.cfg.Cluster.Resources.MaxConnections }
 
 func (n *Node) forward(p *peer, r Request, patience time.Duration) {
 	n.nextFwd++
@@ -162,7 +163,7 @@
 // askLeader hands a user's request to the leader, if one is known.
 func (n *Node) askLeader(r Request) bool {
 	p := n.leaderPeer()
-	if p == nil || len(n.forwards) >= maxForwards {
+	if p == nil || len(n.forwards) >= n.maxWaiting() {
 		return false
 	}
 	n.forward(p, r, n.lease()/30)
@@ -358,7 +359,7 @@
 // queueSubmission lets a submission wait for its turn: users come in bursts, and
 // the state service takes only so many changes a second.
 func (n *Node) queueSubmission(s submission) {
-	if len(n.submits) >= maxForwards {
+	if len(n.submits) >= n.maxWaiting() {
 		n.unavailable(s.r.Origin)
 		return
 	}
@@ -453,9 +454,6 @@
 	if rl == nil {
 		rl = &relay{sent: never, until: never}
 		n.relays[name] = rl
-		if len(n.relays) > maxForwards {
-			n.relays = map[string]*relay{name: rl}
-		}
 	}
 	if n.now < rl.until || n.now-rl.sent < n.lease()/2 {
 		if n.now >= rl.until {
@@ -468,6 +466,21 @@
 	n.reply(r.Origin, 421, 0, protocol.Redirect{ReportTo: p.name})
 }
 
+// tickRelays forgets the workers that have not come back. Bounded by their number
+// instead, the table was begun anew again and again where there were more machines, so
+// that none was ever relayed for: a leader that workers could not reach lost them all.
+func (n *Node) tickRelays() {
+	if n.now < n.relaysAt+n.lease() {
+		return
+	}
+	n.relaysAt = n.now
+	for name, rl := range n.relays {
+		if n.now >= rl.until && n.now-rl.sent >= n.lease()/2 {
+			delete(n.relays, name)
+		}
+	}
+}
+
 // status is what the status page shows an operator.
 type status struct {
 	Node      string      `json:"node"`
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -16,6 +16,10 @@
 // maxLine bounds one line between controllers: a forwarded body and its frame.
 const maxLine = 256 << 10
 
+// linkQueue is how many messages may wait for a link: the answers to some seconds of
+// relayed reports, as come at once after an interruption.
+const linkQueue = 1024
+
 // hello is the first line of a connection between controllers.
 type hello struct {
 	Node string `json:"node"`
@@ -38,7 +42,7 @@
 	p := &Peers{self: self, out: map[string]chan coordination.Message{}, known: map[string]bool{}, in: in, log: log, quiet: quiet}
 	for _, k := range known {
 		p.known[k.Node] = true
-		ch := make(chan coordination.Message, 256)
+		ch := make(chan coordination.Message, linkQueue)
 		p.out[k.Node] = ch
 		go p.dial(k.PeerAddr, ch)
 	}
