Machines that a leader loses sight of together are kept

Machines were marked silent one by one, before half of them were, and the mark stayed though all were relayed for soon after: 1,115 were returned with their tasks once the cloud was back. Two missed reports now count for how many are silent, and a marked machine that speaks before the cloud was asked is kept. Causes of a return are one typed set.

--- a/internal/coordination/copies_test.go
+++ b/internal/coordination/copies_test.go
@@ -244,3 +244,48 @@
 		t.Fatal("the machine is taken for deaf")
 	}
 }
+
+// Machines that a leader loses sight of together are not returned one after the other
+// before it shows how many they are, nor once they have spoken again.
+func TestMachinesCutOffTogetherAreKept(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(string, int) time.Duration { return time.Hour }
+	l := w.waitLeader()
+	w.machines(9)
+	w.submitAndStart(l.name, spec("j-1", 36), 36)
+	held := len(w.cloud.hosts)
+	cut := func(n int, apart time.Duration) {
+		for i := range n {
+			w.workers[fmt.Sprintf("m-%06d", i+1)].silent = true
+			w.run(apart)
+		}
+	}
+	back := func() {
+		for _, x := range w.workers {
+			x.silent = false
+		}
+	}
+	// Six of nine, not all at the same moment: fewer than half when the first are due.
+	cut(6, 500*time.Millisecond)
+	w.run(8 * time.Second)
+	back()
+	w.run(5 * time.Second)
+	if len(w.cloud.hosts) < held {
+		t.Fatalf("%d of %d machines are left after a cut of six", len(w.cloud.hosts), held)
+	}
+	// Three of nine, while the cloud is down.
+	w.cloud.down = true
+	cut(3, 0)
+	w.run(10 * time.Second)
+	if m := l.lead.machines["m-000001"]; m.why != silent {
+		t.Fatalf("a silent machine is not to be returned (%q)", m.why)
+	}
+	back()
+	w.run(4 * time.Second)
+	w.cloud.down = false
+	w.run(10 * time.Second)
+	if len(w.cloud.hosts) < held {
+		t.Errorf("%d of %d machines are left after an outage of the cloud", len(w.cloud.hosts), held)
+	}
+	w.startedOnce()
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -138,30 +138,33 @@
 		}
 		return now-max(m.heard, l.since) > silence
 	}
-	up, silent := 0, 0
+	up, missed := 0, 0
 	// A machine that was used before is expected to report after a takeover too.
 	expected := func(m *machine) bool { return m.up || (m.used && m.heard == never) }
 	for _, m := range l.machines {
 		if expected(m) {
 			up++
-			if quiet(m) {
-				silent++
+			// Two reports missed are counted, though nothing is returned for them yet:
+			// where a leader is cut off from its workers, those that spoke first after
+			// it would be returned before it shows how many they are.
+			if quiet(m) || now-max(m.heard, l.since) > 2*l.n.report() {
+				missed++
 			}
 		}
 	}
 	for _, m := range l.held() {
 		l.checkPace(m)
 		switch {
-		case expected(m) && quiet(m) && 2*silent <= up:
+		case expected(m) && quiet(m) && 2*missed <= up:
 			// Returning it makes sure, sooner than its lease does.
-			l.leave(m, "silent")
+			l.leave(m, silent)
 		case !m.up && m.heard == never:
 			boot := l.n.lease()
 			if m.kind != nil {
 				boot += config.Seconds(3 * m.kind.ReadyS)
 			}
 			if now-m.rentedAt > boot && now-l.since > l.n.lease() {
-				l.leave(m, "never came up")
+				l.leave(m, neverUp)
 			}
 		}
 	}
@@ -169,7 +172,13 @@
 
 // forced tells whether a machine is returned with whatever is on it.
 func (m *machine) forced() bool {
-	return m.failedListing || (m.why == deaf && (!m.accounted || len(m.runs)+m.results == 0)) || m.why == "silent" || m.why == "never came up" || m.why == "not listed"
+	switch m.why {
+	case silent, neverUp, notListed:
+		return true
+	case deaf:
+		return m.failedListing || !m.accounted || len(m.runs)+m.results == 0
+	}
+	return m.failedListing
 }
 
 // sendReturns returns what is to go, and tells whether no return waits for a call.
@@ -198,7 +207,7 @@
 	}
 	f.returnAt = n.now + n.report()/4
 	for _, name := range names {
-		l.machines[name].returning = true
+		l.machines[name].returning, l.machines[name].asked = true, true
 	}
 	n.call(Cloud, "POST", "/hosts/return", protocol.MachineNames{Machines: names}, n.lease()/4, func(r Result) {
 		if n.lead != l {
@@ -213,7 +222,7 @@
 				n.log.Info("machine returned", "machine", name, "why", m.why, "type", m.typ, "spot", m.spot)
 				l.forgetMachine(m)
 			} else {
-				m.returning = false // but still leaving: a late copy may delete it
+				m.returning = false // but still leaving: a late copy may return it
 			}
 		}
 		if r.Status == 200 {
@@ -273,7 +282,7 @@
 	}
 	if h.State == "failed" && !m.failedListing {
 		m.failedListing = true
-		l.leave(m, "failed")
+		l.leave(m, failedAlone)
 	}
 }
 
@@ -283,7 +292,7 @@
 	l := f.l
 	for _, m := range l.held() {
 		if !f.listed[m.name] && asked-m.rentedAt > 4*f.lag() && asked-max(m.heard, l.since) > l.n.lease()/2 {
-			l.leave(m, "not listed")
+			l.leave(m, notListed)
 		}
 	}
 }
@@ -707,9 +716,6 @@
 // minCharge is what the cloud charges for at least.
 const minCharge = 60 * time.Second
 
-// surplus is why a machine is emptied that is no longer needed.
-const surplus = "surplus"
-
 // idleTo is for how long a machine's cores would be idle, on the mean, until the
 // last of its tasks has ended.
 func (l *leadership) idleTo(m *machine) float64 {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -48,7 +48,8 @@
 	emptying      bool // to be returned when empty
 	returning     bool
 	failedListing bool
-	why           string    // why it is returned
+	asked         bool      // the cloud was asked to return it, and may still do so
+	why           cause     // why it is returned
 	pace          []float64 // of its last tasks: log of real over expected run time
 }
 
@@ -326,7 +327,7 @@
 			for _, r := range m.list {
 				l.release(r)
 			}
-			l.leave(m, "silent")
+			l.leave(m, silent)
 		}
 	}
 	if len(l.gone) > maxGone {
@@ -444,6 +445,12 @@
 		n.reply(r.Origin, 503, 1, nil)
 		return
 	}
+	if m.why == silent && !m.asked {
+		// It was cut off, or we were, and the cloud has not been asked yet. Where its
+		// interface is down, a thousand such machines were returned once it was back,
+		// though all of them had been running tasks again for half a minute.
+		l.keep(m)
+	}
 	l.takeNotice(m, rep.NoticeS)
 	if !m.used {
 		l.record(m, true)
@@ -508,16 +515,16 @@
 		return false
 	}
 	if m.why != deaf {
-		silent, up := 0, 0
+		unsure, up := 0, 0
 		for _, x := range l.held() {
 			if x.up {
 				up++
 				if x.unheard > 0 {
-					silent++
+					unsure++
 				}
 			}
 		}
-		if up > 1 && 2*silent > up {
+		if up > 1 && 2*unsure > up {
 			return false // then it is our answers that don't get through
 		}
 		l.n.log.Info("machine hears no answer", "machine", m.name, "tasks", len(m.runs))
@@ -526,9 +533,6 @@
 	return true
 }
 
-// deaf is why a machine is returned that hears no answer.
-const deaf = "deaf"
-
 // maxCommands bounds an answer well inside 64 KiB.
 const maxCommands = 300
 
@@ -742,7 +746,7 @@
 	m.failedJobs[j.spec.UID] = true
 	if m.failures >= sickMachineTasks && !m.sick && (len(m.failedJobs) > 1 || j.done > 0 || m.failures >= 2*sickMachineTasks) {
 		m.sick = true
-		l.leave(m, "sick")
+		l.leave(m, sick)
 	}
 }
 
@@ -840,9 +844,6 @@
 	l.stopRun(r, grace)
 }
 
-// slow is why a machine is emptied that runs its tasks too slowly.
-const slow = "slow"
-
 // saveGrace is the time a task is given to save, with room for a slow machine.
 func (l *leadership) saveGrace(r *run) float64 {
 	return 2*r.job.spec.SaveS + l.n.report().Seconds()
@@ -859,7 +860,7 @@
 		l.dirty = true
 	}
 	m.notice = l.n.now + left
-	l.leave(m, "notice")
+	l.leave(m, noticed)
 	for _, r := range m.list {
 		if r.stop != nil {
 			continue
@@ -886,8 +887,23 @@
 	return want
 }
 
+// cause is why a machine is returned, as operators read it.
+type cause string
+
+const (
+	surplus     cause = "surplus"       // it is no longer needed
+	noticed     cause = "notice"        // the cloud takes it soon
+	slow        cause = "slow"          // it runs its tasks far slower than others
+	sick        cause = "sick"          // tasks fail on it
+	deaf        cause = "deaf"          // it hears no answer
+	silent      cause = "silent"        // it does not report
+	neverUp     cause = "never came up" // it has not reported yet
+	failedAlone cause = "failed"        // it stopped on its own, says the cloud
+	notListed   cause = "not listed"    // the cloud does not name it
+)
+
 // leave marks a machine to be returned as soon as it is empty.
-func (l *leadership) leave(m *machine, why string) {
+func (l *leadership) leave(m *machine, why cause) {
 	if m.why == "" || why != surplus {
 		m.why = why
 	}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -628,7 +628,7 @@
 	Up    bool    `json:"up"`
 	Tasks int     `json:"tasks"`
 	Cores float64 `json:"coresUsed"`
-	Why   string  `json:"leaving,omitempty"`
+	Why   cause   `json:"leaving,omitempty"`
 }
 
 func (l *leadership) status() *leadStatus {
