--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -32,11 +32,13 @@
 	first   int // no task below it is pending
 	done    int
 
-	parts    []partState // bitmap parts
-	trouble  map[int]*trouble
-	failedOn map[string]bool // machines on which a task failed, none having completed
-	bad      bool
-	moved    map[int]bool // tasks that were moved off a slow machine
+	parts     []partState // bitmap parts
+	trouble   map[int]*trouble
+	imageSeen Instant         // the pass for which it was looked whether
+	imageHeld bool            // some machine that is ready has the job's image
+	failedOn  map[string]bool // machines on which a task failed, none having completed
+	bad       bool
+	moved     map[int]bool // tasks that were moved off a slow machine
 
 	tookSum, tookCount float64 // logarithms of its finished tasks' run times
 	usual              time.Duration
@@ -215,7 +217,7 @@
 		spec: rec.Spec, at: min(l.n.instantOf(rec.AtMS), l.n.now), version: version,
 		tasks: make([]taskState, rec.Spec.Tasks), runs: map[int]*run{}, pending: rec.Spec.Tasks,
 		parts: make([]partState, parts), trouble: map[int]*trouble{}, failedOn: map[string]bool{},
-		waiting: l.n.now,
+		waiting: l.n.now, imageSeen: never,
 	}
 	l.jobs[id] = j
 	l.writer.Know(storage.JobKey(id), version)
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -51,6 +51,7 @@
 	heardWorker  Instant
 	early        []Request // reports that came while loading
 
+	looked    int // machines and jobs looked at for admission: what must not grow with a report
 	watchRev  uint64
 	watching  bool
 	scheduled Instant
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -91,6 +91,7 @@
 	c := census{complete: true}
 	set := &l.n.set
 	for _, m := range l.held() {
+		l.looked++
 		c.complete = c.complete && m.accounted
 		if m.kind == nil {
 			continue
@@ -338,6 +339,10 @@
 		}
 		for _, fetch := range []bool{false, true} {
 			for _, r := range waiting[:same] {
+				l.looked++
+				if len(p.machines) == 1 && !p.machines[0].hasSpace() {
+					return // it was for the one that reports
+				}
 				if j := r.j; j.pending > 0 && !j.gone {
 					most := j.pending
 					if r.rank == rankOverdue {
@@ -488,6 +493,7 @@
 		c.quick = !math.IsInf(quick, 1)
 	}
 	for _, m := range machines {
+		l.looked++
 		if m.room(&j.spec) && m.ready() && allowed(&j.spec, m) &&
 			(m.hasImage(j.spec.Image) || (fetch && j.spec.ImageGB/m.kind.PullGBPerS <= quick)) {
 			c.list = append(c.list, c.rate(m))
@@ -506,11 +512,21 @@
 	if within == 0 || !l.soon(within) || l.n.now > j.at+within*imageWait/100 {
 		return math.Inf(1)
 	}
-	for _, m := range l.held() {
-		if m.ready() && m.hasImage(j.spec.Image) && allowed(&j.spec, m) {
-			return (j.at + within - l.n.now).Seconds()
+	if j.imageSeen != l.scheduled {
+		// Once for each full pass: a walk over all machines for each report would cost
+		// machines x jobs.
+		j.imageSeen, j.imageHeld = l.scheduled, false
+		for _, m := range l.held() {
+			l.looked++
+			if m.ready() && m.hasImage(j.spec.Image) && allowed(&j.spec, m) {
+				j.imageHeld = true
+				break
+			}
 		}
 	}
+	if j.imageHeld {
+		return (j.at + within - l.n.now).Seconds()
+	}
 	return math.Inf(1)
 }
 
