--- a/internal/coordination/copies_test.go
+++ b/internal/coordination/copies_test.go
@@ -280,8 +280,12 @@
 	if m := l.lead.machines["m-000001"]; m.why != silent {
 		t.Fatalf("a silent machine is not to be returned (%q)", m.why)
 	}
+	l.lead.machines["m-000003"].sick = true
 	back()
 	w.run(4 * time.Second)
+	if m := l.lead.machines["m-000003"]; m.why != sick {
+		t.Errorf("a sick machine that was silent is kept (%q)", m.why)
+	}
 	w.cloud.down = false
 	w.run(10 * time.Second)
 	if len(w.cloud.hosts) < held {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -450,6 +450,9 @@
 		// interface is down, a thousand such machines were returned once it was back,
 		// though all of them had been running tasks again for half a minute.
 		l.keep(m)
+		if m.sick {
+			l.leave(m, sick)
+		}
 	}
 	l.takeNotice(m, rep.NoticeS)
 	if !m.used {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -242,7 +242,7 @@
 		n.peers[k.Node] = &peer{name: k.Node, heard: never, promised: never}
 	}
 	n.elect = newElection()
-	n.run = n.rng.Uint64() ^ uint64(n.wall.UnixNano())
+	n.run = n.rng.Uint64() ^ uint64(n.wall.UnixNano()) | 1 // 0: not heard yet
 	return n
 }
 
