A leader counts the jobs that it finds, as far as no predecessor has

Jobs accepted after the predecessor's record, or before the first leader, now count wherever they are found.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -37,6 +37,7 @@
 	quiet       time.Duration    // since the last arrival, while arrivals could be written
 	flowsFrom   Instant          // since when they are counted
 	savedAt     Instant
+	recordAt    Instant // of the record that was taken over; never: there was none
 	loggedAt    Instant
 	accountedAt Instant
 	spent       spending
@@ -81,6 +82,7 @@
 		f.thrift = *t
 	}
 	f.listAt, f.planAt, f.retryAt, f.returnAt, f.loggedAt, f.savedAt = never, never, never, never, never, f.l.n.now
+	f.recordAt = never
 }
 
 func (f *fleet) lag() time.Duration { return config.Seconds(f.l.n.cfg.Cluster.Cloud.ListLagS) }
@@ -532,6 +534,7 @@
 		}
 		f.l.writer.Know(it.Key, it.Version)
 		f.flowAt = min(f.l.n.instantOf(rec.AtMS), f.l.n.now)
+		f.recordAt = f.flowAt
 		f.flowsFrom = f.flowAt - config.Seconds(rec.OverS)
 		for class, x := range rec.Classes {
 			f.flows[class] = &flow{work: x.Work, slow: x.Slow, jobs: x.Jobs, due: config.Seconds(x.DueS)}
@@ -572,7 +575,7 @@
 const forecastJobs = 35
 
 // inherit takes the cores found at a takeover for the usual load, where what was
-// stored of it says less: it lacks what has arrived since.
+// stored of it, and what has arrived since, says less.
 func (f *fleet) inherit() {
 	held := 0.0
 	for _, m := range f.l.machines {
@@ -584,6 +587,13 @@
 	if len(f.flows) == 0 {
 		f.flowAt, f.flowsFrom = f.l.n.now, f.l.n.now
 	}
+	// Jobs that were accepted since the record was made have arrived, too; those that
+	// came before the first leader did are half of what a day begins with.
+	for _, j := range f.l.byAge() {
+		if j.at > f.recordAt {
+			f.arrived(j)
+		}
+	}
 	f.quiet = 0 // what users did while nobody led is not known
 	f.inherited = max(0, held/(1+f.l.n.set.Headroom)-f.usual()) * f.span()
 }
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -195,12 +195,8 @@
 	return list
 }
 
-// guaranteed finds the jobs that fit into their team's guarantee together with
-// the team's earlier unfinished jobs.
-func (l *leadership) guaranteed() map[*job]bool {
-	if l.startWithin == 0 {
-		return nil
-	}
+// byAge lists the open jobs in the order in which they were accepted.
+func (l *leadership) byAge() []*job {
 	jobs := make([]*job, 0, len(l.jobs))
 	for _, j := range l.jobs {
 		if !j.gone {
@@ -210,9 +206,18 @@
 	slices.SortFunc(jobs, func(a, b *job) int {
 		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.spec.UID, b.spec.UID))
 	})
+	return jobs
+}
+
+// guaranteed finds the jobs that fit into their team's guarantee together with
+// the team's earlier unfinished jobs.
+func (l *leadership) guaranteed() map[*job]bool {
+	if l.startWithin == 0 {
+		return nil
+	}
 	used := map[string]usage{}
 	inside := map[*job]bool{}
-	for _, j := range jobs {
+	for _, j := range l.byAge() {
 		u := used[j.spec.Team]
 		u.cores += float64(j.spec.Tasks) * j.spec.Cores
 		u.accelerators += float64(j.spec.Tasks) * j.spec.Accelerators
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -514,3 +514,34 @@
 		w.waitState(fmt.Sprintf("j-%d", i), protocol.Done, 4*time.Minute)
 	}
 }
+
+// What the first leader finds has arrived: on a day that begins with hundreds of jobs,
+// machines were rented for far less when it came some seconds late. A successor counts
+// only what came since its predecessor's record.
+func TestJobsFoundHaveArrived(t *testing.T) {
+	w := newWorld(t, 3)
+	w.cloud.capacity = 1
+	at := time.Unix(1_000_000, 0).UnixMilli()
+	for i := range 30 {
+		s := spec(fmt.Sprintf("j-%d", i), 10)
+		w.state.put(storage.JobKey(s.UID), storage.JobRecord{Spec: s, AtMS: at})
+	}
+	first := w.waitLeader()
+	flow := first.lead.fleet.flows["c"]
+	if flow == nil || math.Abs(flow.jobs-30) > 1 {
+		t.Fatalf("of 30 jobs found, %+v have arrived", flow)
+	}
+	w.run(2*first.lease() + 2*time.Second) // until that is stored
+	if _, stored := w.state.keys[storage.FlowKey]; !stored {
+		t.Fatal("nothing is stored")
+	}
+	seen := first.lead.fleet.flows["c"].jobs
+	for i := range 5 {
+		w.submit(first.name, spec(fmt.Sprintf("j-late%d", i), 10))
+	}
+	w.crash(first.name)
+	second := w.waitLeader()
+	if got := second.lead.fleet.flows["c"].jobs; got < seen+3 || got > seen+5 {
+		t.Errorf("%v jobs seen by a leader, 5 since its record, %v by the next", seen, got)
+	}
+}
