--- /dev/null
+++ b/internal/coordination/reports.go
@@ -0,0 +1,356 @@
+package coordination
+
+import (
+	"slices"
+
+	"hitchdoor/internal/protocol"
+)
+
+// onReport takes a worker's report and answers it.
+func (l *leadership) onReport(r Request) {
+	n := l.n
+	if !l.loaded {
+		if len(l.early) >= n.maxWaiting() {
+			n.reply(r.Origin, 503, 1, nil)
+			return
+		}
+		l.early = append(l.early, r)
+		return
+	}
+	rep := r.Report
+	l.heardWorker = n.now
+	if rep.Token > l.term {
+		// The worker has seen a newer leader: our answers would be dropped.
+		n.reply(r.Origin, 503, 1, nil)
+		n.stepDown("a worker has seen a higher token")
+		return
+	}
+	m := l.machines[rep.Machine]
+	if m == nil {
+		if _, gone := l.gone[rep.Machine]; gone {
+			n.reply(r.Origin, 503, 1, nil)
+			return
+		}
+		if len(rep.Tasks) > 0 {
+			// A machine is durable by name before its first task, and its record is
+			// dropped only once it is surely gone. So this is a late copy of what a
+			// returned machine once said, however fresh it looks to a leader that
+			// remembers nothing of it: it must not hold up jobs, nor fill a quota.
+			n.reply(r.Origin, 503, 1, nil)
+			return
+		}
+		m = l.newMachine(rep.Machine, rep.Type, rep.Zone, rep.Spot)
+		// Nobody recorded it, so no leader has commanded a task to it; its
+		// report must still show our token before it counts for anything.
+		m.accounted = true
+		n.log.Info("unknown machine reports", "machine", m.name, "type", m.typ)
+	}
+	if rep.Session < m.session || (rep.Session == m.session && rep.Seq <= m.seq) || rep.Session <= m.lost {
+		// Late, or of a session that we have declared lost: never a 200.
+		n.reply(r.Origin, 503, 1, nil)
+		return
+	}
+	if rep.Session > m.session && m.session != 0 {
+		// The worker began a new session, so it has killed everything.
+		m.strays, l.censusOK = 0, false
+		for _, x := range m.list {
+			if x.phase != phaseAssigned {
+				l.release(x)
+			}
+		}
+		if l.n.now-m.heard < l.n.lease()/2 {
+			// It spoke all along: either its lease ran out, as it hears no answer, or it
+			// was back at once after an end. The next command that it gets will tell, or
+			// a second time without any sign.
+			m.unheard++
+			if m.reborn {
+				m.unheard = max(m.unheard, deafAnswers)
+			}
+			m.reborn = true
+		}
+	}
+	shown := rep.Token == l.term
+	l.hears(m, rep, shown)
+	if m.shown != shown {
+		m.shown, l.dirty, l.censusOK = shown, true, false
+	}
+	if !m.up {
+		m.up, l.dirty, l.censusOK = true, true, false
+	}
+	strays := m.strays
+	m.session, m.seq, m.heard = rep.Session, rep.Seq, n.now
+	forget := l.reconcile(m, rep)
+	if (m.strays > 0) != (strays > 0) {
+		l.censusOK = false
+	}
+	if shown && !m.accounted {
+		m.accounted, l.dirty, l.censusOK = true, true, false
+	}
+	if l.deaf(m) {
+		// Whatever we say is lost, and a 200 would only put off the moment at which
+		// its lease is surely over.
+		n.reply(r.Origin, 503, 1, nil)
+		return
+	}
+	if m.why == silent && !m.asked {
+		// It was cut off, or we were, and the cloud has not been asked yet. Where its
+		// interface is down, a thousand such machines were returned once it was back,
+		// though all of them had been running tasks again for half a minute.
+		l.keep(m)
+		if m.sick {
+			l.leave(m, sick)
+		}
+	}
+	l.takeNotice(m, rep.NoticeS)
+	if !m.used {
+		l.record(m, true)
+	}
+	l.fill(m)
+	l.pump()
+	if n.lead != l || !n.authority() {
+		n.reply(r.Origin, 503, 1, nil)
+		return
+	}
+	m.answered, m.last = n.now, &protocol.ReportAnswer{Token: l.term, Commands: l.commands(m, forget)}
+	n.reply(r.Origin, 200, 0, m.last)
+}
+
+// deafAnswers is how many answers in a row a machine must show no sign of before
+// it is taken for deaf: one that hung for a moment, or whose answer came after it
+// had stopped waiting, misses one or two.
+const deafAnswers = 3
+
+// hears looks in a report for signs that the last answer reached the machine: our
+// token, or what it was told first, as commands are executed in their order.
+func (l *leadership) hears(m *machine, rep *protocol.Report, shown bool) {
+	last := m.last
+	m.last = nil
+	switch {
+	case last == nil:
+	case !shown:
+		m.unheard++
+	case len(last.Commands) > 0:
+		if !executed(last.Commands[0], rep) {
+			m.unheard++
+			return
+		}
+		m.unheard, m.reborn = 0, false
+	case !m.shown:
+		m.unheard, m.reborn = 0, false
+	}
+}
+
+// executed tells whether a report shows that a command was carried out.
+func executed(c protocol.Command, rep *protocol.Report) bool {
+	at := slices.IndexFunc(rep.Tasks, func(t protocol.TaskReport) bool { return t.Task == c.Task && t.Attempt == c.Attempt })
+	switch {
+	case c.Op == protocol.OpStart:
+		return at >= 0
+	case at < 0:
+		return true
+	case c.Op == protocol.OpForget:
+		return false
+	default:
+		return rep.Tasks[at].State == protocol.TaskSaving || rep.Tasks[at].State == protocol.TaskExited
+	}
+}
+
+// deaf finds a machine whose reports arrive while answers don't reach it. Its
+// reports look alive, so without this it would keep the tasks given to it, count
+// as room, and, after a takeover, hold up all older jobs for as long as it speaks.
+// It gets no more work and no more answers, and is returned; what it runs ends by
+// report, with its lease or with the machine.
+func (l *leadership) deaf(m *machine) bool {
+	if m.unheard < deafAnswers {
+		return false
+	}
+	if m.why != deaf {
+		unsure, up := 0, 0
+		for _, x := range l.held() {
+			if x.up {
+				up++
+				if x.unheard > 0 {
+					unsure++
+				}
+			}
+		}
+		if up > 1 && 2*unsure > up {
+			return false // then it is our answers that don't get through
+		}
+		l.n.log.Info("machine hears no answer", "machine", m.name, "tasks", len(m.runs))
+		l.leave(m, deaf)
+	}
+	return true
+}
+
+// maxCommands bounds an answer well inside 64 KiB.
+const maxCommands = 300
+
+func (l *leadership) commands(m *machine, commands []protocol.Command) []protocol.Command {
+	if commands == nil {
+		commands = []protocol.Command{}
+	}
+	for _, r := range m.list {
+		if len(commands) >= maxCommands {
+			break
+		}
+		switch {
+		case r.stop != nil && r.phase != phaseAssigned:
+			commands = append(commands, protocol.Command{Op: protocol.OpStop, Task: r.key(), Attempt: r.attempt, GraceS: r.stop})
+		case r.phase == phaseAssigned && m.shown && m.used:
+			r.phase = phaseSent
+			commands = append(commands, protocol.Command{Op: protocol.OpStart, Task: r.key(), Attempt: r.attempt})
+		}
+	}
+	return commands
+}
+
+// reconcile compares a report with what we believe of the machine, and returns
+// the commands that end what should not be there.
+func (l *leadership) reconcile(m *machine, rep *protocol.Report) []protocol.Command {
+	now := l.n.now
+	var commands []protocol.Command
+	for _, r := range m.list {
+		r.shown = false
+	}
+	m.strays, m.results = 0, 0
+	for _, t := range rep.Tasks {
+		id, index, ok := splitTask(t.Task)
+		j := l.jobs[id]
+		if !ok || j == nil || index >= j.spec.Tasks {
+			j = nil
+		}
+		r := m.runs[t.Task]
+		if r != nil && r.attempt == t.Attempt {
+			r.shown = true
+		}
+		if t.State == protocol.TaskExited {
+			if l.exited(m, j, index, r, t) && len(commands) < maxCommands {
+				commands = append(commands, protocol.Command{Op: protocol.OpForget, Task: t.Task, Attempt: t.Attempt})
+			} else {
+				m.results++
+			}
+			continue
+		}
+		if r == nil && j != nil && j.tasks[index] == taskPending && !j.gone {
+			// Started by an earlier leader: it goes on.
+			r = &run{job: j, index: index, attempt: t.Attempt, m: m, phase: phaseSent, since: now}
+			l.place(r)
+			r.shown = true
+		}
+		if r == nil || r.attempt != t.Attempt {
+			m.strays++
+			if len(commands) < maxCommands {
+				zero := 0.0
+				commands = append(commands, protocol.Command{Op: protocol.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
+			}
+			continue
+		}
+		l.seen(m, r, t)
+	}
+	for _, r := range m.list {
+		if r.shown || r.phase == phaseAssigned {
+			continue
+		}
+		if r.phase == phaseSent {
+			// This report is newer than the answer that held the command, and
+			// workers drop answers they no longer wait for: it was not executed
+			// and never will be.
+			if r.stop != nil || r.job.gone {
+				l.release(r)
+			} else {
+				r.phase = phaseAssigned
+			}
+			continue
+		}
+		l.release(r)
+	}
+	return commands
+}
+
+// seen updates a run that is on its machine.
+func (l *leadership) seen(m *machine, r *run, t protocol.TaskReport) {
+	switch t.State {
+	case protocol.TaskFetching:
+		r.phase = phaseFetching
+	case protocol.TaskRunning:
+		if r.phase != phaseRunning {
+			r.phase, r.started = phaseRunning, l.n.now
+			r.job.lastStart = l.n.now
+			if r.job.firstStart == 0 {
+				r.job.firstStart = l.n.now
+			}
+			m.touch(r.job.spec.Image, r.job.spec.ImageGB)
+		}
+	case protocol.TaskSaving:
+		r.phase = phaseSaving
+	}
+}
+
+// touch notes an image as the machine's most recently used.
+func (m *machine) touch(name string, gb float64) {
+	m.images = slices.DeleteFunc(m.images, func(i image) bool { return i.name == name })
+	m.images = append(m.images, image{name, gb})
+	if m.kind == nil {
+		return
+	}
+	total := 0.0
+	for i := len(m.images) - 1; i >= 0; i-- {
+		total += m.images[i].gb
+		if total > m.kind.CacheGB {
+			m.images = slices.Clone(m.images[i+1:])
+			return
+		}
+	}
+}
+
+func (m *machine) hasImage(name string) bool {
+	return name == "" || slices.ContainsFunc(m.images, func(i image) bool { return i.name == name })
+}
+
+// exited handles a task that has ended and tells whether the worker may forget
+// it: a result only once it is durable, as it is the only copy.
+func (l *leadership) exited(m *machine, j *job, index int, r *run, t protocol.TaskReport) bool {
+	now := l.n.now
+	mine := r != nil && r.attempt == t.Attempt
+	if j == nil {
+		if mine {
+			l.release(r)
+		}
+		return true // the job is over, and its end is durable
+	}
+	if t.Why == protocol.WhyDone {
+		if mine {
+			if r.phase == phaseRunning && r.started > r.since {
+				took := now - r.started
+				l.paced(m, j, took)
+				l.learn(j, took)
+			}
+			m.failures = 0
+			clear(m.failedJobs)
+			clear(j.failedOn)
+			m.touch(j.spec.Image, j.spec.ImageGB)
+			l.release(r)
+		}
+		if x := j.runs[index]; x != nil && x != r {
+			l.stopRun(x, 0)
+		}
+		l.setDone(j, index)
+		return l.durable(j, index)
+	}
+	if !mine {
+		return true
+	}
+	l.release(r)
+	if j.gone {
+		return true
+	}
+	switch t.Why {
+	case protocol.WhyError:
+		l.failed(m, j, index)
+	case protocol.WhyHalted:
+	default: // refused: our picture of the machine was behind
+		l.delay(j, index, m, l.n.report())
+	}
+	return true
+}
