Clean-up after rereading the change: what was written twice stands once

The term is read in one place (readTerm), as candidates and those who clear them did the same; the jobs behind a forecast are summed in one place; from when silence counts is one function; seven tests share the set-up of a cluster that runs a job.

--- a/internal/coordination/copies_test.go
+++ b/internal/coordination/copies_test.go
@@ -38,11 +38,7 @@
 // What a deaf machine runs is free again once its lease is surely over, though it
 // goes on reporting: answers that don't arrive renew nothing. Several at once.
 func TestDeafMachinesLoseTheirTasks(t *testing.T) {
-	w := newWorld(t, 3)
-	w.runTime = func(string, int) time.Duration { return 25 * time.Second }
-	l := w.waitLeader()
-	w.machines(4)
-	w.submitAndStart(l.name, spec("j-1", 12), 12)
+	w, _ := running(t, 3, 25*time.Second, 4, 12)
 	w.cloud.noReturn = true
 	for _, name := range []string{"m-000001", "m-000002"} {
 		w.workers[name].dropAnswers = true
@@ -248,11 +244,7 @@
 // Machines that a leader loses sight of together are not returned one after the other
 // before it shows how many they are, nor once they have spoken again.
 func TestMachinesCutOffTogetherAreKept(t *testing.T) {
-	w := newWorld(t, 3)
-	w.runTime = func(string, int) time.Duration { return time.Hour }
-	l := w.waitLeader()
-	w.machines(9)
-	w.submitAndStart(l.name, spec("j-1", 36), 36)
+	w, l := running(t, 3, time.Hour, 9, 36)
 	held := len(w.cloud.hosts)
 	cut := func(n int, apart time.Duration) {
 		for i := range n {
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -191,15 +191,20 @@
 	return span * (1 - math.Exp(-seen/span))
 }
 
-// ebb is how much of what usually comes is still believed. Sums that decay go on for
-// minutes after the last job, and machines were held, and even rented anew, for work
-// that nobody brought; that so many jobs in a row stay away is no luck.
-func (f *fleet) ebb() float64 {
+// jobsSeen is how many jobs the slowly decaying sums go over.
+func (f *fleet) jobsSeen() float64 {
 	jobs := 0.0
 	for _, x := range f.flows {
 		jobs += x.jobs
 	}
-	missed := jobs / f.slowTime() * (f.quiet - f.l.n.lease()).Seconds()
+	return jobs
+}
+
+// ebb is how much of what usually comes is still believed. Sums that decay go on for
+// minutes after the last job, and machines were held, and even rented anew, for work
+// that nobody brought; that so many jobs in a row stay away is no luck.
+func (f *fleet) ebb() float64 {
+	missed := f.jobsSeen() / f.slowTime() * (f.quiet - f.l.n.lease()).Seconds()
 	if missed <= ebbJobs {
 		return 1
 	}
@@ -275,11 +280,11 @@
 	if !f.patient {
 		return 0
 	}
-	work, jobs := 0.0, 0.0
+	work := 0.0
 	for _, x := range f.flows {
 		work += x.slow * max(0, within-x.due.Seconds())
-		jobs += x.jobs
 	}
+	jobs := f.jobsSeen()
 	trust := math.Pow(jobs, 4) / (math.Pow(jobs, 4) + math.Pow(forecastJobs, 4))
 	return f.ebb() * trust * work / f.slowTime()
 }
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -229,22 +229,17 @@
 	e := &n.elect
 	c := &candidacy{since: n.now, cleared: map[string]bool{}, askedAt: never, listedAt: n.now}
 	e.candidate = c
-	n.stateCall("GET", "/store/"+storage.TermKey, nil, func(r Result) {
+	n.readTerm(func(t storage.Term, version uint64, ok bool) {
 		if e.candidate != c {
 			return
 		}
-		var t storage.Term
-		var item storage.Item
-		switch {
-		case r.Status == 404:
-		case r.Status == 200 && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &t) == nil:
-		default:
+		if !ok {
 			e.candidate = nil
 			return
 		}
 		c.term = t.Term + 1
 		txn := storage.Txn{
-			If:     []storage.Cond{{Key: storage.TermKey, Version: item.Version}, {Key: storage.LeaderKey}},
+			If:     []storage.Cond{{Key: storage.TermKey, Version: version}, {Key: storage.LeaderKey}},
 			Writes: []storage.Write{storage.Set(storage.TermKey, storage.Term{Term: c.term, Node: n.cfg.Node})},
 		}
 		n.stateCall("POST", "/multi", txn, func(r Result) {
@@ -263,6 +258,17 @@
 	})
 }
 
+// readTerm reads the last term and its revision, both zero while there is none.
+func (n *Node) readTerm(then func(t storage.Term, version uint64, ok bool)) {
+	n.stateCall("GET", "/store/"+storage.TermKey, nil, func(r Result) {
+		var item storage.Item
+		var t storage.Term
+		ok := r.Status == 404 ||
+			r.Status == 200 && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &t) == nil
+		then(t, item.Version, ok)
+	})
+}
+
 func (n *Node) tickCandidate() {
 	e := &n.elect
 	c := e.candidate
@@ -296,17 +302,15 @@
 // seven nodes without a leader for as long as they refused each other.
 func (n *Node) clearByState() {
 	e := &n.elect
-	n.stateCall("GET", "/store/"+storage.TermKey, nil, func(r Result) {
-		var item storage.Item
-		var t storage.Term
-		known := r.Status == 200 && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &t) == nil
-		if n.lead != nil || e.candidate != nil || (!known && r.Status != 404) || !n.freeOfPromises() {
+	n.readTerm(func(t storage.Term, _ uint64, ok bool) {
+		if n.lead != nil || e.candidate != nil || !ok || !n.freeOfPromises() {
 			return
 		}
+		led := false // whoever raised the term
 		for _, p := range n.peers {
-			known = known && t.Term > p.term // otherwise who raised it has led already
+			led = led || t.Term <= p.term
 		}
-		if !known || t.Node == "" || t.Node == n.cfg.Node || !n.clears(t.Term) {
+		if led || t.Node == "" || t.Node == n.cfg.Node || !n.clears(t.Term) {
 			n.standInTurn()
 			return
 		}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -118,6 +118,10 @@
 	l.n.log.Debug("cloud call failed", "status", status)
 }
 
+// lastHeard is from when a machine's silence counts: from its last report, but not from
+// before this leader could hear it.
+func (l *leadership) lastHeard(m *machine) Instant { return max(m.heard, l.since) }
+
 // retire finds machines that should go.
 func (f *fleet) retire() {
 	l, now := f.l, f.l.n.now
@@ -138,7 +142,7 @@
 		default:
 			silence = l.n.lease() * 45 / 100
 		}
-		return now-max(m.heard, l.since) > silence
+		return now-l.lastHeard(m) > silence
 	}
 	up, missed := 0, 0
 	// A machine that was used before is expected to report after a takeover too.
@@ -149,7 +153,7 @@
 			// Two reports missed are counted, though nothing is returned for them yet:
 			// where a leader is cut off from its workers, those that spoke first after
 			// it would be returned before it shows how many they are.
-			if quiet(m) || now-max(m.heard, l.since) > 2*l.n.report() {
+			if quiet(m) || now-l.lastHeard(m) > 2*l.n.report() {
 				missed++
 			}
 		}
@@ -293,7 +297,7 @@
 func (f *fleet) missing(asked Instant) {
 	l := f.l
 	for _, m := range l.held() {
-		if !f.listed[m.name] && asked-m.rentedAt > 4*f.lag() && asked-max(m.heard, l.since) > l.n.lease()/2 {
+		if !f.listed[m.name] && asked-m.rentedAt > 4*f.lag() && asked-l.lastHeard(m) > l.n.lease()/2 {
 			l.leave(m, notListed)
 		}
 	}
--- a/internal/coordination/forgotten_test.go
+++ b/internal/coordination/forgotten_test.go
@@ -14,11 +14,7 @@
 // tells users and the load balancer at once; another leads meanwhile, and nothing
 // starts twice when it is back.
 func TestHalfCutLeader(t *testing.T) {
-	w := newWorld(t, 3)
-	w.runTime = func(string, int) time.Duration { return 20 * time.Second }
-	l := w.waitLeader()
-	w.machines(3)
-	w.submitAndStart(l.name, spec("j-1", 8), 8)
+	w, l := running(t, 3, 20*time.Second, 3, 8)
 	w.state.lost[l.name] = true
 	w.cutOff(l.name)
 	if !w.until(5*time.Second, func() bool { return !l.authority() }) {
@@ -63,11 +59,7 @@
 // refuse its connections, is replaced; it neither leads on by promises nor comes back
 // in the way of the next.
 func TestLeaderRefusedByStateAndPeers(t *testing.T) {
-	w := newWorld(t, 3)
-	w.runTime = func(string, int) time.Duration { return 25 * time.Second }
-	l := w.waitLeader()
-	w.machines(3)
-	w.submitAndStart(l.name, spec("j-1", 6), 6)
+	w, l := running(t, 3, 25*time.Second, 3, 6)
 	w.state.refuse[l.name] = true
 	w.cutOff(l.name)
 	if !w.until(9*time.Second, func() bool { return w.leader() != "" && w.leader() != l.name }) {
@@ -170,11 +162,7 @@
 // replaced all the same: candidates are cleared through the state service.
 func TestLeaderLostWhilePeersRefuse(t *testing.T) {
 	for _, nodes := range []int{3, 5, 7} {
-		w := newWorld(t, nodes)
-		w.runTime = func(string, int) time.Duration { return 20 * time.Second }
-		l := w.waitLeader()
-		w.machines(3)
-		w.submitAndStart(l.name, spec("j-1", 8), 8)
+		w, l := running(t, nodes, 20*time.Second, 3, 8)
 		for _, name := range w.followers() {
 			w.crash(name)
 			w.restart(name)
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -107,11 +107,7 @@
 
 // ran_twice: a new leader finds the tasks that run and lets them run.
 func TestTakeoverKeepsRunningTasks(t *testing.T) {
-	w := newWorld(t, 3)
-	w.runTime = func(string, int) time.Duration { return 40 * time.Second }
-	first := w.waitLeader()
-	w.machines(2)
-	w.submitAndStart(first.name, spec("j-1", 8), 8)
+	w, first := running(t, 3, 40*time.Second, 2, 8)
 	w.crash(first.name)
 	w.waitLeader()
 	w.waitState("j-1", protocol.Done, 90*time.Second)
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -177,11 +177,7 @@
 // No worker reaches the leader, though its peers do: the followers relay, leases
 // hold, leadership stays, and nothing is started twice.
 func TestLeaderCutFromWorkers(t *testing.T) {
-	w := newWorld(t, 3)
-	w.runTime = func(string, int) time.Duration { return 60 * time.Second }
-	l := w.waitLeader()
-	w.machines(2)
-	w.submitAndStart(l.name, spec("j-1", 4), 4)
+	w, l := running(t, 3, 60*time.Second, 2, 4)
 	w.far[l.name] = true
 	w.run(40 * time.Second)
 	if w.leader() != l.name {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -336,6 +336,18 @@
 	}
 }
 
+// running is a world whose leader runs one job, j-1: all its tasks are on machines, each
+// for so long.
+func running(t *testing.T, nodes int, takes time.Duration, machines, tasks int) (*world, *simNode) {
+	t.Helper()
+	w := newWorld(t, nodes)
+	w.runTime = func(string, int) time.Duration { return takes }
+	l := w.waitLeader()
+	w.machines(machines)
+	w.submitAndStart(l.name, spec("j-1", tasks), tasks)
+	return w, l
+}
+
 func (w *world) query(node, id string) (int, protocol.JobState) {
 	w.t.Helper()
 	r := w.request(node, Request{Kind: ReqQuery, ID: id})
