--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,11 +51,15 @@
 		Platform: p, Settings: set, Log: log, Wall: d.start,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	conns := p.Cluster.Resources.MaxConnections
-	opt := transport.ClientOptions{Connections: max(4, conns/16), Dial: lease / 8, Idle: lease / 2, MaxBody: 16 << 20}
+	conns := shareSockets(&p.Cluster)
+	opt := transport.ClientOptions{Dial: lease / 8, Idle: lease / 2, MaxBody: 16 << 20}
+	client := func(addr string, connections int) *transport.Client {
+		opt.Connections = connections
+		return transport.NewClient(addr, opt)
+	}
 	d.clients = map[coordination.Target]*transport.Client{
-		coordination.State: transport.NewClient(p.Outside.State, opt),
-		coordination.Cloud: transport.NewClient(p.Outside.Cloud, opt),
+		coordination.State: client(p.Outside.State, conns.state),
+		coordination.Cloud: client(p.Outside.Cloud, conns.cloud),
 	}
 	users, err := net.Listen("tcp4", p.ClientListen)
 	if err != nil {
@@ -67,7 +71,7 @@
 	}
 	d.peers = transport.NewPeers(p.Node, p.Known, lease/8, log, func(m coordination.PeerMessage) { d.queue <- m })
 	server := transport.NewServer(d, transport.ServerOptions{
-		Connections: max(8, conns*3/4), Idle: 8 * lease, Patience: lease / 4,
+		Connections: conns.server, Idle: 2 * lease, Patience: lease / 4,
 	})
 	failed := make(chan error, 2)
 	go func() { failed <- server.Serve(users) }()
@@ -76,6 +80,25 @@
 	return d.loop(report/24, failed)
 }
 
+// sockets is how a controller's connections are shared out.
+type sockets struct{ state, cloud, peers, server int }
+
+// shareSockets keeps for the state service, the cloud and the other controllers what
+// authority and machines depend on, and leaves all others to workers and users: the
+// leader has a connection of each machine, so they are what limits a deployment.
+func shareSockets(c *config.Cluster) sockets {
+	all := c.Resources.MaxConnections
+	s := sockets{
+		state: max(4, all/16),
+		// No more calls can be under way than may be made while one is waited for.
+		cloud: max(4, min(all/16, int(c.Cloud.RPS*c.Workers.LeaseS/4))),
+		peers: transport.PeerConnections(c.Count),
+	}
+	// A few are left for listeners, logs and connections that are just being closed.
+	s.server = max(8, all-s.state-s.cloud-s.peers-all/64)
+	return s
+}
+
 // loop is the owner: it alone touches the node.
 func (d *daemon) loop(tick time.Duration, failed chan error) error {
 	ticker := time.NewTicker(tick)
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -103,9 +103,13 @@
 	}
 }
 
+// PeerConnections bounds the connections between one of so many controllers and the
+// others: one to each, and some from each, as old ones may linger.
+func PeerConnections(nodes int) int { return nodes - 1 + 8*nodes }
+
 // Serve takes the peers' connections until the listener fails.
 func (p *Peers) Serve(ln net.Listener) error {
-	slots := make(chan struct{}, 8*(len(p.known)+1))
+	slots := make(chan struct{}, PeerConnections(len(p.known)+1)-len(p.known))
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -59,6 +59,7 @@
 			return fail(c, code, err.Error())
 		},
 	})
+	s.app.Use(s.admit)
 	s.app.Post("/work", s.submit)
 	s.app.Get("/work/:id", s.query)
 	s.app.Post("/work/:id/cancel", s.cancel)
@@ -69,6 +70,23 @@
 	return s
 }
 
+// spareShare is the part of the connections, one in so many, that are taken for one
+// question about the node's health only.
+const spareShare = 32
+
+// admit turns away the first request of a connection that is one too many, and says
+// when to come back. Connections that are served go on, and the load balancer hears
+// that the node is well: cut off by a full server, it would reset all of them.
+func (s *Server) admit(c *fiber.Ctx) error {
+	if c.Context().ConnRequestNum() > 1 || c.Path() == "/healthz" ||
+		int(s.app.Server().GetOpenConnectionsCount()) <= s.opt.Connections-max(1, s.opt.Connections/spareShare) {
+		return c.Next()
+	}
+	c.Context().SetConnectionClose()
+	c.Set(fiber.HeaderRetryAfter, "1")
+	return fail(c, fiber.StatusServiceUnavailable, "too many connections")
+}
+
 // Serve answers the listener's connections until it fails.
 func (s *Server) Serve(ln net.Listener) error { return s.app.Listener(ln) }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -76,6 +76,47 @@
 	}
 }
 
+// At its limit the server goes on serving the connections it has, tells the load
+// balancer that it is well, and turns others away with when to come back.
+func TestServerAtItsLimit(t *testing.T) {
+	url := serve(t, func(coordination.Request) coordination.Reply {
+		return coordination.Reply{Status: 200, Body: []byte(`{}`)}
+	})
+	ask := func(c *http.Client, path string) *http.Response {
+		resp, err := c.Get(url + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		return resp
+	}
+	var clients []*http.Client
+	for range 15 { // of 16
+		c := &http.Client{Transport: &http.Transport{}}
+		clients = append(clients, c)
+		if resp := ask(c, "/work/j-1"); resp.StatusCode != 200 {
+			t.Fatalf("connection %d: %d", len(clients), resp.StatusCode)
+		}
+	}
+	for range 3 {
+		late := &http.Client{Transport: &http.Transport{}}
+		if resp := ask(late, "/work/j-1"); resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || !resp.Close {
+			t.Errorf("one too many: %d %v", resp.StatusCode, resp.Header)
+		}
+		balancer := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		if resp := ask(balancer, "/healthz"); resp.StatusCode != 200 {
+			t.Errorf("health: %d", resp.StatusCode)
+		}
+		time.Sleep(50 * time.Millisecond) // until both are closed
+	}
+	for _, c := range clients {
+		if resp := ask(c, "/work/j-1"); resp.StatusCode != 200 {
+			t.Errorf("a connection that was served: %d", resp.StatusCode)
+		}
+	}
+}
+
 // The client gives back what was answered, and status 0 when nothing was. It
 // never sends a call twice by itself.
 func TestClient(t *testing.T) {
