--- a/cmd/hitchdoor/main.go
+++ b/cmd/hitchdoor/main.go
@@ -49,7 +49,7 @@
 			if err != nil {
 				return err
 			}
-			return daemon.Run(p, s, logger())
+			return daemon.Run(p, s, buildVersion(), logger())
 		},
 	}
 	cmd.PersistentFlags().StringVar(&platform, "config", "", "the platform's settings file (TOML)")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,12 +47,7 @@
 		LeaseS  float64 `toml:"lease_s"`
 		CancelS float64 `toml:"cancel_s"`
 	} `toml:"workers"`
-	State struct {
-		RPS      float64 `toml:"rps"`
-		WriteRPS float64 `toml:"write_rps"`
-		ValueKB  float64 `toml:"value_kb"`
-		TxnOps   int     `toml:"txn_ops"`
-	} `toml:"state"`
+	State State `toml:"state"`
 	Cloud struct {
 		RPS      float64 `toml:"rps"`
 		ListLagS float64 `toml:"list_lag_s"`
@@ -60,6 +55,37 @@
 	Resources Resources `toml:"resources"`
 }
 
+// State is what the state service takes.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+	// Next are the limits that it will have from some moment on, without notice. What
+	// is not named stays as it is.
+	Next struct {
+		WriteRPS *float64 `toml:"write_rps"`
+		ValueKB  *float64 `toml:"value_kb"`
+		TxnOps   *int     `toml:"txn_ops"`
+	} `toml:"next"`
+}
+
+// ValueBytes is what a value may hold, now and later.
+func (s *State) ValueBytes() int { return int(min(s.ValueKB, or(s.Next.ValueKB, s.ValueKB)) * 1024) }
+
+// Ops is how many changes a transaction may hold, now and later.
+func (s *State) Ops() int { return min(s.TxnOps, or(s.Next.TxnOps, s.TxnOps)) }
+
+// LowerWriteRPS is the lower of the two rates of changes, which may come to hold.
+func (s *State) LowerWriteRPS() float64 { return min(s.WriteRPS, or(s.Next.WriteRPS, s.WriteRPS)) }
+
+func or[T any](p *T, otherwise T) T {
+	if p == nil {
+		return otherwise
+	}
+	return *p
+}
+
 // Resources is the share of its host that the controller may use.
 type Resources struct {
 	CoreShare      float64 `toml:"core_share"`
@@ -142,6 +168,7 @@
 		{"cluster.state.rps", c.State.RPS},
 		{"cluster.state.write_rps", c.State.WriteRPS},
 		{"cluster.state.value_kb", c.State.ValueKB},
+		{"cluster.state.next.write_rps", c.State.LowerWriteRPS()},
 		{"cluster.cloud.rps", c.Cloud.RPS},
 		{"cluster.cloud.list_lag_s", c.Cloud.ListLagS},
 		{"cluster.resources.core_share", c.Resources.CoreShare},
@@ -153,8 +180,14 @@
 			return fmt.Errorf("%s: must be above 0, is %v", f.name, f.value)
 		}
 	}
-	if c.State.TxnOps < 4 {
-		return fmt.Errorf("cluster.state.txn_ops: must be at least 4, is %d", c.State.TxnOps)
+	if c.State.TxnOps < minTxnOps {
+		return fmt.Errorf("cluster.state.txn_ops: must be at least %d, is %d", minTxnOps, c.State.TxnOps)
+	}
+	if next := c.State.Next.ValueKB; next != nil && !(*next >= minNextKB) {
+		return fmt.Errorf("cluster.state.next.value_kb: must be at least %v, is %v", minNextKB, *next)
+	}
+	if ops := c.State.Ops(); ops < minTxnOps {
+		return fmt.Errorf("cluster.state.next.txn_ops: must be at least %d, is %d", minTxnOps, ops)
 	}
 	if c.Workers.LeaseS <= c.Workers.ReportS {
 		return fmt.Errorf("cluster.workers.lease_s: must be above report_s (%v), is %v", c.Workers.ReportS, c.Workers.LeaseS)
@@ -179,5 +212,11 @@
 	return nil
 }
 
+// The least that transactions are formed for, and that a job's record may be lowered to.
+const (
+	minTxnOps = 4
+	minNextKB = 1.0
+)
+
 // Seconds turns a number of seconds into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/coordination/busy_test.go
+++ b/internal/coordination/busy_test.go
@@ -44,7 +44,7 @@
 		l, now := n.lead, w.now-n.boot
 		l.startWithin = 10 * time.Second
 		for i, r := range l.order {
-			r.j.at, r.j.spec.Image, r.j.spec.ImageGB = now, fmt.Sprintf("new%d", i), 1
+			r.j.from, r.j.spec.Image, r.j.spec.ImageGB = now, fmt.Sprintf("new%d", i), 1
 			if i < len(l.order)/2 {
 				r.j.spec.RAM = 15 // no room on any machine, but each is asked
 			}
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -48,7 +48,7 @@
 	strict, whole := 0.0, 0.0 // work weighted by the share that is to be in time
 	boot := l.bootTime().Seconds()
 	pull := l.pull()
-	for _, j := range l.jobs {
+	for _, j := range l.runnable {
 		if j.gone {
 			continue
 		}
@@ -58,7 +58,7 @@
 			work = min(work, each.Seconds()*j.spec.Cores)
 		}
 		due := l.due(j) - n.now
-		span := min(due-l.reserve(j), j.at+planBegin+each-n.now)
+		span := min(due-l.reserve(j), j.from+planBegin+each-n.now)
 		switch {
 		case span >= each:
 		case !j.begun():
@@ -157,7 +157,7 @@
 	x.slow += work
 	x.jobs++
 	f.quiet = 0
-	x.due = f.l.due(j) - j.at
+	x.due = f.l.due(j) - j.from
 }
 
 func (f *fleet) span() float64 { return levelSpan * f.l.n.lease().Seconds() }
@@ -222,7 +222,7 @@
 		return
 	}
 	f.savedAt = now
-	f.l.writer.AddLazy(storage.Unit{Build: func() []storage.Write {
+	f.l.writer.Add(storage.Lazy, storage.Unit{Build: func() []storage.Write {
 		f.decay()
 		rec := storage.FlowRecord{AtMS: f.l.n.wallMS(), OverS: (f.l.n.now - f.flowsFrom).Seconds(), Classes: map[string]storage.Flow{}}
 		// Users name the classes, so their number and length are bounded here: a value
@@ -235,7 +235,7 @@
 			x := f.flows[class]
 			one := storage.Flow{Work: x.work, Slow: x.slow, Jobs: x.jobs, DueS: x.due.Seconds()}
 			size += len(storage.Encode(map[string]storage.Flow{class: one}))
-			if size > int(f.l.n.cfg.Cluster.State.ValueKB*1024/2) {
+			if size > f.l.n.cfg.Cluster.State.ValueBytes()/2 {
 				break
 			}
 			rec.Classes[class] = one
@@ -309,7 +309,7 @@
 	// Jobs that were accepted since the record was made have arrived, too; those that
 	// came before the first leader did are half of what a day begins with.
 	for _, j := range f.l.byAge() {
-		if j.at > f.recordAt {
+		if j.from > f.recordAt {
 			f.arrived(j)
 		}
 	}
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -127,7 +127,7 @@
 	e := &n.elect
 	if n.now >= e.beatAt+n.lease()/beatsPerLease || e.beatAt == never {
 		e.beatAt = n.now
-		m := Message{Type: msgBeat, Sent: int64(n.now), Up: int64(n.now), Run: n.run}
+		m := Message{Type: msgBeat, Sent: int64(n.now), Up: int64(n.now), Run: n.run, Level: level, Slow: n.slowed}
 		if n.lead != nil {
 			m.Term, m.Lead, m.Want = n.lead.term, n.authority(), e.renewBad
 		}
@@ -464,7 +464,10 @@
 	e := &n.elect
 	switch m.Type {
 	case msgBeat:
-		p.leads, p.term, p.up, p.run = m.Lead, m.Term, time.Duration(m.Up), m.Run
+		p.leads, p.term, p.up, p.run, p.level = m.Lead, m.Term, time.Duration(m.Up), m.Run, m.Level
+		if m.Slow {
+			n.slowDown()
+		}
 		p.idle = p.idle || (m.Heard == n.run && !m.Lead)
 		if m.Lead && m.Want {
 			n.promise(p, m)
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -379,7 +379,7 @@
 				up += m.kind.Cores
 			}
 		}
-		for _, j := range l.jobs {
+		for _, j := range l.runnable {
 			pending += float64(j.pending) * j.spec.Cores
 		}
 		n.log.Debug("fleet", "held", held, "up", up, "used", used, "pending", pending,
@@ -483,7 +483,7 @@
 			free += m.kind.Cores - m.cores
 		}
 	}
-	for _, j := range l.jobs {
+	for _, j := range l.runnable {
 		if !j.gone {
 			free -= float64(j.pending) * j.spec.Cores
 		}
@@ -567,10 +567,10 @@
 // usualImage is the mean size of the open jobs' images, in GB.
 func (f *fleet) usualImage() float64 {
 	sum := 0.0
-	for _, j := range f.l.jobs {
+	for _, j := range f.l.runnable {
 		sum += j.spec.ImageGB
 	}
-	return sum / max(1, float64(len(f.l.jobs)))
+	return sum / max(1, float64(len(f.l.runnable)))
 }
 
 // rent begins rentals for the machines that the plan chose.
@@ -595,7 +595,7 @@
 		}}
 		f.rentals = append(f.rentals, r)
 		key := storage.RentPrefix + r.Request
-		l.writer.Add(storage.Unit{
+		l.writer.Add(storage.Soon, storage.Unit{
 			Build: func() []storage.Write { return []storage.Write{storage.Set(key, r.Rental)} },
 			Done:  func() { r.durable = true },
 		})
@@ -676,5 +676,5 @@
 func (f *fleet) settle(r *renting) {
 	f.rentals = slices.DeleteFunc(f.rentals, func(x *renting) bool { return x == r })
 	key := storage.RentPrefix + r.Request
-	f.l.writer.Add(storage.Unit{Build: func() []storage.Write { return []storage.Write{storage.Drop(key)} }})
+	f.l.writer.Add(storage.Soon, storage.Unit{Build: func() []storage.Write { return []storage.Write{storage.Drop(key)} }})
 }
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -24,7 +24,9 @@
 type job struct {
 	spec    protocol.Job
 	at      Instant // accepted
+	from    Instant // when all times but the deadline begin: accepted, or the last job needed done
 	version uint64  // revision of the record
+	chain
 
 	tasks   []taskState
 	runs    map[int]*run
@@ -32,7 +34,8 @@
 	first   int // no task below it is pending
 	done    int
 
-	parts     []partState // bitmap parts
+	parts     []*partState // bitmap parts
+	partTasks int          // that each covers
 	trouble   map[int]*trouble
 	imageSeen Instant         // the pass for which it was looked whether
 	imageHeld bool            // some machine that is ready has the job's image
@@ -61,9 +64,11 @@
 
 // partState is one part of the bitmap of finished tasks.
 type partState struct {
-	bits   []byte
-	stored []byte // what is durable
-	queued bool
+	key     string
+	bits    []byte
+	stored  []byte // what is durable
+	queued  bool
+	retired bool // another layout has replaced it
 }
 
 // run is one attempt of a task on a machine.
@@ -125,7 +130,10 @@
 		}
 	}
 	s := protocol.JobState{UID: j.spec.UID, State: protocol.Queued, Done: &done, Running: &running}
-	if running > 0 {
+	switch {
+	case j.doomed:
+		s.State = protocol.Withdrawn
+	case running > 0:
 		s.State = protocol.Running
 	}
 	return s
@@ -150,13 +158,17 @@
 // due is when the job should be complete: its deadline, or the first aim of its
 // class that can still be met. An aim on starting counts for a class that has
 // none on finishing; such work can wait for room on cheap machines.
-func (l *leadership) due(j *job) Instant {
+//
+// A job that others need is due no later than they leave it time for.
+func (l *leadership) due(j *job) Instant { return min(l.ownDue(j), j.endBy) }
+
+func (l *leadership) ownDue(j *job) Instant {
 	if j.spec.DeadlineS != nil {
 		return j.at + config.Seconds(*j.spec.DeadlineS)
 	}
 	aims := l.aims[j.spec.Class]
 	for i, a := range aims {
-		end := j.at + a.within
+		end := j.from + a.within
 		if a.start {
 			end += l.expected(j)
 		}
@@ -164,8 +176,11 @@
 			return end
 		}
 	}
+	if j.endBy < forever {
+		return j.endBy
+	}
 	// Nothing is said of such work: it is not to wait out of all proportion.
-	return j.at + min(4*l.expected(j)+l.n.lease(), planBegin+l.expected(j))
+	return j.from + min(4*l.expected(j)+l.n.lease(), planBegin+l.expected(j))
 }
 
 // expected is how long one of the job's tasks should run: the owner's estimate,
@@ -212,19 +227,17 @@
 	if l.over[id] {
 		return nil
 	}
-	parts := (rec.Spec.Tasks + l.partTasks - 1) / l.partTasks
+	at := min(l.n.instantOf(rec.AtMS), l.n.now)
 	j := &job{
-		spec: rec.Spec, at: min(l.n.instantOf(rec.AtMS), l.n.now), version: version,
+		spec: rec.Spec, at: at, from: at, version: version,
 		tasks: make([]taskState, rec.Spec.Tasks), runs: map[int]*run{}, pending: rec.Spec.Tasks,
-		parts: make([]partState, parts), trouble: map[int]*trouble{}, failedOn: map[string]bool{},
-		waiting: l.n.now, imageSeen: never,
+		trouble: map[int]*trouble{}, failedOn: map[string]bool{},
+		waiting: l.n.now, imageSeen: never, chain: newChain(),
 	}
+	l.layOut(j)
 	l.jobs[id] = j
 	l.writer.Know(storage.JobKey(id), version)
-	l.dirty = true
-	if l.loaded {
-		l.fleet.arrived(j)
-	}
+	l.await(j)
 	return j
 }
 
@@ -240,14 +253,53 @@
 	return l.addJob(rec, item.Version)
 }
 
-func (l *leadership) partOf(j *job, index int) (*partState, int, byte) {
-	p := &j.parts[index/l.partTasks]
-	in := index % l.partTasks
-	if p.bits == nil {
-		size := min(l.partTasks, j.spec.Tasks-index/l.partTasks*l.partTasks)
-		p.bits = make([]byte, (size+7)/8)
+// layOut divides the job's bitmap into parts that fit the value limit. Level 0 reads and
+// writes larger ones, and takes what it finds for those by their numbers, so as long as
+// nodes of it may lead, a job of many parts keeps its layout.
+func (l *leadership) layOut(j *job) {
+	id := j.spec.UID
+	size, key := l.partTasks, func(part int) string { return storage.BitsFromKey(id, part*l.partTasks) }
+	switch {
+	case j.spec.Tasks <= size:
+		key = func(int) string { return storage.BitsKey(id, 0) }
+	case !l.n.versions.all:
+		size, key = l.widePart, func(part int) string { return storage.BitsKey(id, part) }
+	}
+	j.partTasks, j.parts = size, nil
+	for from := 0; from < j.spec.Tasks; from += size {
+		j.parts = append(j.parts, &partState{
+			key: key(len(j.parts)), bits: make([]byte, (min(size, j.spec.Tasks-from)+7)/8)})
 	}
-	return p, in / 8, 1 << (in % 8)
+}
+
+// levelRaised lays out anew what level 0 could not have read. Bits are only ever set,
+// so a reader that finds both layouts takes all it finds; the old one is dropped last.
+func (l *leadership) levelRaised() {
+	for _, j := range l.jobs {
+		old := j.parts
+		if j.spec.Tasks <= l.partTasks || j.gone {
+			continue
+		}
+		l.layOut(j)
+		for index, state := range j.tasks {
+			if state == taskDone {
+				p, at, bit := l.partOf(j, index)
+				p.bits[at] |= bit
+			}
+		}
+		for _, p := range j.parts {
+			l.storeBits(j, p)
+		}
+		for _, p := range old {
+			p.retired = true
+			l.dropKnown(p.key)
+		}
+	}
+}
+
+func (l *leadership) partOf(j *job, index int) (*partState, int, byte) {
+	in := index % j.partTasks
+	return j.parts[index/j.partTasks], in / 8, 1 << (in % 8)
 }
 
 // durable tells whether a finished task's bit is in the state service.
@@ -278,34 +330,33 @@
 		l.finish(j, protocol.Done)
 		return
 	}
-	l.storeBits(j, index/l.partTasks)
+	l.storeBits(j, p)
 }
 
 // storeBits queues the write of one part of the bitmap. The part is taken as it
 // is when its turn comes, so tasks that finish meanwhile share the write.
-func (l *leadership) storeBits(j *job, part int) {
-	p := &j.parts[part]
+func (l *leadership) storeBits(j *job, p *partState) {
 	if p.queued {
 		return
 	}
 	p.queued = true
 	var written []byte
-	l.writer.AddLazy(storage.Unit{
+	l.writer.Add(storage.Lazy, storage.Unit{
 		Build: func() []storage.Write {
-			if j.gone {
+			written = append([]byte(nil), p.bits...)
+			if j.gone || p.retired || bytes.Equal(written, p.stored) {
 				return nil
 			}
-			written = append([]byte(nil), p.bits...)
-			return []storage.Write{storage.Set(storage.BitsKey(j.spec.UID, part), storage.EncodeBits(written))}
+			return []storage.Write{storage.Set(p.key, storage.EncodeBits(written))}
 		},
 		Done: func() {
 			p.queued = false
-			if j.gone {
+			if j.gone || p.retired {
 				return
 			}
 			p.stored = written
 			if !bytes.Equal(p.stored, p.bits) {
-				l.storeBits(j, part)
+				l.storeBits(j, p)
 			}
 		},
 	})
@@ -320,34 +371,42 @@
 	for _, r := range j.runs {
 		l.stopRun(r, 0)
 	}
-	l.writer.Add(storage.Unit{
+	if state == protocol.Withdrawn {
+		l.relax(j)
+	}
+	l.writer.Add(l.importance(j, state), storage.Unit{
 		Build: func() []storage.Write {
+			final.AtMS = l.n.wallMS()
 			return []storage.Write{storage.Drop(storage.JobKey(id)), storage.Set(storage.FinalKey(id), final)}
 		},
-		Taken: func() { j.ending = true },
+		Taken: func() {
+			j.ending = true
+			if state == protocol.Withdrawn {
+				l.eachAfter(j, func(d *job) { d.ending = true })
+			}
+		},
 		Done: func() {
 			l.n.log.Debug("job over", "job", id, "state", state, "class", j.spec.Class, "tasks", j.spec.Tasks,
-				"after", l.n.now-j.at, "firstStart", j.firstStart-j.at, "lastStart", j.lastStart-j.at, "expected", l.expected(j))
+				"after", l.n.now-j.at, "waited", j.from-j.at, "firstStart", j.firstStart-j.at, "lastStart", j.lastStart-j.at, "expected", l.expected(j))
 			l.n.finals.put(id, final)
 			l.over[id] = true
 			delete(l.jobs, id)
+			delete(l.runnable, id)
+			l.ended(id, final)
 			for _, o := range j.cancel {
 				l.n.reply(o, 200, 0, protocol.JobState{UID: id, State: state})
 			}
 			j.cancel = nil
-			for part := range j.parts {
-				l.dropBits(id, part)
+			for _, p := range j.parts {
+				l.dropKnown(p.key)
 			}
 		},
 	})
 }
 
-// dropBits removes a part of a bitmap that is no longer needed.
-func (l *leadership) dropBits(id string, part int) { l.dropKnown(storage.BitsKey(id, part)) }
-
 // dropKnown removes a key when there is time, if it is there by then.
 func (l *leadership) dropKnown(key string) {
-	l.writer.AddLazy(storage.Unit{Build: func() []storage.Write {
+	l.writer.Add(storage.Lazy, storage.Unit{Build: func() []storage.Write {
 		if l.writer.Version(key) == 0 {
 			return nil
 		}
@@ -387,8 +446,11 @@
 // answer tells a user how a job is. Once its end is on the way to the state service,
 // another node may have read it there and told a user, though no answer has come
 // here; so it is read, rather than told from a picture that may be older.
+//
+// The same holds for a job whose needs are not all known: one of them may be cancelled,
+// and a predecessor may have told so.
 func (l *leadership) answer(r Request, j *job) {
-	if j.ending {
+	if !j.doomed && (j.ending || (j.awaits > 0 && len(l.lookups) > 0)) {
 		l.n.answerKnown(r, l, 503)
 		return
 	}
@@ -426,6 +488,10 @@
 // cancelJob stops a job at once and answers when its end is durable. While the
 // state service is down the user is told to come back; the stop stands.
 func (l *leadership) cancelJob(j *job, o Origin) {
+	if j.doomed {
+		l.n.reply(o, 200, 0, j.state())
+		return
+	}
 	if !j.gone {
 		l.finish(j, protocol.Withdrawn)
 	}
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -24,12 +24,16 @@
 	complete bool // all machines were accounted for once
 
 	attempts  uint64
-	partTasks int
+	partTasks int // that one part of a bitmap covers
+	widePart  int // the same, as level 0 has it
 	writer    *storage.Writer
 	probing   bool
 
 	jobs        map[string]*job
-	over        map[string]bool // ended in this term
+	runnable    map[string]*job    // those of them that wait for no others
+	after       map[string][]*job  // those that wait for a job that is not known to be over, by its id
+	lookups     map[string]Instant // needed jobs that are not open here: when to read what became of them
+	over        map[string]bool    // ended in this term
 	classes     map[string]*class
 	aims        map[string][]aim   // by class, shortest first
 	shares      map[string]float64 // by class, the least share of jobs that an aim asks for
@@ -39,7 +43,8 @@
 	machines     map[string]*machine
 	catalogShape string     // of the machine types last stored, without prices
 	groups       []*group   // that record them
-	groupSize    int        // machines that one record names
+	groupBytes   int        // how large their records may grow
+	groupsFrom   int        // the least number that a new one gets
 	sorted       []*machine // by name; nil: to be made anew
 	checkedAt    Instant    // when all were looked at
 	census       census     // of them, as of the last change
@@ -65,11 +70,13 @@
 func newLeadership(n *Node, term, leaderVer uint64) *leadership {
 	l := &leadership{
 		n: n, term: term, since: n.now, heardWorker: n.now,
-		partTasks: storage.PartTasks(n.cfg.Cluster.State.ValueKB),
-		groupSize: storage.GroupMachines(n.cfg.Cluster.State.ValueKB),
-		writer:    storage.NewWriter(n.cfg.Cluster.State.TxnOps, leaderVer),
-		scheduled: never, checkedAt: never,
-		jobs: map[string]*job{}, over: map[string]bool{}, classes: map[string]*class{},
+		partTasks:  storage.PartTasks(n.cfg.Cluster.State.ValueBytes()),
+		widePart:   storage.PartTasks(int(n.cfg.Cluster.State.ValueKB * 1024)),
+		groupBytes: storage.GroupBytes(n.cfg.Cluster.State.ValueBytes()),
+		writer:     storage.NewWriter(n.cfg.Cluster.State.Ops(), leaderVer),
+		scheduled:  never, checkedAt: never,
+		jobs: map[string]*job{}, runnable: map[string]*job{}, after: map[string][]*job{}, lookups: map[string]Instant{},
+		over: map[string]bool{}, classes: map[string]*class{},
 		aims: map[string][]aim{}, shares: map[string]float64{}, usage: map[string]*usage{},
 		machines: map[string]*machine{}, gone: map[string]Instant{},
 	}
@@ -125,6 +132,7 @@
 		prefix string
 		take   func([]storage.Item)
 	}{
+		{storage.VersionPrefix, l.n.takeVersions},
 		{storage.JobPrefix, l.loadJobs},
 		{storage.BitsPrefix, l.loadBits},
 		{storage.GroupPrefix, l.loadGroups},
@@ -195,26 +203,33 @@
 func (l *leadership) loadBits(items []storage.Item) {
 	for _, it := range items {
 		l.writer.Know(it.Key, it.Version)
-		id, part, ok := storage.ParseBitsKey(it.Key)
+		id, from, ok := storage.ParseBitsKey(it.Key, l.widePart)
 		var rec storage.BitsRecord
 		if !ok || json.Unmarshal(it.Value, &rec) != nil {
 			continue
 		}
 		j := l.jobs[id]
 		bits, err := storage.DecodeBits(rec)
-		if j == nil || err != nil || part >= len(j.parts) {
-			l.dropBits(id, part)
+		if j == nil || err != nil || from >= j.spec.Tasks {
+			l.dropKnown(it.Key)
 			continue
 		}
-		j.parts[part].stored = bits
+		for _, p := range j.parts {
+			if p.key == it.Key {
+				p.stored = bits
+			}
+		}
 		for i := range bits {
 			for b := 0; b < 8; b++ {
-				index := part*l.partTasks + i*8 + b
+				index := from + i*8 + b
 				if bits[i]&(1<<b) != 0 && index < j.spec.Tasks {
 					l.setDone(j, index)
 				}
 			}
 		}
+		if !slices.ContainsFunc(j.parts, func(p *partState) bool { return p.key == it.Key }) {
+			l.dropKnown(it.Key) // of another layout; what it holds is written first
+		}
 	}
 }
 
@@ -235,9 +250,17 @@
 		l.writer.Know(it.Key, it.Version)
 		g := l.newGroup(it.Key)
 		for name, r := range rec {
-			m := l.loadMachine(name, r)
-			m.used, m.wantsUse, m.group = r.Used, r.Used, g
-			g.machines[name] = m
+			m := l.machines[name]
+			if m == nil {
+				m = l.loadMachine(name, r)
+			} else if m.group != nil {
+				// An earlier leader was about to move it.
+				m.group.remove(l, m)
+				l.storeGroup(m.group, false)
+			}
+			m.used = m.used || r.Used
+			m.wantsUse, m.accounted = m.used, !m.used
+			g.add(l, m)
 		}
 	}
 }
@@ -283,6 +306,7 @@
 // ready begins to decide.
 func (l *leadership) ready() {
 	l.loaded, l.dirty = true, true
+	l.splitGroups()
 	l.fleet.inherit()
 	l.storeCatalog()
 	l.n.log.Info("records read", "jobs", len(l.jobs), "machines", len(l.machines))
@@ -310,6 +334,7 @@
 	if !l.watching {
 		l.watch()
 	}
+	l.tickLookups()
 	l.checkMachines()
 	l.fleet.tick()
 	if n.now >= l.scheduled+n.report()/passesPerReport && (l.dirty || n.now >= l.scheduled+n.report()) {
@@ -344,8 +369,13 @@
 			l.writer.Applied(res.Revision)
 			l.pump()
 		case r.Status == 409 && l.writer.WasUnclear():
-			l.resolve()
-		case r.Status == 409 || r.Status == 400:
+			l.resolve(func() { n.stepDown("a transaction was refused") })
+		case r.Status == 400 && l.writer.WasUnclear():
+			l.resolve(l.refused)
+		case r.Status == 400:
+			n.log.Warn("transaction refused", "status", r.Status, "body", string(r.Body))
+			l.refused()
+		case r.Status == 409:
 			// Somebody else wrote where only a leader writes: we are replaced,
 			// or our picture is wrong. Either way it must be read again.
 			n.log.Warn("transaction refused", "status", r.Status, "body", string(r.Body))
@@ -366,9 +396,17 @@
 	l.later(func() { l.commit(l.writer.Again()) })
 }
 
+// refused forms smaller transactions of one that the state service refuses as it
+// stands: its limits are lower than the settings say. It is no reason to stop leading.
+func (l *leadership) refused() {
+	for _, key := range l.writer.Refused() {
+		l.n.log.Error("change refused for good", "key", key)
+	}
+}
+
 // resolve finds out whether a transaction whose first outcome was unclear was
-// executed, by reading a key of it.
-func (l *leadership) resolve() {
+// executed, by reading a key of it; otherwise tells what to do if it was not.
+func (l *leadership) resolve(otherwise func()) {
 	n := l.n
 	l.probing = true
 	n.stateCall("GET", "/store/"+l.writer.Probe(), nil, func(r Result) {
@@ -383,9 +421,9 @@
 		case r.Status == 200 && json.Unmarshal(r.Body, &item) == nil && l.writer.Matches(&item):
 			l.writer.Applied(item.Version)
 		case r.Status == 200 || r.Status == 404:
-			n.stepDown("a transaction was refused")
+			otherwise()
 		default:
-			l.later(l.resolve)
+			l.later(func() { l.resolve(otherwise) })
 			l.probing = true
 		}
 	})
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -99,11 +99,11 @@
 		shape = append(shape, k)
 	}
 	now := string(storage.Encode(shape))
-	if now == l.catalogShape || len(storage.Encode(c)) > int(l.n.cfg.Cluster.State.ValueKB*1024) {
+	if now == l.catalogShape || len(storage.Encode(c)) > l.n.cfg.Cluster.State.ValueBytes() {
 		return
 	}
 	l.catalogShape = now
-	l.writer.AddLazy(storage.Unit{Build: func() []storage.Write {
+	l.writer.Add(storage.Lazy, storage.Unit{Build: func() []storage.Write {
 		return []storage.Write{storage.Set(storage.CatalogKey, c)}
 	}})
 }
@@ -114,6 +114,7 @@
 type group struct {
 	key      string
 	machines map[string]*machine
+	bytes    int  // of its record
 	changed  bool // since the last write was formed
 	queued   bool // a write waits, that will hold whatever changes until then
 	hurried  bool // the same, ahead of what can wait
@@ -126,16 +127,33 @@
 	}
 	m.wantsUse = used
 	if m.group == nil {
-		m.group = l.roomyGroup()
-		m.group.machines[m.name] = m
+		l.roomyGroup(l.entryBytes(m)).add(l, m)
 	}
 	l.storeGroup(m.group, true)
 }
 
-// roomyGroup finds a group that has room, or makes one.
-func (l *leadership) roomyGroup() *group {
+func (l *leadership) entry(m *machine) storage.MachineRecord {
+	return storage.MachineRecord{Type: m.typ, Zone: m.zone, Spot: m.spot, Used: m.wantsUse,
+		AtMS: l.n.wall.Add(m.rentedAt).UnixMilli()}
+}
+
+func (l *leadership) entryBytes(m *machine) int { return storage.EntryBytes(m.name, l.entry(m)) }
+
+func (g *group) add(l *leadership, m *machine) {
+	m.group = g
+	g.machines[m.name] = m
+	g.bytes += l.entryBytes(m)
+}
+
+func (g *group) remove(l *leadership, m *machine) {
+	delete(g.machines, m.name)
+	g.bytes -= l.entryBytes(m)
+}
+
+// roomyGroup finds a group that has room for an entry, or makes one.
+func (l *leadership) roomyGroup(entry int) *group {
 	for _, g := range l.groups {
-		if len(g.machines) < l.groupSize {
+		if g.bytes+entry <= l.groupBytes {
 			return g
 		}
 	}
@@ -143,13 +161,44 @@
 	for _, g := range l.groups {
 		used[g.key] = true
 	}
-	for i := 0; ; i++ {
+	for i := l.groupsFrom; ; i++ {
 		if key := storage.GroupKey(i); !used[key] {
 			return l.newGroup(key)
 		}
 	}
 }
 
+// splitGroups divides the groups that are too large to be written again: level 0 made
+// larger ones, and the state service may take less than it did. Their machines are
+// written into new groups first, and only then is the old record dropped. In between a
+// machine is in both: level 0 takes the entry that it reads last, so the new ones get
+// later keys.
+func (l *leadership) splitGroups() {
+	large := slices.DeleteFunc(slices.Clone(l.groups), func(g *group) bool { return g.bytes <= l.groupBytes || len(g.machines) < 2 })
+	if len(large) == 0 {
+		return
+	}
+	for _, g := range l.groups {
+		l.groupsFrom = max(l.groupsFrom, storage.GroupNumber(g.key)+1)
+	}
+	kept := slices.DeleteFunc(l.groups, func(g *group) bool { return slices.Contains(large, g) })
+	l.groups = nil // so that their machines go to new ones
+	for _, old := range large {
+		for _, name := range slices.Sorted(maps.Keys(old.machines)) {
+			m := old.machines[name]
+			l.roomyGroup(l.entryBytes(m)).add(l, m)
+		}
+	}
+	for _, g := range l.groups {
+		l.storeGroup(g, true)
+	}
+	for _, old := range large {
+		old.machines = nil
+		l.dropKnown(old.key)
+	}
+	l.groups = append(kept, l.groups...)
+}
+
 func (l *leadership) newGroup(key string) *group {
 	g := &group{key: key, machines: map[string]*machine{}}
 	l.groups = append(l.groups, g)
@@ -163,13 +212,13 @@
 	if g.hurried || (g.queued && !hurry) {
 		return
 	}
-	waits, add := &g.queued, l.writer.AddLazy
+	waits, priority := &g.queued, storage.Lazy
 	if hurry {
-		waits, add = &g.hurried, l.writer.Add
+		waits, priority = &g.hurried, storage.Soon
 	}
 	*waits = true
 	var used []*machine
-	add(storage.Unit{
+	l.writer.Add(priority, storage.Unit{
 		Build: func() []storage.Write {
 			used = used[:0]
 			switch {
@@ -181,8 +230,7 @@
 			}
 			rec := make(storage.GroupRecord, len(g.machines))
 			for name, m := range g.machines {
-				rec[name] = storage.MachineRecord{Type: m.typ, Zone: m.zone, Spot: m.spot, Used: m.wantsUse,
-					AtMS: l.n.wall.Add(m.rentedAt).UnixMilli()}
+				rec[name] = l.entry(m)
 				if m.wantsUse {
 					used = append(used, m)
 				}
@@ -190,6 +238,17 @@
 			return []storage.Write{storage.Set(g.key, rec)}
 		},
 		Taken: func() { *waits, g.changed = false, false },
+		Refused: func(alone bool) {
+			if alone {
+				l.groupBytes = max(1, min(l.groupBytes, g.bytes)/2)
+				l.splitGroups()
+				if len(g.machines) > 0 {
+					l.n.log.Error("machine can't be recorded", "group", g.key)
+				}
+				return
+			}
+			l.storeGroup(g, hurry)
+		},
 		Done: func() {
 			for _, m := range used {
 				if !m.used {
@@ -210,7 +269,7 @@
 	l.gone[m.name] = l.n.now
 	l.dirty = true
 	if g := m.group; g != nil {
-		delete(g.machines, m.name)
+		g.remove(l, m)
 		l.storeGroup(g, false)
 	}
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -63,6 +63,8 @@
 	Run   uint64          `json:"run,omitempty"`   // the sender's process
 	Heard uint64          `json:"heard,omitempty"` // the receiver's process that was heard last
 	OK    bool            `json:"ok,omitempty"`
+	Level int             `json:"level,omitempty"` // of the sender's version
+	Slow  bool            `json:"slow,omitempty"`  // the lower rate of changes holds
 	ID    uint64          `json:"id,omitempty"`
 	Kind  string          `json:"kind,omitempty"`
 	Job   string          `json:"job,omitempty"`
@@ -137,7 +139,8 @@
 	// wall is the time of day at instant 0, for records only.
 	wall time.Time
 	// run tells this process from earlier ones of the same node.
-	run uint64
+	run   uint64
+	build string
 
 	now     Instant
 	effects []any
@@ -157,8 +160,9 @@
 	catalogAt   Instant
 	catalogBusy bool
 
-	finals *finalCache
-	lead   *leadership
+	finals   *finalCache
+	lead     *leadership
+	versions versions
 
 	submits []submission // that wait for their turn to be written
 
@@ -166,6 +170,7 @@
 	cloudBudget  bucket
 	writeBudget  bucket // the leader's own changes
 	submitBudget bucket // submissions
+	slowed       bool   // the state service takes changes at the lower rate only
 }
 
 type peer struct {
@@ -177,6 +182,7 @@
 	term     uint64
 	leads    bool
 	promised Instant // until when it won't stand against us
+	level    int     // of its version
 }
 
 // bucket is a token bucket.
@@ -210,6 +216,7 @@
 	Log      *slog.Logger
 	Rand     *rand.Rand
 	Wall     time.Time
+	Build    string // of the program, for operators
 }
 
 // Shares of the outside services' limits. The leader has most of the writes, and
@@ -229,15 +236,15 @@
 func New(o Options) *Node {
 	c := &o.Platform.Cluster
 	n := &Node{
-		cfg: o.Platform, set: o.Settings, log: o.Log, rng: o.Rand, wall: o.Wall,
+		cfg: o.Platform, set: o.Settings, log: o.Log, rng: o.Rand, wall: o.Wall, build: o.Build,
 		calls: map[uint64]func(Result){}, peers: map[string]*peer{}, forwards: map[uint64]*forward{},
 		relays: map[string]*relay{}, finals: newFinalCache(finalCacheSize),
-		catalogAt:    never,
-		stateBudget:  newBucket(c.State.RPS*followerReadShare, c.State.RPS*followerReadShare),
-		cloudBudget:  newBucket(c.Cloud.RPS*cloudShare, max(1, c.Cloud.RPS*cloudShare)),
-		writeBudget:  newBucket(c.State.WriteRPS*leaderWriteShare, c.State.WriteRPS*leaderWriteShare),
-		submitBudget: newBucket(c.State.WriteRPS*submitWriteShare/float64(c.Count), max(1, c.State.WriteRPS*submitWriteShare)),
+		catalogAt:   never,
+		versions:    versions{at: never},
+		stateBudget: newBucket(c.State.RPS*followerReadShare, c.State.RPS*followerReadShare),
+		cloudBudget: newBucket(c.Cloud.RPS*cloudShare, max(1, c.Cloud.RPS*cloudShare)),
 	}
+	n.writeBudget, n.submitBudget = writeBuckets(c, c.State.WriteRPS)
 	for _, k := range o.Platform.Known {
 		n.peers[k.Node] = &peer{name: k.Node, heard: never, promised: never}
 	}
@@ -246,6 +253,28 @@
 	return n
 }
 
+// writeBuckets share out a rate of changes between the leader's own and submissions.
+// The smallest unit of the leader's has two.
+func writeBuckets(c *config.Cluster, rps float64) (leader, submissions bucket) {
+	return newBucket(rps*leaderWriteShare, max(2, rps*leaderWriteShare)),
+		newBucket(rps*submitWriteShare/float64(c.Count), max(1, rps*submitWriteShare))
+}
+
+// slowDown paces changes by the lower rate that the settings announce, once the state
+// service refuses some: found out by repeated refusals, it would cost the important ones
+// as many tries as the others.
+func (n *Node) slowDown() {
+	c := &n.cfg.Cluster
+	if n.slowed || c.State.LowerWriteRPS() == c.State.WriteRPS {
+		return
+	}
+	n.slowed = true
+	n.log.Info("changes are paced by the lower rate", "rps", c.State.LowerWriteRPS())
+	n.writeBudget, n.submitBudget = writeBuckets(c, c.State.LowerWriteRPS())
+	n.writeBudget.level, n.writeBudget.at = 0, n.now
+	n.submitBudget.level, n.submitBudget.at = 0, n.now
+}
+
 // Step carries out a batch of commands at an instant and returns the effects.
 func (n *Node) Step(now Instant, batch []any) []any {
 	if now > n.now {
@@ -281,6 +310,7 @@
 	n.tickRelays()
 	n.writeSubmissions()
 	n.tickFinals()
+	n.tickVersions()
 	if n.lead != nil && n.authority() {
 		n.lead.tick()
 	}
@@ -325,6 +355,9 @@
 func (n *Node) stateCall(method, path string, body any, then func(Result)) {
 	n.call(State, method, path, body, n.stateTimeout(), func(r Result) {
 		n.elect.saw(n.now, r.Status)
+		if r.Status == 429 && path == "/multi" {
+			n.slowDown()
+		}
 		then(r)
 	})
 }
--- /dev/null
+++ b/internal/coordination/pipelines.go
@@ -0,0 +1,313 @@
+package coordination
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+// A job that needs others waits, and takes no part in anything, until the end of each
+// is durable: what this leader alone has seen, the next one may not know. Only the
+// records decide, so nothing more has to be written: whoever reads them knows that a job
+// is cancelled once the end of any job before it says so, and a leader that takes over
+// goes on from there.
+
+// chain is how a job stands to those that it needs and those that need it.
+type chain struct {
+	awaits  int     // jobs that it needs whose end is not durable, or not known here
+	doomed  bool    // one of them is cancelled, durably
+	endBy   Instant // when it must be done for those after it to be in time
+	urgency int     // the best rank of those after it
+}
+
+// forever is an instant after any other.
+const forever Instant = math.MaxInt64
+
+func newChain() chain { return chain{endBy: forever, urgency: math.MaxInt} }
+
+// rank is the job's priority, or a better one of a job that needs it.
+func (j *job) rank() int { return min(j.spec.Rank(), j.urgency) }
+
+// await lets a new job wait for those that it needs, and those before it hear of it.
+func (l *leadership) await(j *job) {
+	doomed := false
+	for _, id := range j.spec.Needs {
+		if f, over := l.n.finals.byID[id]; over {
+			doomed = doomed || f.State == protocol.Withdrawn
+			j.from = max(j.from, min(l.n.instantOf(f.AtMS), l.n.now))
+			continue
+		}
+		j.awaits++
+		l.after[id] = append(l.after[id], j)
+		if before := l.jobs[id]; before != nil {
+			doomed = doomed || before.doomed
+			j.ending = j.ending || (before.ending && before.gone && before.done < before.spec.Tasks)
+		} else {
+			// It may come with the next page, or by the watch, or be long over.
+			l.lookups[id] = l.n.now
+		}
+	}
+	delete(l.lookups, j.spec.UID)
+	for _, d := range l.after[j.spec.UID] {
+		l.hasten(d)
+	}
+	switch {
+	case doomed:
+		l.doom(j)
+	case j.awaits == 0:
+		l.unblock(j)
+	default:
+		l.hasten(j)
+	}
+}
+
+// unblock makes a job that needs no others any more one of those that are served.
+func (l *leadership) unblock(j *job) {
+	l.runnable[j.spec.UID] = j
+	j.waiting = l.n.now
+	l.dirty = true
+	if l.loaded {
+		l.fleet.arrived(j)
+	}
+}
+
+// ended tells those that wait for a job that its end is durable.
+func (l *leadership) ended(id string, final storage.FinalRecord) {
+	waiting := l.after[id]
+	delete(l.after, id)
+	delete(l.lookups, id)
+	for _, d := range waiting {
+		switch {
+		case d.gone:
+		case final.State == protocol.Withdrawn:
+			l.doom(d)
+		default:
+			d.from = max(d.from, min(l.n.instantOf(final.AtMS), l.n.now))
+			if d.awaits--; d.awaits == 0 {
+				l.unblock(d)
+			}
+		}
+	}
+}
+
+// doom ends a job, and all that need it, because one before them is cancelled. That is
+// durable already, so their users may be told at once; their own ends are written as
+// there is time, however many they are.
+func (l *leadership) doom(j *job) {
+	for todo := []*job{j}; len(todo) > 0; todo = todo[1:] {
+		d := todo[0]
+		if d.doomed {
+			continue
+		}
+		d.doomed = true
+		for _, o := range d.cancel {
+			l.n.reply(o, 200, 0, d.state())
+		}
+		d.cancel = nil
+		if !d.gone {
+			l.finish(d, protocol.Withdrawn)
+		}
+		todo = append(todo, l.after[d.spec.UID]...)
+	}
+}
+
+// eachAfter does something with all jobs that need a job, directly or through others.
+func (l *leadership) eachAfter(j *job, f func(*job)) {
+	seen := map[*job]bool{}
+	for todo := slices.Clone(l.after[j.spec.UID]); len(todo) > 0; todo = todo[1:] {
+		if d := todo[0]; !seen[d] {
+			seen[d] = true
+			f(d)
+			todo = append(todo, l.after[d.spec.UID]...)
+		}
+	}
+}
+
+// relax works out anew what a job that is cancelled has asked of those before it.
+func (l *leadership) relax(j *job) {
+	var before []*job
+	for todo := []*job{j}; len(todo) > 0; todo = todo[1:] {
+		for _, id := range todo[0].spec.Needs {
+			if b := l.jobs[id]; b != nil && !b.gone && (b.endBy != forever || b.urgency != math.MaxInt) {
+				b.endBy, b.urgency = forever, math.MaxInt
+				before, todo = append(before, b), append(todo, b)
+			}
+		}
+	}
+	for _, b := range before {
+		for _, d := range l.after[b.spec.UID] {
+			if !d.gone {
+				l.hasten(d)
+			}
+		}
+	}
+}
+
+// importance is that of a job's end, where not all that waits can be written.
+func (l *leadership) importance(j *job, state string) storage.Priority {
+	switch {
+	case j.doomed:
+		return storage.Lazy // it follows from what is written
+	case state == protocol.Withdrawn:
+		return storage.Cancels
+	case len(l.after[j.spec.UID]) > 0:
+		return storage.Releases
+	}
+	return storage.Soon
+}
+
+// hasten works out, for all jobs before a job, until when they must be done for it to be
+// in time, and how urgent it makes them. The slack of a pipeline is thus spent once: a
+// job is due when the longest way from it to an end leaves no more time.
+func (l *leadership) hasten(j *job) {
+	for todo := []*job{j}; len(todo) > 0; todo = todo[1:] {
+		d := todo[0]
+		end := d.endBy
+		if d.spec.DeadlineS != nil {
+			end = min(end, l.ownDue(d))
+		}
+		if end < forever {
+			end -= l.lasts(d)
+		}
+		for _, id := range d.spec.Needs {
+			b := l.jobs[id]
+			if b == nil || b.gone || (end >= b.endBy && d.rank() >= b.urgency) {
+				continue
+			}
+			b.endBy, b.urgency = min(b.endBy, end), min(b.urgency, d.rank())
+			l.dirty = true
+			todo = append(todo, b)
+		}
+	}
+}
+
+// lasts is how long a job takes from the end of the last that it needs to its own: its
+// longest task, the fetch of its image, and the reports that carry the start and the end.
+func (l *leadership) lasts(j *job) time.Duration {
+	longest := math.Exp(taskSpread * math.Sqrt(2*math.Log(float64(j.spec.Tasks))))
+	return time.Duration(longest*float64(l.expected(j))) + l.pull().time(j.spec.ImageGB) + 2*l.n.report()
+}
+
+// taskSpread is by how much the run times of a job's tasks differ, as the standard
+// deviation of their logarithms.
+const taskSpread = 0.25
+
+// tickLookups reads what became of needed jobs that are not open here.
+func (l *leadership) tickLookups() {
+	busy := 0
+	for id, at := range l.lookups {
+		switch {
+		case l.jobs[id] != nil || l.after[id] == nil:
+			delete(l.lookups, id)
+		case busy < lookupsAtOnce && l.n.now >= at && !l.n.elect.stateLost():
+			busy++
+			l.lookups[id] = l.n.now + l.n.lease()/probesPerLease
+			l.lookUp(id)
+		}
+	}
+}
+
+// lookupsAtOnce is how many are read in one step; there are a few dozen steps a second.
+const lookupsAtOnce = 2
+
+// lookUp reads the end of a needed job, and the open record where there is none. One
+// that has neither was moved from one to the other in between.
+func (l *leadership) lookUp(id string) {
+	n := l.n
+	n.stateCall("GET", "/store/"+storage.FinalKey(id), nil, func(r Result) {
+		var item storage.Item
+		var final storage.FinalRecord
+		switch {
+		case n.lead != l:
+		case r.Status == 200 && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &final) == nil:
+			n.finals.put(id, final)
+			l.ended(id, final)
+		case r.Status == 404:
+			n.stateCall("GET", "/store/"+storage.JobKey(id), nil, func(r Result) {
+				if n.lead == l && r.Status == 200 && json.Unmarshal(r.Body, &item) == nil {
+					l.adopt(id, item)
+				}
+			})
+		}
+	})
+}
+
+// needsOf are the jobs that an open job's record names.
+func needsOf(open *storage.Item) []string {
+	var rec storage.JobRecord
+	if json.Unmarshal(open.Value, &rec) != nil {
+		return nil
+	}
+	return rec.Spec.Needs
+}
+
+// readTruth reads what the records say of a job: an open one is cancelled if some job
+// before it is. Each node answers by this, so that none takes back what another has
+// told.
+func (n *Node) readTruth(id string, then func(ok bool, open *storage.Item, final *storage.FinalRecord)) {
+	n.readJob(id, func(ok bool, open *storage.Item, final *storage.FinalRecord) {
+		if open == nil {
+			then(ok, open, final)
+			return
+		}
+		n.anyWithdrawn(needsOf(open), map[string]bool{}, func(ok, withdrawn bool) {
+			switch {
+			case !ok:
+				then(false, nil, nil)
+			case withdrawn:
+				then(true, nil, &storage.FinalRecord{State: protocol.Withdrawn})
+			default:
+				then(true, open, nil)
+			}
+		})
+	})
+}
+
+// anyWithdrawn tells whether one of some jobs, or one before them, is cancelled. What
+// is done had all its needs done.
+func (n *Node) anyWithdrawn(ids []string, seen map[string]bool, then func(ok, withdrawn bool)) {
+	for i, id := range ids {
+		if seen[id] {
+			continue
+		}
+		seen[id] = true
+		n.readJob(id, func(ok bool, open *storage.Item, final *storage.FinalRecord) {
+			switch {
+			case !ok:
+				then(false, false)
+			case final != nil && final.State == protocol.Withdrawn:
+				then(true, true)
+			case open != nil:
+				n.anyWithdrawn(append(slices.Clone(ids[i+1:]), needsOf(open)...), seen, then)
+			default:
+				n.anyWithdrawn(ids[i+1:], seen, then)
+			}
+		})
+		return
+	}
+	then(true, false)
+}
+
+// accepted tells whether all of some jobs were accepted, by any node: what this one does
+// not know is read.
+func (n *Node) accepted(ids []string, then func(ok, all bool)) {
+	for i, id := range ids {
+		if _, over := n.finals.byID[id]; over || (n.lead != nil && n.lead.jobs[id] != nil) {
+			continue
+		}
+		n.readJob(id, func(ok bool, open *storage.Item, final *storage.FinalRecord) {
+			if ok && (open != nil || final != nil) {
+				n.accepted(ids[i+1:], then)
+				return
+			}
+			then(ok, false)
+		})
+		return
+	}
+	then(true, true)
+}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -14,6 +14,7 @@
 // The checks of admission, in their order, by the names under which a waiting
 // job shows them.
 const (
+	waitNeeds   = "jobs that it needs"
 	waitBackoff = "backing off"
 	waitUnknown = "a machine is not accounted for"
 	waitSlots   = "scheduler slots"
@@ -158,22 +159,22 @@
 	now := l.n.now
 	var all []*ranked
 	guaranteed, pull := l.guaranteed(), l.pull()
-	for _, j := range l.jobs {
+	for _, j := range l.runnable {
 		if j.gone {
 			continue
 		}
-		r := &ranked{j: j, rank: min(j.spec.Rank(), rankInTime), due: l.due(j), work: l.workLeft(j, pull)}
+		r := &ranked{j: j, rank: min(j.rank(), rankInTime), due: l.due(j), work: l.workLeft(j, pull)}
 		r.at = r.due - l.expected(j)
 		if r.rank == rankInTime && j.pending > 0 && r.at < now {
 			r.rank = rankLate
 		}
-		switch age := now - j.at; {
+		switch age := now - j.from; {
 		case age > beginsAfter && !j.begun():
-			r.rank, r.at = rankOverdue, j.at
+			r.rank, r.at = rankOverdue, j.from
 		case age > mustBegin && r.rank > rankPressing:
-			r.rank, r.at = rankPressing, j.at
+			r.rank, r.at = rankPressing, j.from
 		}
-		if start := j.at + l.startWithin; l.startWithin > 0 && start > now && guaranteed[j] {
+		if start := j.from + l.startWithin; l.startWithin > 0 && start > now && guaranteed[j] {
 			// Guaranteed work has an aim on starting, too.
 			r.at = min(r.at, start)
 		}
@@ -195,16 +196,16 @@
 	return list
 }
 
-// byAge lists the open jobs in the order in which they were accepted.
+// byAge lists the open jobs that need no others in the order in which their times began.
 func (l *leadership) byAge() []*job {
-	jobs := make([]*job, 0, len(l.jobs))
-	for _, j := range l.jobs {
+	jobs := make([]*job, 0, len(l.runnable))
+	for _, j := range l.runnable {
 		if !j.gone {
 			jobs = append(jobs, j)
 		}
 	}
 	slices.SortFunc(jobs, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.spec.UID, b.spec.UID))
+		return cmp.Or(cmp.Compare(a.from, b.from), cmp.Compare(a.spec.UID, b.spec.UID))
 	})
 	return jobs
 }
@@ -256,7 +257,7 @@
 	sum := 0.0
 	var kept []*ranked
 	for _, r := range all {
-		if r.rank != rankInTime && !pressing(&r.j.spec) {
+		if r.rank != rankInTime && r.j.rank() > rankPressing {
 			continue
 		}
 		sum += r.work
@@ -514,7 +515,7 @@
 // machine that has room; but only for a part of that aim.
 func (l *leadership) quickFetch(j *job) float64 {
 	within := l.startAim(j)
-	if within == 0 || !l.soon(within) || l.n.now > j.at+within*imageWait/100 {
+	if within == 0 || !l.soon(within) || l.n.now > j.from+within*imageWait/100 {
 		return math.Inf(1)
 	}
 	if j.imageSeen != l.scheduled {
@@ -530,7 +531,7 @@
 		}
 	}
 	if j.imageHeld {
-		return (j.at + within - l.n.now).Seconds()
+		return (j.from + within - l.n.now).Seconds()
 	}
 	return math.Inf(1)
 }
@@ -655,8 +656,12 @@
 func (l *leadership) status() *leadStatus {
 	s := &leadStatus{Loaded: l.loaded, Accounted: l.accountedAll(), Writes: l.writer.Pending(), Target: l.fleet.target}
 	for _, j := range l.jobs {
+		waits := j.waits
+		if j.awaits > 0 {
+			waits = waitNeeds
+		}
 		s.Jobs = append(s.Jobs, jobStatus{ID: j.spec.UID, Class: j.spec.Class, Team: j.spec.Team, Done: j.done,
-			Active: len(j.runs), Pending: j.pending, Waits: j.waits, AgeS: (l.n.now - j.at).Round(time.Millisecond).Seconds()})
+			Active: len(j.runs), Pending: j.pending, Waits: waits, AgeS: (l.n.now - j.at).Round(time.Millisecond).Seconds()})
 	}
 	slices.SortFunc(s.Jobs, func(a, b jobStatus) int { return cmp.Compare(a.ID, b.ID) })
 	for _, m := range l.held() {
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -273,7 +273,7 @@
 	last.Class = "patient"
 	w.submit(l.name, last)
 	j := l.lead.jobs["j-60"]
-	if got, want := l.lead.due(j)-j.at, 200*time.Second+l.lead.expected(j); got != want {
+	if got, want := l.lead.due(j)-j.from, 200*time.Second+l.lead.expected(j); got != want {
 		t.Errorf("due after %v, not %v", got, want)
 	}
 	before := l.lead.fleet.coming(200)
@@ -332,11 +332,11 @@
 	if !fits(has) {
 		t.Error("it does not start where its image is")
 	}
-	j.at -= 4 * time.Second
+	j.from -= 4 * time.Second
 	if !fits(other) {
 		t.Error("it waits for longer than its aim leaves")
 	}
-	j.at += 4 * time.Second
+	j.from += 4 * time.Second
 	has.images, j.imageSeen = nil, never // as in the next pass
 	if !fits(other) {
 		t.Error("it waits for an image that no machine has")
@@ -379,7 +379,7 @@
 	s := spec("j-1", 100)
 	s.EstimateS = 50
 	j := x.addJob(storage.JobRecord{Spec: s, AtMS: x.n.wallMS()}, 1)
-	j.at -= 150 * time.Second // the plan's reserve is used up, 50 s are left to start in
+	j.from -= 150 * time.Second // the plan's reserve is used up, 50 s are left to start in
 	unbegun := x.fleet.demand(1000)
 	j.firstStart = x.n.now
 	left := 100.0 // seconds until its last task should have ended
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -275,7 +276,7 @@
 // the status of a job that it does not know. The authority of the leadership
 // that asks must still hold then.
 func (n *Node) answerKnown(r Request, lead *leadership, otherwise int) {
-	n.readJob(r.ID, func(ok bool, open *storage.Item, final *storage.FinalRecord) {
+	n.readTruth(r.ID, func(ok bool, open *storage.Item, final *storage.FinalRecord) {
 		switch {
 		case !ok || (open == nil && final == nil && otherwise == 503):
 			n.unavailable(r.Origin)
@@ -337,23 +338,36 @@
 	}
 	rec := storage.JobRecord{Spec: *r.Job, AtMS: n.wallMS()}
 	write := storage.Set(storage.JobKey(rec.Spec.UID), rec)
-	if len(write.Value) > int(n.cfg.Cluster.State.ValueKB*1024) {
-		// No record holds it, however often it is sent.
-		n.reply(r.Origin, 400, 0, []byte(`{"error":"the job is too large to be stored"}`))
+	// A job that was accepted once stays accepted, even if the catalogue has shrunk
+	// since, or the limits, or if this node knows less than the one that took it: only
+	// an unknown one is refused.
+	switch {
+	case len(write.Value) > n.cfg.Cluster.State.ValueBytes():
+		n.answerKnown(r, lead, 400) // no record holds it, however often it is sent
 		return
-	}
-	if !n.canRun(r.Job) {
-		// A job that was accepted once stays accepted, even if the catalogue
-		// has shrunk since; only an unknown one is refused, and not by types that
-		// may have changed since they were stored.
-		refusal := 422
-		if !n.catalogSure {
-			refusal = 503
-		}
-		n.answerKnown(r, lead, refusal)
+	case !n.canRun(r.Job) && !n.catalogSure:
+		n.answerKnown(r, lead, 503) // the types may have changed since they were stored
+		return
+	case !n.canRun(r.Job) || slices.Contains(r.Job.Needs, r.Job.UID):
+		n.answerKnown(r, lead, 422)
+		return
+	case len(r.Job.Needs) > 0 && !n.versions.all:
+		// A node of the version before would start it at once. Nothing says that all are
+		// new until each has written so.
+		n.answerKnown(r, lead, 503)
 		return
 	}
-	n.queueSubmission(submission{r: r, rec: rec, write: write, lead: lead, until: n.now + n.lease()/10})
+	s := submission{r: r, rec: rec, write: write, lead: lead, until: n.now + n.lease()/10}
+	n.accepted(r.Job.Needs, func(ok, all bool) {
+		switch {
+		case !ok:
+			n.answerKnown(r, lead, 503)
+		case !all:
+			n.answerKnown(r, lead, 422)
+		default:
+			n.queueSubmission(s)
+		}
+	})
 }
 
 // queueSubmission lets a submission wait for its turn: users come in bursts, and
@@ -400,6 +414,10 @@
 			n.reply(s.r.Origin, 201, 0, protocol.JobState{UID: id, State: protocol.Queued})
 		case res.Status == 409:
 			n.answerKnown(s.r, s.lead, 503)
+		case res.Status == 400:
+			// Too large for what the limits have become; but an earlier copy may have been
+			// taken.
+			n.answerKnown(s.r, s.lead, 400)
 		case (res.Status == 0 || res.Status == 429) && s.tries < submitTries:
 			// Too many changes at once, or an answer lost. Its condition lets only
 			// one copy through, so it may be sent again.
@@ -423,7 +441,14 @@
 		n.reply(r.Origin, 503, 0, nil)
 		return
 	}
-	n.reply(r.Origin, 200, 0, []byte(`{"ok":true}`))
+	n.reply(r.Origin, 200, 0, health{OK: true, Build: n.build, Level: level})
+}
+
+// health is the body of a healthy node's answer.
+type health struct {
+	OK    bool   `json:"ok"`
+	Build string `json:"version"`
+	Level int    `json:"level"`
 }
 
 // relay remembers that a worker was sent to the leader and came back.
@@ -489,12 +514,28 @@
 	Term      uint64      `json:"term,omitempty"`
 	StateDown bool        `json:"stateDown"`
 	UptimeS   float64     `json:"uptimeS"`
+	Build     string      `json:"version"`
+	Level     int         `json:"level"`
+	AllNew    bool        `json:"levelOfAll"`
+	Peers     []peerState `json:"peers"`
 	Leading   *leadStatus `json:"leading,omitempty"`
 }
 
+// peerState is what this node has heard of another controller. Level 0 says nothing of
+// its version.
+type peerState struct {
+	Node  string `json:"node"`
+	Heard bool   `json:"heard"`
+	Level int    `json:"level"`
+}
+
 func (n *Node) onStatus(r Request) {
 	s := status{Node: n.cfg.Node, Leads: n.authority(), StateDown: n.elect.stateDown(),
-		UptimeS: n.now.Round(time.Millisecond).Seconds()}
+		UptimeS: n.now.Round(time.Millisecond).Seconds(), Build: n.build, Level: level, AllNew: n.versions.all}
+	for _, k := range n.cfg.Known {
+		p := n.peers[k.Node]
+		s.Peers = append(s.Peers, peerState{Node: p.name, Heard: n.now-p.heard < n.termSpan(), Level: p.level})
+	}
 	if p := n.leaderPeer(); p != nil {
 		s.Leader, s.Term = p.name, p.term
 	}
@@ -518,11 +559,14 @@
 		return 0
 	}
 	gauge("leading", "1 on the node that leads.", flag(n.authority()))
+	gauge("level", "The level of records and messages that this node's version understands.", level)
+	gauge("level_all", "1 once every node is known to have this level.", flag(n.versions.all))
+	gauge("state_slowed", "1 while changes are paced by the lower rate that the settings announce.", flag(n.slowed))
 	gauge("state_down", "1 while the state service can't be reached.", flag(n.elect.stateDown()))
 	if n.authority() {
 		l := n.lead
 		running, pending, up, held := 0, 0, 0, 0.0
-		for _, j := range l.jobs {
+		for _, j := range l.runnable {
 			running += len(j.runs)
 			pending += j.pending
 		}
@@ -536,6 +580,7 @@
 		}
 		gauge("term", "The leader's term.", float64(l.term))
 		gauge("jobs_open", "Jobs that are not over.", float64(len(l.jobs)))
+		gauge("jobs_waiting", "Those of them that wait for others to be done.", float64(len(l.jobs)-len(l.runnable)))
 		gauge("tasks_active", "Tasks on machines.", float64(running))
 		gauge("tasks_pending", "Tasks that wait.", float64(pending))
 		gauge("machines", "Machines held.", float64(len(l.machines)))
--- /dev/null
+++ b/internal/coordination/versions.go
@@ -0,0 +1,97 @@
+package coordination
+
+import (
+	"strings"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/storage"
+)
+
+// level is that of the records and messages which this version understands. Level 0,
+// which says nothing of itself, knows no jobs that need others, and names the parts of a
+// bitmap by their numbers.
+const level = 1
+
+// versions is what a node knows of the versions of all of them. Each node writes its
+// own, once. What level 0 can't bear is written only when every configured node has
+// written a higher one: a node that has begun anew with this version never goes back,
+// so what was read once goes on to hold, whatever late messages and late writes of
+// earlier processes still arrive.
+type versions struct {
+	all  bool // every node is known to be of this level at least
+	busy bool
+	at   Instant // when they were last read
+}
+
+// tickVersions reads the versions until all are known to be new.
+func (n *Node) tickVersions() {
+	v := &n.versions
+	if v.all || v.busy || n.now < v.at+n.lease()/termsPerLease || n.elect.stateDown() || n.elect.stateOK == never {
+		return
+	}
+	n.readVersions()
+}
+
+func (n *Node) readVersions() {
+	v := &n.versions
+	v.busy, v.at = true, n.now
+	n.stateCall("GET", storage.ListPath(storage.VersionPrefix, "", pageItems), nil, func(r Result) {
+		v.busy = false
+		var page storage.Page
+		if r.Status != 200 || json.Unmarshal(r.Body, &page) != nil {
+			return
+		}
+		n.takeVersions(page.Items)
+	})
+}
+
+// takeVersions learns from the records of the nodes' versions.
+func (n *Node) takeVersions(items []storage.Item) {
+	known := map[string]int{}
+	own := uint64(0)
+	for _, it := range items {
+		var rec storage.VersionRecord
+		name := strings.TrimPrefix(it.Key, storage.VersionPrefix)
+		if json.Unmarshal(it.Value, &rec) == nil {
+			known[name] = rec.Level
+		}
+		if name == n.cfg.Node {
+			own = it.Version
+		}
+	}
+	if known[n.cfg.Node] < level {
+		if !n.versions.busy {
+			n.writeVersion(own)
+		}
+		return
+	}
+	for _, k := range n.cfg.Known {
+		if known[k.Node] < level {
+			return
+		}
+	}
+	if n.versions.all {
+		return
+	}
+	n.versions.all = true
+	n.log.Info("all nodes are of this version or later", "level", level)
+	if n.lead != nil {
+		n.lead.levelRaised()
+	}
+}
+
+// writeVersion writes this node's version, unless a later process has.
+func (n *Node) writeVersion(over uint64) {
+	key := storage.VersionPrefix + n.cfg.Node
+	n.versions.busy = true
+	n.stateCall("POST", "/multi", storage.Txn{
+		If:     []storage.Cond{{Key: key, Version: over}},
+		Writes: []storage.Write{storage.Set(key, storage.VersionRecord{Level: level, Build: n.build})},
+	}, func(r Result) {
+		n.versions.busy = false
+		if r.Status == 200 {
+			n.versions.at = never
+		}
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,7 +36,7 @@
 }
 
 // Run runs a controller until it fails.
-func Run(p *config.Platform, set config.Settings, log *slog.Logger) error {
+func Run(p *config.Platform, set config.Settings, build string, log *slog.Logger) error {
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(p.Cluster.Resources.MemMB * set.MemoryRatio * (1 << 20)))
 
@@ -48,7 +48,7 @@
 		tickets: map[uint64]chan coordination.Reply{},
 	}
 	d.node = coordination.New(coordination.Options{
-		Platform: p, Settings: set, Log: log, Wall: d.start,
+		Platform: p, Settings: set, Build: build, Log: log, Wall: d.start,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	conns := shareSockets(&p.Cluster)
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"regexp"
+	"slices"
 
 	"github.com/segmentio/encoding/json"
 )
@@ -69,6 +70,9 @@
 	CheckpointS  float64  `json:"marcoS"`
 	SaveS        float64  `json:"guardaS"`
 	DeadlineS    *float64 `json:"prazoS"`
+	// Needs are the jobs that have to be done before any task of this one starts,
+	// each named once.
+	Needs []string `json:"aguarda,omitempty"`
 }
 
 var jobID = regexp.MustCompile(`^j-[0-9A-Za-z][0-9A-Za-z._-]{0,99}$`)
@@ -124,7 +128,15 @@
 		return nil, errors.New("an amount is negative")
 	case j.DeadlineS != nil && !(*j.DeadlineS >= 0):
 		return nil, errors.New("prazoS: negative")
+	case slices.ContainsFunc(j.Needs, func(id string) bool { return !ValidJobID(id) }):
+		return nil, errors.New("aguarda: not a list of job ids")
 	}
+	named := make(map[string]bool, len(j.Needs))
+	j.Needs = slices.DeleteFunc(j.Needs, func(id string) bool {
+		again := named[id]
+		named[id] = true
+		return again
+	})
 	return &j, nil
 }
 
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -27,6 +27,7 @@
 	ClearPrefix   = "clear/"
 	FlowKey       = "flow"
 	CatalogKey    = "catalog"
+	VersionPrefix = "version/"
 )
 
 // JobKey is the key of an open job.
@@ -38,17 +39,34 @@
 // GroupKey is the key of one group of machines.
 func GroupKey(i int) string { return fmt.Sprintf("%s%03d", GroupPrefix, i) }
 
-// BitsKey is the key of one part of a job's bitmap of finished tasks.
+// GroupNumber is the reverse of GroupKey.
+func GroupNumber(key string) int {
+	i, _ := strconv.Atoi(strings.TrimPrefix(key, GroupPrefix))
+	return i
+}
+
+// BitsKey is the key of one part of a job's bitmap of finished tasks, by its number:
+// of the first and only part, or as level 0 names the parts.
 func BitsKey(id string, part int) string { return fmt.Sprintf("%s%s/%03d", BitsPrefix, id, part) }
 
-// ParseBitsKey is the reverse of BitsKey.
-func ParseBitsKey(key string) (id string, part int, ok bool) {
-	id, num, found := strings.Cut(strings.TrimPrefix(key, BitsPrefix), "/")
-	if !found {
-		return "", 0, false
+// fromMark begins the names of parts that say with which task they begin.
+const fromMark = "from-"
+
+// BitsFromKey is the key of the part that begins with a task. The number of a part
+// means another task whenever the size of the parts has changed.
+func BitsFromKey(id string, from int) string {
+	return fmt.Sprintf("%s%s/%s%06d", BitsPrefix, id, fromMark, from)
+}
+
+// ParseBitsKey is the reverse of both, where a numbered part has so many tasks.
+func ParseBitsKey(key string, partTasks int) (id string, from int, ok bool) {
+	id, name, _ := strings.Cut(strings.TrimPrefix(key, BitsPrefix), "/")
+	num, byTask := strings.CutPrefix(name, fromMark)
+	from, err := strconv.Atoi(num)
+	if !byTask {
+		from *= partTasks
 	}
-	part, err := strconv.Atoi(num)
-	return id, part, err == nil
+	return id, from, err == nil && from >= 0
 }
 
 // Term is the value of the term key: the last term, and who raised it.
@@ -76,11 +94,20 @@
 	AtMS int64        `json:"at"`
 }
 
-// FinalRecord is what remains of a job that is over.
+// FinalRecord is what remains of a job that is over. AtMS is the time of day of its
+// end, from which the times of those that need it count; level 0 does not write it.
 type FinalRecord struct {
 	State string `json:"state"`
 	Tasks int    `json:"tasks"`
 	Done  int    `json:"done"`
+	AtMS  int64  `json:"at,omitempty"`
+}
+
+// VersionRecord is what a node says of its version: the level of records and messages
+// that it understands.
+type VersionRecord struct {
+	Level int    `json:"level"`
+	Build string `json:"build,omitempty"`
 }
 
 // MachineRecord is a machine that the controllers hold. Used is set before the
@@ -97,12 +124,14 @@
 // machines share one write.
 type GroupRecord map[string]MachineRecord
 
-// GroupMachines is how many machines one group names, so that its record stays
-// well inside the value limit.
-func GroupMachines(valueKB float64) int { return max(1, int(valueKB*1024/2/recordBytes)) }
+// EntryBytes is what a machine takes in its group's record.
+func EntryBytes(name string, r MachineRecord) int {
+	r.Used = false // the longer word: it must not outgrow its group when it is used
+	return len(Encode(name)) + len(Encode(r)) + 2
+}
 
-// recordBytes is what one machine takes in a group's record, with long names.
-const recordBytes = 160
+// GroupBytes is how large a group's record may grow, well inside the value limit.
+func GroupBytes(valueBytes int) int { return valueBytes * 7 / 8 }
 
 // FlowRecord is what a leader has learnt of the work that arrives, over a time, by
 // class of jobs.
@@ -136,13 +165,7 @@
 
 // PartTasks is how many tasks one part of a bitmap covers, so that its record
 // stays well inside the value limit.
-func PartTasks(valueKB float64) int {
-	bytes := int(valueKB * 1024 / 2)
-	if bytes < 1 {
-		bytes = 1
-	}
-	return bytes * 8
-}
+func PartTasks(valueBytes int) int { return max(valueBytes/2, 1) * 8 }
 
 // Item is one key with its value.
 type Item struct {
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 
 	"github.com/segmentio/encoding/json"
 )
@@ -13,8 +14,26 @@
 	Build func() []Write
 	Taken func() // the last built writes are under way: later changes need another unit
 	Done  func()
+	// Refused is called instead of Done where the state service refused the built
+	// writes for good: alone tells that they were refused by themselves, so that only
+	// smaller ones have a chance. Without it, the unit is built again, or given up.
+	Refused func(alone bool)
+
+	priority Priority
 }
 
+// Priority orders what waits to be written, where there is more than may be written.
+type Priority int
+
+// Priorities, the most important first.
+const (
+	Cancels  Priority = iota // users wait for their answers
+	Releases                 // ends for which other jobs wait
+	Soon
+	Lazy
+	priorities
+)
+
 // Writer queues the leader's changes and forms transactions of them, one in
 // flight at a time. Every transaction is conditioned on the leader key's
 // version and on the version of each key that it touches, so that one that is
@@ -24,8 +43,8 @@
 	LeaderVer uint64
 
 	versions map[string]uint64
-	urgent   []Unit
-	lazy     []Unit
+	queues   [priorities][]Unit
+	maxBytes int
 
 	flight  []Unit
 	writes  []Write
@@ -37,7 +56,7 @@
 
 // NewWriter makes a writer of a leader whose key has the given version.
 func NewWriter(maxOps int, leaderVer uint64) *Writer {
-	return &Writer{MaxOps: maxOps, LeaderVer: leaderVer, versions: map[string]uint64{}}
+	return &Writer{MaxOps: maxOps, LeaderVer: leaderVer, versions: map[string]uint64{}, maxBytes: maxTxnBytes}
 }
 
 // Know records the version of a key that was read.
@@ -47,13 +66,19 @@
 func (w *Writer) Version(key string) uint64 { return w.versions[key] }
 
 // Add queues a change.
-func (w *Writer) Add(u Unit) { w.urgent = append(w.urgent, u) }
-
-// AddLazy queues a change that gives way to others.
-func (w *Writer) AddLazy(u Unit) { w.lazy = append(w.lazy, u) }
+func (w *Writer) Add(p Priority, u Unit) {
+	u.priority = p
+	w.queues[p] = append(w.queues[p], u)
+}
 
 // Pending counts the changes that are not yet written.
-func (w *Writer) Pending() int { return len(w.urgent) + len(w.lazy) + len(w.flight) }
+func (w *Writer) Pending() int {
+	all := len(w.flight)
+	for _, q := range w.queues {
+		all += len(q)
+	}
+	return all
+}
 
 // InFlight tells whether a transaction is under way.
 func (w *Writer) InFlight() bool { return w.flight != nil }
@@ -90,7 +115,7 @@
 				fits = fits && !touched[wr.Key()]
 				grown += len(wr.Value) + 2*len(wr.Key()) + 64
 			}
-			if !fits || (grown > maxTxnBytes && len(w.writes) > 0) {
+			if !fits || (grown > w.maxBytes && len(w.writes) > 0) {
 				break
 			}
 			size = grown
@@ -106,9 +131,10 @@
 		}
 		return queue
 	}
-	w.urgent = take(w.urgent)
-	if len(w.urgent) == 0 {
-		w.lazy = take(w.lazy)
+	for p := range w.queues {
+		if w.queues[p] = take(w.queues[p]); len(w.queues[p]) > 0 {
+			break
+		}
 	}
 	if len(w.writes) == 0 {
 		return nil
@@ -158,6 +184,37 @@
 	return item != nil && item.Version > w.versions[wr.Set] && equalJSON(item.Value, wr.Value)
 }
 
+// Refused ends the transaction under way as one that the state service refuses for
+// good, and that no earlier copy has carried out. It is never sent again as it was:
+// what shared it is built anew for smaller transactions. It returns the keys of what
+// was given up.
+func (w *Writer) Refused() []string {
+	flight, writes := w.flight, w.writes
+	alone := len(flight) == 1
+	w.flight, w.writes, w.unclear = nil, nil, false
+	if !alone {
+		size := 0
+		for _, wr := range writes {
+			size += len(wr.Value)
+		}
+		w.MaxOps, w.maxBytes = max(2, len(writes)/2), max(1, min(w.maxBytes, size)/2)
+	}
+	var lost []string
+	for i := len(flight) - 1; i >= 0; i-- {
+		switch u := flight[i]; {
+		case u.Refused != nil:
+			u.Refused(alone)
+		case alone:
+			for _, wr := range writes {
+				lost = append(lost, wr.Key())
+			}
+		default:
+			w.queues[u.priority] = slices.Insert(w.queues[u.priority], 0, u)
+		}
+	}
+	return lost
+}
+
 func equalJSON(a, b []byte) bool {
 	var x, y any
 	if json.Unmarshal(a, &x) != nil || json.Unmarshal(b, &y) != nil {
--- a/internal/storage/writer_test.go
+++ b/internal/storage/writer_test.go
@@ -13,7 +13,7 @@
 	w.Know("a", 5)
 	done := 0
 	for _, k := range []string{"a", "b", "c", "d", "e"} {
-		w.Add(unit(&done, Set(k, 1)))
+		w.Add(Soon, unit(&done, Set(k, 1)))
 	}
 	txn := w.Next(100)
 	if len(txn.Writes) != 4 || len(txn.If) != 5 {
@@ -39,8 +39,8 @@
 func TestWriterKeepsChangesOfAKeyApart(t *testing.T) {
 	w := NewWriter(10, 1)
 	done := 0
-	w.Add(unit(&done, Set("a", 1)))
-	w.Add(unit(&done, Drop("a")))
+	w.Add(Soon, unit(&done, Set("a", 1)))
+	w.Add(Soon, unit(&done, Drop("a")))
 	if txn := w.Next(100); len(txn.Writes) != 1 {
 		t.Fatalf("%d writes", len(txn.Writes))
 	}
@@ -58,8 +58,8 @@
 func TestWriterBudgetAndOrder(t *testing.T) {
 	w := NewWriter(10, 1)
 	done := 0
-	w.AddLazy(unit(&done, Set("lazy", 1)))
-	w.Add(unit(&done, Set("x", 1), Set("y", 1)))
+	w.Add(Lazy, unit(&done, Set("lazy", 1)))
+	w.Add(Soon, unit(&done, Set("x", 1), Set("y", 1)))
 	if w.Next(1) != nil {
 		t.Fatal("half a unit")
 	}
@@ -73,7 +73,7 @@
 	w := NewWriter(10, 1)
 	w.Know("a", 3)
 	done := 0
-	w.Add(unit(&done, Drop("z"), Set("a", FinalRecord{State: "done", Tasks: 2})))
+	w.Add(Soon, unit(&done, Drop("z"), Set("a", FinalRecord{State: "done", Tasks: 2})))
 	w.Next(10)
 	if w.Probe() != "a" {
 		t.Fatalf("probe %q", w.Probe())
@@ -91,10 +91,10 @@
 
 // The bitmap of the largest job is split to fit the value limit.
 func TestBitsFitTheValue(t *testing.T) {
-	for _, kb := range []float64{0.5, 8, 32} {
-		raw := make([]byte, PartTasks(kb)/8)
-		if size := len(Encode(EncodeBits(raw))); size > int(kb*1024) {
-			t.Fatalf("%v KB: a part takes %d bytes", kb, size)
+	for _, limit := range []int{512, 8 << 10, 32 << 10} {
+		raw := make([]byte, PartTasks(limit)/8)
+		if size := len(Encode(EncodeBits(raw))); size > limit {
+			t.Fatalf("%d bytes: a part takes %d", limit, size)
 		}
 	}
 	raw := []byte{1, 0, 255}
@@ -102,7 +102,9 @@
 	if err != nil || string(back) != string(raw) {
 		t.Fatalf("%v, %v", back, err)
 	}
-	if id, part, ok := ParseBitsKey(BitsKey("j-1", 12)); id != "j-1" || part != 12 || !ok {
-		t.Fatalf("%q %d %v", id, part, ok)
+	for _, key := range []string{BitsKey("j-1", 12), BitsFromKey("j-1", 1200)} {
+		if id, from, ok := ParseBitsKey(key, 100); id != "j-1" || from != 1200 || !ok {
+			t.Fatalf("%s: %q %d %v", key, id, from, ok)
+		}
 	}
 }
