--- /dev/null
+++ b/internal/coordination/pipelines_test.go
@@ -0,0 +1,328 @@
+package coordination
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+// after is a job of so many tasks that needs others.
+func after(id string, tasks int, needs ...string) protocol.Job {
+	j := spec(id, tasks)
+	j.Needs = needs
+	return j
+}
+
+// pipelines is a world of nodes that are all known to be new, with a leader.
+func pipelines(t *testing.T, nodes int) (*world, *simNode) {
+	t.Helper()
+	w := newWorld(t, nodes)
+	l := w.waitLeader()
+	w.allNew()
+	w.machines(2)
+	return w, l
+}
+
+func (w *world) accept(node string, j protocol.Job) {
+	w.t.Helper()
+	if r := w.submit(node, j); r.Status != 201 {
+		w.t.Fatalf("%s: submission answered %d", j.UID, r.Status)
+	}
+}
+
+// Each job of a pipeline starts only when all that it needs are done, whichever node
+// took it; its times begin then. (The world checks each start against the records.)
+func TestPipelineRunsInOrder(t *testing.T) {
+	w, l := pipelines(t, 3)
+	other := w.followers()[0]
+	w.accept(other, spec("j-a", 3))
+	w.accept(l.name, after("j-b", 2, "j-a"))
+	w.accept(other, after("j-c", 1, "j-a", "j-b"))
+	if _, s := w.query(other, "j-c"); s.State != protocol.Queued {
+		t.Errorf("a job that waits is called %q", s.State)
+	}
+	if l.lead.runnable["j-b"] != nil || len(l.lead.waitingJobs()) > 1 {
+		t.Error("a job that waits for another takes part in the passes")
+	}
+	w.waitState("j-c", protocol.Done, time.Minute)
+	if n := len(l.lead.after) + len(l.lead.lookups) + len(l.lead.runnable); n != 0 {
+		t.Errorf("%d entries are left of jobs that are over", n)
+	}
+	// One that is submitted when all is over begins at once, and one that repeats a
+	// submission is told how the job is.
+	w.accept(other, after("j-d", 1, "j-a", "j-c"))
+	w.waitState("j-d", protocol.Done, 20*time.Second)
+	if r := w.submit(other, after("j-d", 1, "j-a", "j-c")); r.Status != 200 || !strings.Contains(string(r.Body), "done") {
+		t.Errorf("a repeat is answered %d %s", r.Status, r.Body)
+	}
+}
+
+// What the leader alone has seen is not enough: the next leader may not know it.
+func TestStartWaitsForTheDurableEnd(t *testing.T) {
+	w, l := pipelines(t, 3)
+	w.accept(l.name, spec("j-a", 1))
+	w.accept(l.name, after("j-b", 1, "j-a"))
+	w.until(20*time.Second, func() bool { return w.onMachines("j-a") == 1 })
+	w.state.setDown(true)
+	w.run(12 * time.Second) // it ends meanwhile
+	if w.starts["j-b/0"] != 0 {
+		t.Fatal("started before the end of j-a was durable")
+	}
+	w.state.setDown(false)
+	w.waitState("j-b", protocol.Done, time.Minute)
+}
+
+// A job whose answer was lost ended all the same: what needs it goes on, once.
+func TestUnclearEndReleases(t *testing.T) {
+	w, l := pipelines(t, 3)
+	w.accept(l.name, spec("j-a", 1))
+	w.accept(l.name, after("j-b", 1, "j-a"))
+	w.until(20*time.Second, func() bool { return w.onMachines("j-a") == 1 })
+	w.state.hold = func(_ string, txn storage.Txn) bool {
+		if !slices.ContainsFunc(txn.Writes, func(wr storage.Write) bool { return wr.Set == storage.FinalKey("j-a") }) {
+			return false
+		}
+		w.state.hold = nil
+		w.after(3*time.Second, func() {
+			for _, f := range w.state.held {
+				f()
+			}
+		})
+		return true
+	}
+	w.waitState("j-b", protocol.Done, time.Minute)
+	w.startedOnce()
+}
+
+// A job that can't be run, or whose needs were never accepted, is refused; but an
+// accepted one never, whatever has become of what it names.
+func TestNeedsThatWereNeverAccepted(t *testing.T) {
+	w, l := pipelines(t, 3)
+	other := w.followers()[0]
+	for _, node := range []string{l.name, other} {
+		if r := w.submit(node, after("j-x", 1, "j-nobodys")); r.Status != 422 {
+			t.Errorf("%s: never accepted: %d", node, r.Status)
+		}
+		if r := w.submit(node, after("j-x", 1, "j-x")); r.Status != 422 {
+			t.Errorf("%s: itself: %d", node, r.Status)
+		}
+	}
+	w.accept(l.name, spec("j-a", 1))
+	w.accept(other, after("j-b", 1, "j-a"))
+	w.cancel(l.name, "j-a")
+	for _, node := range w.names {
+		if r := w.submit(node, after("j-b", 1, "j-a")); r.Status != 200 || !strings.Contains(string(r.Body), protocol.Withdrawn) {
+			t.Errorf("%s: a repeat is answered %d %s", node, r.Status, r.Body)
+		}
+	}
+	w.state.setDown(true)
+	w.run(2 * time.Second)
+	for _, node := range w.names {
+		if r := w.submit(node, after("j-y", 1, "j-nobodys")); r.Status != 503 || r.RetryAfter == 0 {
+			t.Errorf("%s: nothing can be read: %d, Retry-After %d", node, r.Status, r.RetryAfter)
+		}
+	}
+}
+
+// Cancelling a job reaches all that need it, also one that is submitted later, and only
+// those.
+func TestCancelReachesAllAfter(t *testing.T) {
+	w, l := pipelines(t, 3)
+	other := w.followers()[0]
+	w.runTime = func(string, int) time.Duration { return 20 * time.Second }
+	w.accept(l.name, spec("j-a", 1))
+	w.accept(l.name, spec("j-k", 1))
+	w.accept(other, after("j-b", 1, "j-a"))
+	w.accept(other, after("j-c", 1, "j-k", "j-b"))
+	w.accept(other, after("j-d", 1, "j-k"))
+	if r := w.cancel(other, "j-b"); !strings.Contains(string(r.Body), protocol.Withdrawn) {
+		t.Fatalf("%d %s", r.Status, r.Body)
+	}
+	w.accept(other, after("j-e", 1, "j-c"))
+	for _, id := range []string{"j-b", "j-c", "j-e"} {
+		w.waitState(id, protocol.Withdrawn, 2*time.Second)
+	}
+	for _, id := range []string{"j-a", "j-k", "j-d"} {
+		w.waitState(id, protocol.Done, time.Minute)
+	}
+}
+
+// The cancellation of a job is the only record of the fate of all that need it. They are
+// called cancelled by every node from then on, though their own ends can't be written,
+// and the next leader goes on from the records alone.
+func TestCancelAtTheHeadOfALongPipeline(t *testing.T) {
+	for _, trouble := range []string{"none", "takeover", "outage"} {
+		t.Run(trouble, func(t *testing.T) {
+			w, l := pipelines(t, 3)
+			w.runTime = func(string, int) time.Duration { return time.Hour }
+			const length = 150
+			w.accept(l.name, spec("j-0", 1))
+			for i := 1; i < length; i++ {
+				w.accept(l.name, after(fmt.Sprintf("j-%d", i), 1, fmt.Sprintf("j-%d", i-1)))
+			}
+			last := fmt.Sprintf("j-%d", length-1)
+			if r := w.cancel(l.name, "j-0"); !strings.Contains(string(r.Body), protocol.Withdrawn) {
+				t.Fatalf("%d %s", r.Status, r.Body)
+			}
+			if _, s := w.query(l.name, last); s.State != protocol.Withdrawn {
+				t.Errorf("the last job is %q after the answer", s.State)
+			}
+			told := w.now
+			switch trouble {
+			case "takeover":
+				w.crash(l.name)
+				w.waitLeader()
+			case "outage":
+				w.state.setDown(true)
+				w.after(25*time.Second, func() { w.state.setDown(false) })
+			}
+			for w.now < told+34*time.Second {
+				for _, node := range w.names {
+					if w.nodes[node].down {
+						continue
+					}
+					if code, s := w.query(node, last); code == 404 || code == 200 && s.State != protocol.Withdrawn {
+						t.Fatalf("went_back: at %v %s says %d %q of the last job", w.now-told, node, code, s.State)
+					}
+				}
+				w.run(500 * time.Millisecond)
+			}
+			for i := range length {
+				w.waitState(fmt.Sprintf("j-%d", i), protocol.Withdrawn, 30*time.Second)
+			}
+		})
+	}
+}
+
+// A submission that one node writes while the leader cancels what it names is accepted,
+// and cancelled as well, on either side of that write and in the next term.
+func TestSubmissionAgainstCancellation(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		w, l := pipelines(t, 3)
+		other := w.followers()[0]
+		w.runTime = func(string, int) time.Duration { return time.Minute }
+		w.accept(l.name, spec("j-a", 1))
+		w.state.hold = func(_ string, txn storage.Txn) bool {
+			return slices.ContainsFunc(txn.Writes, func(wr storage.Write) bool { return wr.Set == storage.JobKey("j-b") })
+		}
+		j := after("j-b", 1, "j-a")
+		w.specs["j-b"] = j
+		accepted := 0
+		w.ask(other, Request{Kind: ReqSubmit, ID: "j-b", Job: &j}, func(r Reply) { accepted = r.Status })
+		w.run(200 * time.Millisecond)
+		w.cancel(l.name, "j-a")
+		w.state.hold = nil
+		for _, f := range w.state.held {
+			f() // written after the cancellation
+		}
+		if crash {
+			w.crash(l.name)
+		}
+		w.until(10*time.Second, func() bool { return accepted != 0 })
+		if accepted != 201 && accepted != 200 {
+			t.Errorf("the submission is answered %d", accepted)
+		}
+		w.waitState("j-b", protocol.Withdrawn, 20*time.Second)
+	}
+}
+
+// A leader that has not yet read what became of a job does not call one after it queued:
+// a predecessor may have told its user that it is cancelled.
+func TestNeedNotReadYet(t *testing.T) {
+	w := newWorld(t, 1)
+	w.state.put(storage.FinalKey("j-a"), storage.FinalRecord{State: protocol.Withdrawn, Tasks: 1})
+	w.state.put(storage.JobKey("j-b"), storage.JobRecord{Spec: after("j-b", 1, "j-a"), AtMS: time.Unix(1_000_000, 0).UnixMilli()})
+	w.state.put(storage.JobKey("j-c"), storage.JobRecord{Spec: after("j-c", 1, "j-b"), AtMS: time.Unix(1_000_000, 0).UnixMilli()})
+	for w.now < 20*time.Second {
+		if code, s := w.query("n0", "j-c"); code == 200 && s.State != protocol.Withdrawn {
+			t.Fatalf("at %v it is called %q", w.now, s.State)
+		}
+		w.run(20 * time.Millisecond)
+	}
+	if w.final("j-c") != protocol.Withdrawn {
+		t.Error("its end is not written")
+	}
+}
+
+// A pipeline's slack is spent once: each job is due when the longest way after it leaves
+// no more time, and as urgent as any job that needs it, for as long as one does.
+func TestDeadlineAndPriorityReachBack(t *testing.T) {
+	w, n := pipelines(t, 1)
+	w.runTime = func(string, int) time.Duration { return time.Hour }
+	l := n.lead
+	w.accept(n.name, spec("j-a", 1))
+	w.accept(n.name, after("j-b", 1, "j-a"))
+	slow := after("j-s", 1, "j-a")
+	slow.EstimateS = 40
+	w.accept(n.name, slow)
+	last := after("j-z", 1, "j-b", "j-s")
+	deadline := 120.0
+	last.DeadlineS, last.Priority = &deadline, "urgent"
+	w.accept(n.name, last)
+	a, b, s, z := l.jobs["j-a"], l.jobs["j-b"], l.jobs["j-s"], l.jobs["j-z"]
+	end := z.at + 120*time.Second
+	if want := end - l.lasts(z); l.due(b) != want || l.due(s) != want {
+		t.Errorf("b is due at %v, s at %v, not %v", l.due(b), l.due(s), want)
+	}
+	if want := end - l.lasts(z) - l.lasts(s); l.due(a) != want {
+		t.Errorf("a is due at %v, not %v: the longest way counts", l.due(a), want)
+	}
+	if a.rank() != 1 || b.rank() != 1 || a.spec.Rank() != 2 {
+		t.Errorf("ranks %d and %d", a.rank(), b.rank())
+	}
+	w.cancel(n.name, "j-z")
+	if a.rank() != 2 || a.endBy != forever {
+		t.Errorf("rank %d, end by %v, though nothing needs it in time", a.rank(), a.endBy)
+	}
+}
+
+// The four minutes within which a job begins, and its aims, count from the end of the
+// last job that it needs, for the next leader too.
+func TestTimesCountFromTheLastEnd(t *testing.T) {
+	w, l := pipelines(t, 3)
+	w.runTime = func(task string, _ int) time.Duration {
+		if jobOf(task) == "j-a" {
+			return 100 * time.Second
+		}
+		return time.Hour
+	}
+	w.accept(l.name, spec("j-a", 1))
+	w.accept(l.name, after("j-b", 1, "j-a"))
+	w.until(3*time.Minute, func() bool { return w.final("j-a") != "" })
+	ended := w.now
+	w.crash(l.name)
+	l = w.waitLeader()
+	w.until(20*time.Second, func() bool { return w.onMachines("j-b") == 1 })
+	b := l.lead.jobs["j-b"]
+	if from := b.from + l.boot; from < ended-time.Second || from > ended+time.Second {
+		t.Errorf("its times count from %v, not %v", from, ended)
+	}
+	if b.at+l.boot > 20*time.Second {
+		t.Errorf("accepted at %v", b.at+l.boot)
+	}
+}
+
+// Jobs that wait cost a pass and a report nothing.
+func TestWaitingJobsCostNothing(t *testing.T) {
+	w, n := pipelines(t, 1)
+	w.runTime = func(string, int) time.Duration { return time.Hour }
+	w.accept(n.name, spec("j-0", 1))
+	w.until(20*time.Second, func() bool { return w.onMachines("j-0") == 1 })
+	cost := func() int {
+		at := n.lead.looked
+		w.run(15 * time.Second)
+		return n.lead.looked - at
+	}
+	before := cost()
+	for i := 1; i < 200; i++ {
+		w.accept(n.name, after(fmt.Sprintf("j-%d", i), 50, fmt.Sprintf("j-%d", i/2)))
+	}
+	if got := cost(); got > before+before/4 || len(n.lead.byAge()) != 1 {
+		t.Errorf("looked at %d with 200 jobs that wait, %d without; %d are served", got, before, len(n.lead.byAge()))
+	}
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -50,6 +50,7 @@
 	runTime func(task string, attempt int) time.Duration
 	copies  func(x *worker, rep *protocol.Report) // sees every report that is sent
 	starts  map[string]int                        // by task
+	old     map[string]bool                       // nodes that start with level 0
 }
 
 type event struct {
@@ -85,6 +86,7 @@
 	down   bool
 	rate   float64       // of its clock; 0: exact
 	frozen bool          // it stands still, while its clocks run on
+	old    bool          // it speaks and writes as level 0 does
 	stall  time.Duration // for how long it will, before it carries out what it next decides
 }
 
@@ -98,7 +100,7 @@
 
 func newWorld(t *testing.T, nodes int) *world {
 	w := &world{t: t, nodes: map[string]*simNode{}, workers: map[string]*worker{}, specs: map[string]protocol.Job{},
-		cut: map[[2]string]bool{}, far: map[string]bool{}, starts: map[string]int{},
+		cut: map[[2]string]bool{}, far: map[string]bool{}, starts: map[string]int{}, old: map[string]bool{},
 		runTime: func(string, int) time.Duration { return 5 * time.Second }}
 	c := &w.cfg
 	c.Count = nodes
@@ -129,6 +131,9 @@
 
 func (w *world) start(name string) {
 	p := &config.Platform{Node: name, Cluster: w.cfg}
+	if w.old[name] {
+		p.Cluster.State.Next = config.State{}.Next // level 0 does not know them
+	}
 	for _, other := range w.names {
 		if other != name {
 			p.Known = append(p.Known, config.Peer{Node: other})
@@ -143,7 +148,7 @@
 	w.nodes[name] = &simNode{
 		Node: New(Options{Platform: p, Settings: set, Log: testLog().With("node", name),
 			Rand: rand.New(rand.NewPCG(uint64(len(name)), uint64(name[1]))), Wall: time.Unix(1_000_000, 0).Add(w.now)}),
-		name: name, boot: w.now, epoch: epoch, asks: map[uint64]func(Reply){},
+		name: name, boot: w.now, epoch: epoch, asks: map[uint64]func(Reply){}, old: w.old[name],
 	}
 }
 
@@ -224,6 +229,9 @@
 				w.after(step, func() { f(e) })
 			}
 		case Send:
+			if n.old {
+				e.Msg.Level, e.Msg.Slow = 0, false
+			}
 			to := e.To
 			arrive := func() {
 				if peer := w.nodes[to]; !peer.down {
@@ -250,6 +258,9 @@
 			w.after(e.Timeout, func() { back(0, nil) })
 			w.after(step, func() {
 				if e.Target == State {
+					if n.old && e.Path == "/multi" {
+						e.Body = oldShape(w.t, e.Body)
+					}
 					w.state.serve(n.name, e, back)
 				} else {
 					w.cloud.serve(e, back)
@@ -259,6 +270,58 @@
 	}
 }
 
+// oldShape is a transaction as level 0 writes it: without the fields that it does not
+// know, and without its version, of which it says nothing.
+func oldShape(t *testing.T, body []byte) []byte {
+	var txn storage.Txn
+	if err := json.Unmarshal(body, &txn); err != nil {
+		t.Fatal(err)
+	}
+	txn.Writes = slices.DeleteFunc(txn.Writes, func(wr storage.Write) bool {
+		return strings.HasPrefix(wr.Set, storage.VersionPrefix)
+	})
+	for i, wr := range txn.Writes {
+		if strings.HasPrefix(wr.Set, storage.FinalPrefix) {
+			var rec storage.FinalRecord
+			json.Unmarshal(wr.Value, &rec)
+			rec.AtMS = 0
+			txn.Writes[i].Value = storage.Encode(rec)
+		}
+		if strings.HasPrefix(wr.Set, storage.JobPrefix) {
+			var rec storage.JobRecord
+			json.Unmarshal(wr.Value, &rec)
+			rec.Spec.Needs = nil
+			txn.Writes[i].Value = storage.Encode(rec)
+		}
+	}
+	return storage.Encode(txn)
+}
+
+// upgrade ends a node and brings it back with this version.
+func (w *world) upgrade(name string) {
+	w.crash(name)
+	delete(w.old, name)
+	w.after(time.Second, func() { w.restart(name) })
+}
+
+// allNew waits until every node that is up knows that all are of this version.
+func (w *world) allNew() {
+	w.t.Helper()
+	known := func(name string) bool { n := w.nodes[name]; return n.down || n.versions.all }
+	if !w.until(30*time.Second, func() bool { return !slices.ContainsFunc(w.names, func(s string) bool { return !known(s) }) }) {
+		w.t.Fatal("not all nodes are known to be new")
+	}
+}
+
+// final is what the state service knows of a job that is over.
+func (w *world) final(id string) string {
+	var f storage.FinalRecord
+	if it, ok := w.state.keys[storage.FinalKey(id)]; ok {
+		json.Unmarshal(it.Value, &f)
+	}
+	return f.State
+}
+
 func (w *world) apart(a, b string) bool { return w.cut[[2]string{a, b}] || w.cut[[2]string{b, a}] }
 
 // cutOff cuts a node from all others.
@@ -475,6 +538,9 @@
 	refuse   map[string]bool
 	lost     map[string]bool // nodes whose calls vanish
 	limited  bool            // enforce the changes per second
+	lowered  bool            // the limits that the settings announce hold
+	refused  []string        // keys of transactions that were too large for those
+	slowed   int             // changes that came too fast for those
 	writes   bucket
 	lose     int                                   // answers of executed transactions to swallow
 	hold     func(node string, t storage.Txn) bool // transactions to keep back
@@ -570,9 +636,19 @@
 		if err := json.Unmarshal(c.Body, &t); err != nil {
 			s.w.t.Fatal(err)
 		}
-		if rate := s.w.cfg.State.WriteRPS; s.limited {
+		rate := s.w.cfg.State.WriteRPS
+		if s.lowered {
+			rate = s.w.cfg.State.LowerWriteRPS()
+			if key := s.tooLarge(t); key != "" {
+				s.refused = append(s.refused, key)
+				back(400, nil)
+				return
+			}
+		}
+		if s.limited || s.lowered {
 			s.writes.rate, s.writes.burst = rate, rate
 			if !s.writes.take(s.w.now, float64(len(t.Writes))) {
+				s.slowed++
 				back(429, nil)
 				return
 			}
@@ -638,6 +714,16 @@
 	}
 }
 
+// tooLarge names a key of a transaction that is over the announced limits.
+func (s *fakeState) tooLarge(t storage.Txn) string {
+	for _, wr := range t.Writes {
+		if len(wr.Value) > s.w.cfg.State.ValueBytes() || len(t.Writes) > s.w.cfg.State.Ops() {
+			return wr.Key()
+		}
+	}
+	return ""
+}
+
 // put writes a value, as some earlier leader did.
 func (s *fakeState) put(key string, value any) {
 	s.rev++
@@ -909,6 +995,11 @@
 			return
 		}
 		x.w.starts[c.Task]++
+		for _, id := range x.w.specs[jobOf(c.Task)].Needs {
+			if x.w.final(id) != protocol.Done {
+				x.w.t.Fatalf("at %v: too_early: %s, while the end of %s is %q", x.w.now, c.Task, id, x.w.final(id))
+			}
+		}
 		x.tasks = append(x.tasks, &simTask{key: c.Task, attempt: c.Attempt, state: protocol.TaskRunning,
 			end: x.w.now + x.w.runTime(c.Task, x.w.starts[c.Task])})
 	case protocol.OpStop:
