--- a/internal/coordination/chaos_test.go
+++ b/internal/coordination/chaos_test.go
@@ -23,12 +23,16 @@
 	accepted map[string]bool
 	told     map[string]string // final states that users were told
 	cancels  map[string]Instant
+	asked    map[string]bool    // jobs that a user has begun to cancel
+	orphans  map[string]Instant // when the user of a job before was told that it is cancelled
+	limits   bool               // the state service may lower its limits
 }
 
 // TestMixedTroubles mixes, in many short runs, crashes and quick returns of
 // controllers, controllers that stand still, cuts that hold messages, cut zones, half-cut
 // controllers, state outages, lost answers, late transactions, deaf, hanging and silent machines, machines that are
-// back at once, and late copies of reports. The world checks at each moment that
+// back at once, late copies of reports, rolling upgrades from the version before, and a
+// state service that lowers its limits; jobs need others. The world checks at each moment that
 // one node leads, no task runs twice and no team is over its limit; this test
 // checks what users are told, and that every accepted job runs in the end.
 func TestMixedTroubles(t *testing.T) {
@@ -42,7 +46,19 @@
 
 func runChaos(t *testing.T, seed uint64) {
 	c := &chaos{world: newWorld(t, 3+4*int(seed%3/2)), rng: rand.New(rand.NewPCG(seed, 7)), accepted: map[string]bool{},
-		told: map[string]string{}, cancels: map[string]Instant{}}
+		told: map[string]string{}, cancels: map[string]Instant{}, asked: map[string]bool{}, orphans: map[string]Instant{}}
+	if seed%4 >= 2 {
+		c.limits = true
+		c.announce(1, 4, 30)
+	}
+	if seed%3 > 0 {
+		// In mid-upgrade: a node that dies before its turn comes back old.
+		for i, name := range c.names {
+			c.old[name] = true
+			c.start(name)
+			c.after(time.Duration(20+i*c.rng.IntN(12))*time.Second, func() { c.upgrade(name) })
+		}
+	}
 	c.holds = seed%2 == 0
 	c.runTime = func(task string, _ int) time.Duration { return time.Duration(2+len(task)%9) * time.Second }
 	for _, name := range c.names {
@@ -69,7 +85,13 @@
 	c.run(30 * time.Second) // all troubles end by themselves
 	c.poll()
 	for _, id := range slices.Sorted(maps.Keys(c.accepted)) {
-		if _, withdrawn := c.cancels[id]; withdrawn {
+		if c.cancelled(id) {
+			if !c.until(time.Minute, func() bool { return c.final(id) != "" }) {
+				t.Fatalf("at %v: the end of %s is not written", c.now, id)
+			}
+			if got := c.final(id); got != protocol.Withdrawn {
+				t.Errorf("%s is %s, though it or a job before it is cancelled", id, got)
+			}
 			continue
 		}
 		if !c.until(5*time.Minute, func() bool { return c.over(id) }) {
@@ -107,6 +129,14 @@
 	if c.rng.IntN(2) == 0 {
 		j.Team = "team"
 	}
+	for range c.rng.IntN(4) {
+		if id := fmt.Sprintf("j-%d", c.rng.IntN(i+1)); c.accepted[id] && len(c.old) == 0 {
+			j.Needs = append(j.Needs, id)
+		}
+	}
+	if c.limits && c.rng.IntN(4) == 0 && len(c.old) == 0 {
+		c.state.lowered = true
+	}
 	c.specs[j.UID] = j
 	var try func(int)
 	try = func(tries int) {
@@ -114,6 +144,9 @@
 			switch {
 			case r.Status == 201 || r.Status == 200:
 				c.accepted[j.UID] = true
+				if c.cancelled(j.UID) {
+					c.orphaned(j.UID)
+				}
 			case r.Status == 503 || r.Status == 0:
 				if r.Status == 503 && r.RetryAfter == 0 {
 					c.t.Errorf("%s: 503 without Retry-After", j.UID)
@@ -136,12 +169,18 @@
 }
 
 func (c *chaos) cancelUntil(id string) {
+	c.asked[id] = true
 	c.user(Request{Kind: ReqCancel, ID: id}, func(r Reply) {
 		switch {
 		case r.Status == 200 && strings.Contains(string(r.Body), protocol.Withdrawn):
 			if c.cancels[id] == 0 {
 				c.cancels[id] = c.now
 				c.after(config.Seconds(c.cfg.Workers.CancelS), func() { c.goneForGood(id) })
+				for other := range c.accepted {
+					if other != id && c.cancelled(other) {
+						c.orphaned(other)
+					}
+				}
 			}
 			c.tell(id, protocol.Withdrawn)
 		case r.Status == 200:
@@ -154,6 +193,20 @@
 	})
 }
 
+// cancelled tells whether the user of a job, or of one that it needs, was told that it is.
+func (c *chaos) cancelled(id string) bool {
+	_, told := c.cancels[id]
+	return told || slices.ContainsFunc(c.specs[id].Needs, c.cancelled)
+}
+
+// orphaned notes that a job before another is cancelled.
+func (c *chaos) orphaned(id string) {
+	if c.orphans[id] == 0 {
+		c.orphans[id] = c.now
+		c.after(config.Seconds(c.cfg.Workers.CancelS), func() { c.goneForGood(id) })
+	}
+}
+
 // goneForGood checks that no task of a cancelled job is or comes on a machine.
 func (c *chaos) goneForGood(id string) {
 	if n := c.onMachines(id); n > 0 {
@@ -186,6 +239,12 @@
 			}
 			_, rest, _ := strings.Cut(string(r.Body), `"situacao":"`)
 			state, _, _ := strings.Cut(rest, `"`)
+			if since := c.orphans[id]; since != 0 && c.now > since+config.Seconds(c.cfg.Workers.CancelS) && state != protocol.Withdrawn {
+				c.t.Errorf("orphaned: %s is %s", id, state)
+			}
+			if state == protocol.Withdrawn && !c.mayBeCancelled(id) {
+				c.t.Errorf("went_back: %s is cancelled, and nobody asked for it", id)
+			}
 			if was != "" {
 				c.tell(id, state)
 			} else if state == protocol.Done || state == protocol.Withdrawn {
@@ -203,6 +262,11 @@
 	})
 }
 
+// mayBeCancelled tells whether a user has asked to cancel a job or one that it needs.
+func (c *chaos) mayBeCancelled(id string) bool {
+	return c.asked[id] || slices.ContainsFunc(c.specs[id].Needs, c.mayBeCancelled)
+}
+
 // allRan checks that a job called done had all its tasks started at least.
 func (c *chaos) allRan(id string) {
 	for i := range c.specs[id].Tasks {
--- /dev/null
+++ b/internal/coordination/versions_test.go
@@ -0,0 +1,318 @@
+package coordination
+
+import (
+	"encoding/base64"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+// announce lets the settings name lower limits of the state service.
+func (w *world) announce(valueKB float64, ops int, rps float64) {
+	next := &w.cfg.State.Next
+	next.ValueKB, next.TxnOps, next.WriteRPS = &valueKB, &ops, &rps
+	for _, name := range w.names {
+		w.start(name)
+	}
+}
+
+// The records as the version in production writes them.
+const (
+	productionJob = `{"spec":{"uid":"j-p","lote":"c","dono":"free","feitio":"batch","vez":"standard","pecas":3,"cores":1,
+	 "accelerators":0,"ramGb":1,"molde":"i","pullGb":0,"portes":null,"praca":"","samePlace":false,"apart":false,"avulsas":true,
+	 "previstoS":5,"marcoS":0,"guardaS":0,"prazoS":null},"at":1000000000}`
+	productionFinal = `{"state":"done","tasks":2,"done":2}`
+	productionBits  = `{"b":"Ag=="}` // of three tasks, the second is done
+	productionGroup = `{"m-000001":{"type":"c4","zone":"a","spot":true,"at":1000000000,"used":true}}`
+	productionTerm  = `{"term":4,"node":"n1"}`
+	productionBeat  = `{"type":"beat","term":4,"lead":true,"sent":12,"up":12,"run":5,"heard":7}`
+)
+
+func (w *world) putRaw(key, value string) { w.state.put(key, json.RawMessage(value)) }
+
+// What production has written is read, led and rewritten; a job may need one that
+// production ended.
+func TestRecordsOfProduction(t *testing.T) {
+	w := newWorld(t, 1)
+	w.putRaw(storage.TermKey, productionTerm)
+	w.putRaw(storage.JobKey("j-p"), productionJob)
+	w.putRaw(storage.FinalKey("j-q"), productionFinal)
+	w.putRaw(storage.BitsPrefix+"j-p/000", productionBits)
+	w.putRaw(storage.GroupPrefix+"000", productionGroup)
+	w.specs["j-p"] = spec("j-p", 3)
+	w.cloud.rent("c4", "a", true)
+	l := w.waitLeader()
+	w.allNew()
+	if l.lead.term != 5 {
+		t.Errorf("term %d", l.lead.term)
+	}
+	m := l.lead.machines["m-000001"]
+	if m == nil || !m.used {
+		t.Fatalf("the machine is read as %+v", m)
+	}
+	j := after("j-n", 1, "j-q", "j-p")
+	w.accept(l.name, j)
+	w.waitState("j-n", protocol.Done, time.Minute)
+	if w.starts["j-p/1"] != 0 || w.starts["j-p/0"] != 1 {
+		t.Errorf("starts of a task that was done: %d, of another: %d", w.starts["j-p/1"], w.starts["j-p/0"])
+	}
+	if _, left := w.state.keys[storage.BitsPrefix+"j-p/000"]; left {
+		t.Error("the bitmap of a job that is over is kept")
+	}
+}
+
+// A line of production says nothing of its version, and is understood.
+func TestMessagesOfProduction(t *testing.T) {
+	w := newWorld(t, 3)
+	var m Message
+	if err := json.Unmarshal([]byte(productionBeat), &m); err != nil {
+		t.Fatal(err)
+	}
+	n := w.nodes["n0"]
+	n.Step(time.Second, []any{PeerMessage{From: "n1", Msg: m}})
+	if p := n.leaderPeer(); p == nil || p.name != "n1" || p.level != 0 {
+		t.Errorf("taken as %+v", p)
+	}
+	// And what this version adds, production ignores: it is added, nothing is changed.
+	var beat map[string]any
+	json.Unmarshal(storage.Encode(Message{Type: msgBeat, Term: 4, Lead: true, Sent: 12, Up: 12, Run: 5, Heard: 7, Level: level, Slow: true}), &beat)
+	var old map[string]any
+	json.Unmarshal([]byte(productionBeat), &old)
+	for k, v := range old {
+		if beat[k] != v {
+			t.Errorf("%s is %v, not %v", k, beat[k], v)
+		}
+	}
+}
+
+// Groups that production made larger than a value may be by now are split before they
+// are written again: each machine stays durable by name at every moment, and so it does
+// when leaders change in between.
+func TestLargeGroupsAreSplit(t *testing.T) {
+	for _, crashAt := range []time.Duration{0, 5 * time.Millisecond, 30 * time.Millisecond, 60 * time.Millisecond, 120 * time.Millisecond} {
+		w := newWorld(t, 3)
+		w.announce(1, 4, 40)
+		w.state.lowered = true
+		w.cloud.boot = time.Hour
+		large := storage.GroupRecord{}
+		for i := range 80 {
+			x := w.cloud.rent("c4", "a", true)
+			large[x.name] = storage.MachineRecord{Type: "c4", Zone: "a", Spot: true, AtMS: 1_000_000_000, Used: i%2 == 0}
+		}
+		w.state.put(storage.GroupKey(0), large)
+		w.state.put(storage.GroupKey(2), storage.GroupRecord{"m-000900": {Type: "c4", Zone: "b", Spot: true, AtMS: 1_000_000_000}})
+		recorded := func() map[string]bool { // by name: used
+			all := map[string]bool{}
+			for key, it := range w.state.keys {
+				var rec storage.GroupRecord
+				if strings.HasPrefix(key, storage.GroupPrefix) && json.Unmarshal(it.Value, &rec) == nil {
+					for name, r := range rec {
+						all[name] = all[name] || r.Used
+					}
+				}
+			}
+			return all
+		}
+		l := w.waitLeader()
+		if crashAt > 0 {
+			w.run(crashAt)
+			w.crash(l.name)
+			w.waitLeader()
+		}
+		for end := w.now + 4*time.Second; w.now < end; {
+			got := recorded()
+			for name, r := range large {
+				if used, ok := got[name]; !ok || used != r.Used {
+					t.Fatalf("crash after %v: %s is recorded: %v, used: %v", crashAt, name, ok, used)
+				}
+			}
+			w.run(step)
+		}
+		if _, left := w.state.keys[storage.GroupKey(0)]; left {
+			t.Errorf("crash after %v: the large group is kept", crashAt)
+		}
+		if n := len(w.state.refused); n > 0 {
+			t.Errorf("crash after %v: %d transactions were too large: %v", crashAt, n, w.state.refused)
+		}
+	}
+}
+
+// Bitmaps of the largest jobs change their layout only once no node of the version before
+// may lead: it takes a part for another one by its number, and would call tasks done
+// that never ran.
+func TestBitmapsOfTheLargestJobs(t *testing.T) {
+	const tasks, doneTask = 20_000, 15_000
+	w := newWorld(t, 3)
+	w.old["n2"] = true
+	w.announce(1, 4, 40)
+	bits := make([]byte, (tasks+7)/8)
+	bits[doneTask/8] |= 1 << (doneTask % 8)
+	w.state.put(storage.JobKey("j-l"), storage.JobRecord{Spec: spec("j-l", tasks), AtMS: 1_000_000_000})
+	w.putRaw(storage.BitsPrefix+"j-l/000", `{"b":"`+base64.StdEncoding.EncodeToString(bits)+`"}`)
+	w.specs["j-l"] = spec("j-l", tasks)
+	w.runTime = func(task string, _ int) time.Duration { return 2 * time.Second }
+	l := w.waitLeader()
+	w.machines(2)
+	w.until(20*time.Second, func() bool { return l.lead == nil || l.lead.jobs["j-l"].done > 3 })
+	w.run(2 * time.Second)
+	count := func() (numbered, byTask int) {
+		for key := range w.state.keys {
+			if strings.HasPrefix(key, storage.BitsPrefix+"j-l/from-") {
+				byTask++
+			} else if strings.HasPrefix(key, storage.BitsPrefix) {
+				numbered++
+			}
+		}
+		return
+	}
+	if numbered, byTask := count(); numbered != 1 || byTask != 0 {
+		t.Errorf("with an old node there are %d numbered parts, %d by task", numbered, byTask)
+	}
+	w.upgrade("n2")
+	w.run(2 * time.Second)
+	w.allNew()
+	w.run(2 * time.Second)
+	w.state.lowered = true
+	done := w.nodes[w.leader()].lead.jobs["j-l"].done
+	w.crash(w.leader())
+	l = w.waitLeader()
+	w.run(time.Second)
+	if numbered, byTask := count(); numbered != 0 || byTask < 2 {
+		t.Errorf("with new nodes there are %d numbered parts, %d by task", numbered, byTask)
+	}
+	j := l.lead.jobs["j-l"]
+	if j.done < done || j.tasks[doneTask] != taskDone {
+		t.Errorf("%d tasks are done, %d were; the first: %v", j.done, done, j.tasks[doneTask])
+	}
+	w.run(5 * time.Second)
+	if len(w.state.refused) > 0 {
+		t.Errorf("too large: %v", w.state.refused)
+	}
+}
+
+// While some node may be of the version before, which would start such a job at once, a
+// job that needs others is not taken; and what a node of it has written is led on.
+func TestNothingNewBeforeAllAreNew(t *testing.T) {
+	w := newWorld(t, 3)
+	for _, name := range w.names {
+		w.old[name] = true
+		w.start(name)
+	}
+	w.waitLeader()
+	w.machines(2)
+	w.runTime = func(string, int) time.Duration { return 25 * time.Second }
+	w.accept("n0", spec("j-a", 4))
+	for i, name := range w.names {
+		// Each is killed once more after its turn and once before the next one's, so
+		// that old nodes follow new ones and lead after them.
+		w.upgrade(name)
+		w.run(4 * time.Second)
+		w.crash(w.leader())
+		for _, other := range w.names {
+			if w.nodes[other].down {
+				w.restart(other)
+			}
+		}
+		w.waitLeader()
+		for _, node := range w.names {
+			if !w.nodes[node].old && i+1 < len(w.names) {
+				if r := w.submit(node, after("j-b", 1, "j-a")); r.Status != 503 || r.RetryAfter == 0 {
+					t.Errorf("%d of 3 are new: answered %d, Retry-After %d", i+1, r.Status, r.RetryAfter)
+				}
+			}
+		}
+	}
+	w.allNew()
+	w.accept("n1", after("j-b", 1, "j-a"))
+	w.waitState("j-b", protocol.Done, 2*time.Minute)
+	w.startedOnce()
+	// A late message of an earlier process changes nothing.
+	w.nodes["n0"].inbox = append(w.nodes["n0"].inbox, PeerMessage{From: "n1", Msg: Message{Type: msgBeat, Up: 1}})
+	w.accept("n0", after("j-c", 1, "j-b"))
+}
+
+// The state service lowers its limits without notice: nothing that is sent is too
+// large, changes are paced by the lower rate after the first refusal, and what matters
+// is written first.
+func TestLowerLimits(t *testing.T) {
+	w := newWorld(t, 3)
+	w.announce(1, 4, 12)
+	l := w.waitLeader()
+	w.allNew()
+	w.machines(8)
+	w.runTime = func(string, int) time.Duration { return 2 * time.Second }
+	w.state.lowered = true
+	for i := range 40 {
+		w.accept(w.names[i%3], spec(fmt.Sprintf("j-%d", i), 3))
+	}
+	w.accept(l.name, after("j-last", 1, "j-39"))
+	w.waitState("j-last", protocol.Done, 2*time.Minute)
+	if len(w.state.refused) > 0 {
+		t.Errorf("too large: %v", w.state.refused)
+	}
+	if w.state.slowed > 12 {
+		t.Errorf("%d changes came too fast", w.state.slowed)
+	}
+	for _, name := range w.names {
+		if !w.nodes[name].slowed {
+			t.Errorf("%s does not pace its changes", name)
+		}
+	}
+	if w.leader() != l.name {
+		t.Error("the leader gave up for it")
+	}
+}
+
+// A transaction that the state service refuses for good, as its limits are lower than
+// the settings say, is cut anew and never sent again as it was; nobody stops leading.
+func TestRefusedForGood(t *testing.T) {
+	w := newWorld(t, 1)
+	l := w.waitLeader()
+	w.machines(2)
+	seen := map[string]bool{}
+	w.state.refuseTxn = func(txn storage.Txn) bool {
+		if len(txn.Writes) <= 2 {
+			return false
+		}
+		key := string(storage.Encode(txn.Writes))
+		if seen[key] {
+			t.Fatalf("sent again as it was: %s", key)
+		}
+		seen[key] = true
+		return true
+	}
+	for i := range 12 {
+		w.accept(l.name, spec(fmt.Sprintf("j-%d", i), 2))
+	}
+	for i := range 12 {
+		w.waitState(fmt.Sprintf("j-%d", i), protocol.Done, time.Minute)
+	}
+	if len(seen) == 0 || l.lead == nil {
+		t.Errorf("%d were refused; it leads: %v", len(seen), l.lead != nil)
+	}
+}
+
+// A submission that is too large for the limits is refused at once, but never one that
+// was accepted when they were wider.
+func TestTooLargeForTheNewLimits(t *testing.T) {
+	w := newWorld(t, 1)
+	w.announce(1, 4, 40)
+	w.waitLeader()
+	w.allNew()
+	j := spec("j-w", 1)
+	j.Image = strings.Repeat("i", 1500)
+	if r := w.submit("n0", j); r.Status != 400 {
+		t.Errorf("answered %d", r.Status)
+	}
+	w.state.put(storage.JobKey("j-w"), storage.JobRecord{Spec: j, AtMS: 1_000_000_000})
+	w.run(time.Second)
+	if r := w.submit("n0", j); r.Status != 200 {
+		t.Errorf("a repeat is answered %d", r.Status)
+	}
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -528,24 +528,25 @@
 
 // fakeState is the state service.
 type fakeState struct {
-	w        *world
-	keys     map[string]storage.Item
-	rev      uint64
-	log      []storage.Event
-	leases   map[uint64]*fakeLease
-	last     uint64
-	down     bool
-	refuse   map[string]bool
-	lost     map[string]bool // nodes whose calls vanish
-	limited  bool            // enforce the changes per second
-	lowered  bool            // the limits that the settings announce hold
-	refused  []string        // keys of transactions that were too large for those
-	slowed   int             // changes that came too fast for those
-	writes   bucket
-	lose     int                                   // answers of executed transactions to swallow
-	hold     func(node string, t storage.Txn) bool // transactions to keep back
-	held     []func()
-	watchers []func() bool
+	w         *world
+	keys      map[string]storage.Item
+	rev       uint64
+	log       []storage.Event
+	leases    map[uint64]*fakeLease
+	last      uint64
+	down      bool
+	refuse    map[string]bool
+	lost      map[string]bool        // nodes whose calls vanish
+	limited   bool                   // enforce the changes per second
+	lowered   bool                   // the limits that the settings announce hold
+	refused   []string               // keys of transactions that were too large for those
+	slowed    int                    // changes that came too fast for those
+	refuseTxn func(storage.Txn) bool // transactions to refuse for good
+	writes    bucket
+	lose      int                                   // answers of executed transactions to swallow
+	hold      func(node string, t storage.Txn) bool // transactions to keep back
+	held      []func()
+	watchers  []func() bool
 }
 
 type fakeLease struct{ ttl, left time.Duration }
@@ -636,6 +637,10 @@
 		if err := json.Unmarshal(c.Body, &t); err != nil {
 			s.w.t.Fatal(err)
 		}
+		if s.refuseTxn != nil && s.refuseTxn(t) {
+			back(400, nil)
+			return
+		}
 		rate := s.w.cfg.State.WriteRPS
 		if s.lowered {
 			rate = s.w.cfg.State.LowerWriteRPS()
