--- a/cmd/hitchdoor/main.go
+++ b/cmd/hitchdoor/main.go
@@ -3,11 +3,14 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"strings"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -49,7 +52,9 @@
 			if err != nil {
 				return err
 			}
-			return daemon.Run(p, s, buildVersion(), logger())
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+			defer stop()
+			return daemon.Run(ctx, p, s, buildVersion(), logger())
 		},
 	}
 	cmd.PersistentFlags().StringVar(&platform, "config", "", "the platform's settings file (TOML)")
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -144,7 +144,7 @@
 		n.tickCandidate()
 		return
 	}
-	if !e.probing && (e.probeAt == never || n.now >= e.probeAt+n.lease()/probesPerLease) {
+	if !n.draining && !e.probing && (e.probeAt == never || n.now >= e.probeAt+n.lease()/probesPerLease) {
 		n.probe()
 	}
 }
@@ -155,7 +155,7 @@
 	e.probing, e.probeAt = true, n.now
 	n.stateCall("GET", "/store/"+storage.LeaderKey, nil, func(r Result) {
 		e.probing = false
-		if n.lead != nil || e.candidate != nil {
+		if n.lead != nil || e.candidate != nil || n.draining {
 			return
 		}
 		switch r.Status {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -89,6 +89,10 @@
 	Msg  Message
 }
 
+// Drain is the command to end: the node hands over what it leads, stands no more, and
+// sends workers and users elsewhere until its process ends.
+type Drain struct{}
+
 // Target is the kind of service that a call goes to.
 type Target int
 
@@ -139,8 +143,9 @@
 	// wall is the time of day at instant 0, for records only.
 	wall time.Time
 	// run tells this process from earlier ones of the same node.
-	run   uint64
-	build string
+	run      uint64
+	build    string
+	draining bool // it was told to end
 
 	now     Instant
 	effects []any
@@ -292,6 +297,10 @@
 				delete(n.calls, c.ID)
 				f(c)
 			}
+		case Drain:
+			n.draining = true
+			n.elect.candidate = nil
+			n.stepDown("told to end")
 		case nil: // a tick
 		default:
 			panic(fmt.Sprintf("coordination: command %T", c))
@@ -321,6 +330,10 @@
 
 func (n *Node) report() time.Duration { return config.Seconds(n.cfg.Cluster.Workers.ReportS) }
 
+// HandOver is how long a node that was told to end goes on for: until others lead, the
+// load balancer has seen it, and what it was asked is answered.
+func (n *Node) HandOver() time.Duration { return n.termSpan() }
+
 // drift lengthens a span by twice the bound on how far two steady clocks drift apart.
 func drift(d time.Duration) time.Duration { return d + d/1000 }
 
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -434,10 +434,10 @@
 const submitTries = 3
 
 // onHealth is for the load balancer: a node that reaches neither the state
-// service nor another controller has nothing to offer.
+// service nor another controller has nothing to offer, nor has one that is about to end.
 func (n *Node) onHealth(r Request) {
 	alone := len(n.peers) > 0 && n.peersHeard(n.lease()/4) == 0
-	if alone && n.elect.stateDown() && !n.authority() {
+	if n.draining || alone && n.elect.stateDown() && !n.authority() {
 		n.reply(r.Origin, 503, 0, nil)
 		return
 	}
--- a/internal/coordination/versions_test.go
+++ b/internal/coordination/versions_test.go
@@ -316,3 +316,23 @@
 		t.Errorf("a repeat is answered %d", r.Status)
 	}
 }
+
+// A leader that is told to end hands over at once, and its machines' tasks go on.
+func TestLeaderToldToEndHandsOver(t *testing.T) {
+	w, l := running(t, 3, 40*time.Second, 2, 6)
+	l.inbox = append(l.inbox, Drain{})
+	at := w.now
+	if !w.until(3*time.Second, func() bool { return w.leader() != "" && w.leader() != l.name }) {
+		t.Fatal("nobody else leads")
+	}
+	if r := w.request(l.name, Request{Kind: ReqHealth}); r.Status != 503 {
+		t.Errorf("its health is %d", r.Status)
+	}
+	if code, s := w.query(l.name, "j-1"); code != 200 || s.State == "" {
+		t.Errorf("a question is answered %d", code)
+	}
+	w.run(l.HandOver() - (w.now - at))
+	w.crash(l.name)
+	w.waitState("j-1", protocol.Done, time.Minute)
+	w.startedOnce()
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -35,8 +36,8 @@
 	last    uint64
 }
 
-// Run runs a controller until it fails.
-func Run(p *config.Platform, set config.Settings, build string, log *slog.Logger) error {
+// Run runs a controller until it fails, or hands over once ctx ends.
+func Run(ctx context.Context, p *config.Platform, set config.Settings, build string, log *slog.Logger) error {
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(p.Cluster.Resources.MemMB * set.MemoryRatio * (1 << 20)))
 
@@ -77,7 +78,7 @@
 	go func() { failed <- server.Serve(users) }()
 	go func() { failed <- d.peers.Serve(others) }()
 	log.Info("started", "node", p.Node, "users", p.ClientListen, "peers", p.PeerBind)
-	return d.loop(report/24, failed)
+	return d.loop(ctx, report/24, failed)
 }
 
 // sockets is how a controller's connections are shared out.
@@ -100,9 +101,11 @@
 }
 
 // loop is the owner: it alone touches the node.
-func (d *daemon) loop(tick time.Duration, failed chan error) error {
+func (d *daemon) loop(ctx context.Context, tick time.Duration, failed chan error) error {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	told := ctx.Done()
+	var over <-chan time.Time
 	batch := make([]any, 0, batchSize)
 	for {
 		batch = batch[:0]
@@ -110,6 +113,11 @@
 		case c := <-d.queue:
 			batch = append(batch, c)
 		case <-ticker.C:
+		case <-told:
+			told, over = nil, time.After(d.node.HandOver())
+			batch = append(batch, coordination.Drain{})
+		case <-over:
+			return nil
 		case err := <-failed:
 			return err
 		}
