Submissions by need: a node has the whole rate of them until another needs it too

Cause: after the state service lowers its limits, each node had a third of 5.4 changes a second for submissions, and the users of a pipeline (seven jobs at once) mostly reach one node: they waited 0.3 to 1.1 s for its budget (logged at each write; the writes themselves took 10 ms, so the state service is ruled out). Now a node takes the whole rate, and falls back to its part for a lease once the state service refuses one.

--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -176,6 +176,7 @@
 	writeBudget  bucket // the leader's own changes
 	submitBudget bucket // submissions
 	slowed       bool   // the state service takes changes at the lower rate only
+	crowdedUntil Instant
 }
 
 type peer struct {
@@ -229,7 +230,7 @@
 // every node keeps a margin for requests of a predecessor that are still under way.
 const (
 	leaderWriteShare  = 0.6
-	submitWriteShare  = 0.3 // of all nodes together, but for bursts
+	submitWriteShare  = 0.3 // of all nodes together: see shareSubmissions
 	followerReadShare = 0.1
 	cloudShare        = 0.75
 	probesPerLease    = 28
@@ -244,7 +245,7 @@
 		cfg: o.Platform, set: o.Settings, log: o.Log, rng: o.Rand, wall: o.Wall, build: o.Build,
 		calls: map[uint64]func(Result){}, peers: map[string]*peer{}, forwards: map[uint64]*forward{},
 		relays: map[string]*relay{}, finals: newFinalCache(finalCacheSize),
-		catalogAt:   never,
+		catalogAt: never, crowdedUntil: never,
 		versions:    versions{at: never},
 		stateBudget: newBucket(c.State.RPS*followerReadShare, c.State.RPS*followerReadShare),
 		cloudBudget: newBucket(c.Cloud.RPS*cloudShare, max(1, c.Cloud.RPS*cloudShare)),
@@ -262,7 +263,7 @@
 // The smallest unit of the leader's has two.
 func writeBuckets(c *config.Cluster, rps float64) (leader, submissions bucket) {
 	return newBucket(rps*leaderWriteShare, max(2, rps*leaderWriteShare)),
-		newBucket(rps*submitWriteShare/float64(c.Count), max(1, rps*submitWriteShare))
+		newBucket(rps*submitWriteShare, max(1, rps*submitWriteShare))
 }
 
 // slowDown paces changes by the lower rate that the settings announce, once the state
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -381,9 +381,30 @@
 	n.writeSubmissions()
 }
 
+// crowded notes that the state service refused a submission for the rate of changes.
+func (n *Node) crowded() {
+	n.crowdedUntil = n.now + n.lease()
+	n.submitBudget.level = 0
+}
+
+// shareSubmissions lets this node have the whole rate of submissions, as users' bursts
+// mostly reach one node, unless others need it too: each then has its part for a while.
+func (n *Node) shareSubmissions() {
+	c := &n.cfg.Cluster
+	n.submitBudget.refill(n.now)
+	n.submitBudget.rate = n.submitBudget.burst
+	if n.now < n.crowdedUntil {
+		n.submitBudget.rate /= float64(c.Count)
+	}
+}
+
 // writeSubmissions sends what the budget allows, and turns away at once what
 // can't be taken any more.
 func (n *Node) writeSubmissions() {
+	if len(n.submits) == 0 {
+		return
+	}
+	n.shareSubmissions()
 	queue := n.submits
 	n.submits = nil
 	for _, s := range queue {
@@ -422,6 +443,9 @@
 			// Too many changes at once, or an answer lost. Its condition lets only
 			// one copy through, so it may be sent again.
 			s.tries++
+			if res.Status == 429 {
+				n.crowded()
+			}
 			n.queueSubmission(s)
 		case res.Status == 503 && s.lead == nil && n.passOn(s.r):
 		default:
