--- a/internal/coordination/pipelines.go
+++ b/internal/coordination/pipelines.go
@@ -165,6 +165,7 @@
 // in time, and how urgent it makes them. The slack of a pipeline is thus spent once: a
 // job is due when the longest way from it to an end leaves no more time.
 func (l *leadership) hasten(j *job) {
+	pull := l.pull()
 	for todo := []*job{j}; len(todo) > 0; todo = todo[1:] {
 		d := todo[0]
 		end := d.endBy
@@ -172,7 +173,7 @@
 			end = min(end, l.ownDue(d))
 		}
 		if end < forever {
-			end -= l.lasts(d)
+			end -= l.lasts(d, pull)
 		}
 		for _, id := range d.spec.Needs {
 			b := l.jobs[id]
@@ -188,9 +189,9 @@
 
 // lasts is how long a job takes from the end of the last that it needs to its own: its
 // longest task, the fetch of its image, and the reports that carry the start and the end.
-func (l *leadership) lasts(j *job) time.Duration {
+func (l *leadership) lasts(j *job, p pull) time.Duration {
 	longest := math.Exp(taskSpread * math.Sqrt(2*math.Log(float64(j.spec.Tasks))))
-	return time.Duration(longest*float64(l.expected(j))) + l.pull().time(j.spec.ImageGB) + 2*l.n.report()
+	return time.Duration(longest*float64(l.expected(j))) + p.time(j.spec.ImageGB) + 2*l.n.report()
 }
 
 // taskSpread is by how much the run times of a job's tasks differ, as the standard
--- a/internal/coordination/pipelines_test.go
+++ b/internal/coordination/pipelines_test.go
@@ -266,10 +266,10 @@
 	w.accept(n.name, last)
 	a, b, s, z := l.jobs["j-a"], l.jobs["j-b"], l.jobs["j-s"], l.jobs["j-z"]
 	end := z.at + 120*time.Second
-	if want := end - l.lasts(z); l.due(b) != want || l.due(s) != want {
+	if want := end - l.lasts(z, l.pull()); l.due(b) != want || l.due(s) != want {
 		t.Errorf("b is due at %v, s at %v, not %v", l.due(b), l.due(s), want)
 	}
-	if want := end - l.lasts(z) - l.lasts(s); l.due(a) != want {
+	if want := end - l.lasts(z, l.pull()) - l.lasts(s, l.pull()); l.due(a) != want {
 		t.Errorf("a is due at %v, not %v: the longest way counts", l.due(a), want)
 	}
 	if a.rank() != 1 || b.rank() != 1 || a.spec.Rank() != 2 {
