Needed jobs are known from memory, or read at once, rather than one by one

Cause: a node that did not lead read each job that a submission names from the state service, one after the other (two reads for one that is over); while it answers slowly that alone took 200 ms. Nodes now remember which jobs were accepted (what they wrote, read or forwarded), read the others together, and hand submissions that name many unknown ones to the leader.

--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -166,6 +166,7 @@
 	catalogBusy bool
 
 	finals   *finalCache
+	accepted recent[bool] // jobs that are known to have been accepted
 	lead     *leadership
 	versions versions
 
@@ -244,7 +245,8 @@
 	n := &Node{
 		cfg: o.Platform, set: o.Settings, log: o.Log, rng: o.Rand, wall: o.Wall, build: o.Build,
 		calls: map[uint64]func(Result){}, peers: map[string]*peer{}, forwards: map[uint64]*forward{},
-		relays: map[string]*relay{}, finals: newFinalCache(finalCacheSize),
+		relays: map[string]*relay{}, accepted: newRecent[bool](recentSize),
+		finals:    &finalCache{recent: newRecent[storage.FinalRecord](recentSize)},
 		catalogAt: never, crowdedUntil: never,
 		versions:    versions{at: never},
 		stateBudget: newBucket(c.State.RPS*followerReadShare, c.State.RPS*followerReadShare),
--- a/internal/coordination/pipelines.go
+++ b/internal/coordination/pipelines.go
@@ -294,21 +294,34 @@
 	then(true, false)
 }
 
-// accepted tells whether all of some jobs were accepted, by any node: what this one does
-// not know is read.
-func (n *Node) accepted(ids []string, then func(ok, all bool)) {
-	for i, id := range ids {
-		if _, over := n.finals.byID[id]; over || (n.lead != nil && n.lead.jobs[id] != nil) {
-			continue
-		}
+// notKnownAccepted are those of some jobs of which this node does not know that they were
+// accepted. What was accepted once has been for ever.
+func (n *Node) notKnownAccepted(ids []string) []string {
+	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool {
+		_, over := n.finals.byID[id]
+		return over || n.accepted.byID[id] || (n.lead != nil && n.lead.jobs[id] != nil)
+	})
+}
+
+// needsRead is how many jobs a node reads at once, rather than ask the leader, to learn
+// whether they were accepted.
+const needsRead = 4
+
+// wereAccepted reads whether all of some jobs were accepted, by any node. Only what the
+// state service says counts: another node may have taken one a moment ago.
+func (n *Node) wereAccepted(ids []string, then func(ok, all bool)) {
+	left, readable, all := len(ids), true, true
+	if left == 0 {
+		then(true, true)
+		return
+	}
+	for _, id := range ids {
 		n.readJob(id, func(ok bool, open *storage.Item, final *storage.FinalRecord) {
-			if ok && (open != nil || final != nil) {
-				n.accepted(ids[i+1:], then)
-				return
+			readable = readable && ok
+			all = all && (open != nil || final != nil)
+			if left--; left == 0 {
+				then(readable, all)
 			}
-			then(ok, false)
 		})
-		return
 	}
-	then(true, true)
 }
--- a/internal/coordination/pipelines_test.go
+++ b/internal/coordination/pipelines_test.go
@@ -129,6 +129,20 @@
 	}
 }
 
+// A broad pipeline is taken at once by any node: what it does not know of so many jobs, the
+// leader does, rather than that each is read within a node's few reads a second.
+func TestBroadPipeline(t *testing.T) {
+	w, l := pipelines(t, 3)
+	w.runTime = func(string, int) time.Duration { return time.Second }
+	var all []string
+	for i := range 60 {
+		all = append(all, fmt.Sprintf("j-%d", i))
+		w.accept(l.name, spec(all[i], 1))
+	}
+	w.accept(w.followers()[0], after("j-all", 1, all...))
+	w.waitState("j-all", protocol.Done, 2*time.Minute)
+}
+
 // Cancelling a job reaches all that need it, also one that is submitted later, and only
 // those.
 func TestCancelReachesAllAfter(t *testing.T) {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -15,28 +15,20 @@
 
 func utoa(v uint64) string { return strconv.FormatUint(v, 10) }
 
-// finalCacheSize bounds how many jobs that are over are kept in memory; older
-// ones are read from the state service again.
-const finalCacheSize = 20_000
+// recentSize bounds how many jobs are kept in memory of what never changes; older ones
+// are read from the state service again.
+const recentSize = 20_000
 
-// finalCache remembers jobs that are over. They never change.
-type finalCache struct {
+// recent remembers the last of what was learnt by the ids of jobs.
+type recent[T any] struct {
 	limit int
-	byID  map[string]storage.FinalRecord
+	byID  map[string]T
 	order []string
-
-	// the reading after a start: whether it is complete or under way, what comes
-	// next, and when
-	read, busy bool
-	since      string
-	at         Instant
 }
 
-func newFinalCache(limit int) *finalCache {
-	return &finalCache{limit: limit, byID: map[string]storage.FinalRecord{}}
-}
+func newRecent[T any](limit int) recent[T] { return recent[T]{limit: limit, byID: map[string]T{}} }
 
-func (c *finalCache) put(id string, r storage.FinalRecord) {
+func (c *recent[T]) put(id string, value T) {
 	if _, ok := c.byID[id]; !ok {
 		c.order = append(c.order, id)
 		if len(c.order) > c.limit {
@@ -44,7 +36,18 @@
 			c.order = c.order[1:]
 		}
 	}
-	c.byID[id] = r
+	c.byID[id] = value
+}
+
+// finalCache remembers jobs that are over. They never change.
+type finalCache struct {
+	recent[storage.FinalRecord]
+
+	// the reading after a start: whether it is complete or under way, what comes
+	// next, and when
+	read, busy bool
+	since      string
+	at         Instant
 }
 
 // tickFinals reads the jobs that are over, page by page, after a start: asked one by
@@ -206,6 +209,9 @@
 		return
 	}
 	delete(n.forwards, m.ID)
+	if f.req.Kind != ReqReport && (m.Code == 200 || m.Code == 201) {
+		n.accepted.put(f.req.ID, true)
+	}
 	if m.Code == 503 && f.req.Kind != ReqReport && f.req.Kind != ReqCancel {
 		// The leader can't answer; the state service may.
 		n.withoutLeader(f.req)
@@ -240,6 +246,7 @@
 	n.stateCall("GET", "/store/"+storage.JobKey(id), nil, func(r Result) {
 		var item storage.Item
 		if r.Status == 200 && json.Unmarshal(r.Body, &item) == nil {
+			n.accepted.put(id, true)
 			then(true, &item, nil)
 			return
 		}
@@ -357,8 +364,12 @@
 		n.answerKnown(r, lead, 503)
 		return
 	}
+	unknown := n.notKnownAccepted(r.Job.Needs)
+	if len(unknown) > needsRead && lead == nil && n.passOn(r) {
+		return // the leader knows most of them
+	}
 	s := submission{r: r, rec: rec, write: write, lead: lead, until: n.now + n.lease()/10}
-	n.accepted(r.Job.Needs, func(ok, all bool) {
+	n.wereAccepted(unknown, func(ok, all bool) {
 		switch {
 		case !ok:
 			n.answerKnown(r, lead, 503)
@@ -429,6 +440,7 @@
 		var out storage.TxnResult
 		switch {
 		case res.Status == 200 && json.Unmarshal(res.Body, &out) == nil:
+			n.accepted.put(id, true)
 			if s.lead != nil && n.lead == s.lead {
 				s.lead.addJob(s.rec, out.Revision)
 			}
