--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -72,12 +72,26 @@
 		{`cpus_max = 4.0`, `cpus_max = -4.0`, "cluster.teams[0]"},
 		{`mem_mb = 98.0`, `mem_mb = 0.0`, "mem_mb"},
 		{`[cluster]`, `[cluster`, "line"},
+		{`txn_ops = 20`, "txn_ops = 20\nnext = { txn_ops = 2 }", "cluster.state.next.txn_ops"},
+		{`txn_ops = 20`, "txn_ops = 20\nnext = { value_kb = 0.1 }", "cluster.state.next.value_kb"},
+		{`txn_ops = 20`, "txn_ops = 20\nnext = { write_rps = -1.0 }", "cluster.state.next.write_rps"},
+		{`txn_ops = 20`, "txn_ops = 20\nnext = { write_rps = \"x\" }", "next"},
 	} {
 		_, err := Load(write(t, strings.Replace(platform, c.old, c.new, 1)))
 		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%q for %q: %v", c.new, c.old, err)
 		}
 	}
+	if s := p.Cluster.State; s.ValueBytes() != 8<<10 || s.Ops() != 20 || s.LowerWriteRPS() != 25 {
+		t.Errorf("without lower limits: %d bytes, %d changes, %v a second", s.ValueBytes(), s.Ops(), s.LowerWriteRPS())
+	}
+	p, err = Load(write(t, strings.Replace(platform, "txn_ops = 20", "txn_ops = 20\n[cluster.state.next]\nwrite_rps = 30.0\nvalue_kb = 2.0", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s := p.Cluster.State; s.ValueBytes() != 2<<10 || s.Ops() != 20 || s.LowerWriteRPS() != 25 {
+		t.Errorf("with lower limits: %d bytes, %d changes, %v a second", s.ValueBytes(), s.Ops(), s.LowerWriteRPS())
+	}
 	if _, err := Load(filepath.Join(t.TempDir(), "none")); err == nil {
 		t.Error("a missing file was read")
 	}
--- a/internal/coordination/versions.go
+++ b/internal/coordination/versions.go
@@ -27,7 +27,7 @@
 // tickVersions reads the versions until all are known to be new.
 func (n *Node) tickVersions() {
 	v := &n.versions
-	if v.all || v.busy || n.now < v.at+n.lease()/termsPerLease || n.elect.stateDown() || n.elect.stateOK == never {
+	if v.all || v.busy || n.now < v.at+n.lease()/probesPerLease || n.elect.stateDown() || n.elect.stateOK == never {
 		return
 	}
 	n.readVersions()
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -38,12 +38,26 @@
 		"id with a slash":  change(`"j-000412"`, `"j-1/2"`),
 		"negative":         change(`"cores":8.0`, `"cores":-1`),
 		"negative wait":    change(`"prazoS":900.0`, `"prazoS":-1`),
+		"needs no list":    change(`"prazoS"`, `"aguarda":"j-1","prazoS"`),
+		"needs a number":   change(`"prazoS"`, `"aguarda":[1],"prazoS"`),
+		"needs null":       change(`"prazoS"`, `"aguarda":["j-1",null],"prazoS"`),
+		"needs no id":      change(`"prazoS"`, `"aguarda":["1"],"prazoS"`),
 		"too large":        change(`"x":1`, `"x":"`+strings.Repeat("a", MaxBody)+`"`),
 	} {
 		if _, err := ParseJob([]byte(body)); err == nil {
 			t.Errorf("%s: accepted", name)
 		}
 	}
+	for _, none := range []string{"null", "[]"} {
+		j, err := ParseJob([]byte(change(`"prazoS"`, `"aguarda":`+none+`,"prazoS"`)))
+		if err != nil || len(j.Needs) != 0 {
+			t.Errorf("aguarda %s: %v, %v", none, j, err)
+		}
+	}
+	j, err = ParseJob([]byte(change(`"prazoS"`, `"aguarda":["j-2","j-1","j-2"],"prazoS"`)))
+	if err != nil || strings.Join(j.Needs, " ") != "j-2 j-1" {
+		t.Errorf("a job named twice counts once: %v, %v", j, err)
+	}
 	if _, err := ParseJob([]byte(change(`"praca":null,`, ""))); err != nil {
 		t.Errorf("a field that may be null is omitted: %v", err)
 	}
