--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -864,7 +864,10 @@
 	l := w.waitLeader()
 	w.machines(1)
 	w.cloud.capacity = 1
+	w.allNew()
 	w.submit(l.name, spec("j-1", 400))
+	w.submit(l.name, after("j-2", 1, "j-1"))
+	w.submit(l.name, after("j-3", 1, "j-2"))
 	w.run(2 * time.Second)
 	w.state.hold = func(_ string, txn storage.Txn) bool { // executed, but not answered
 		for _, wr := range txn.Writes {
@@ -880,7 +883,9 @@
 	if !w.until(2*time.Second, func() bool { return w.state.keys[storage.FinalKey("j-1")].Version > 0 }) {
 		t.Fatal("not written")
 	}
-	if _, s := w.query(l.name, "j-1"); s.State != protocol.Withdrawn {
-		t.Fatalf("the leader says %q after the end was written", s.State)
+	for _, id := range []string{"j-1", "j-2", "j-3"} { // those that need it are cancelled with it
+		if _, s := w.query(l.name, id); s.State != protocol.Withdrawn {
+			t.Fatalf("the leader says %q of %s after the end was written", s.State, id)
+		}
 	}
 }
--- a/internal/coordination/versions_test.go
+++ b/internal/coordination/versions_test.go
@@ -143,6 +143,25 @@
 	}
 }
 
+// A machine that two groups name, as a leader died while it split one, is used if either
+// says so: it may have tasks.
+func TestMachineInTwoGroups(t *testing.T) {
+	for _, first := range []bool{false, true} {
+		w := newWorld(t, 1)
+		for i, used := range []bool{first, !first} {
+			w.state.put(storage.GroupKey(i), storage.GroupRecord{"m-000900": {Type: "c4", Zone: "a", Spot: true, AtMS: 1_000_000_000, Used: used}})
+		}
+		l := w.waitLeader()
+		if m := l.lead.machines["m-000900"]; m == nil || !m.used || m.accounted {
+			t.Errorf("first used: %v: read as %+v", first, m)
+		}
+		w.run(500 * time.Millisecond)
+		if _, left := w.state.keys[storage.GroupKey(0)]; left {
+			t.Error("it is kept in both")
+		}
+	}
+}
+
 // Bitmaps of the largest jobs change their layout only once no node of the version before
 // may lead: it takes a part for another one by its number, and would call tasks done
 // that never ran.
