--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -74,6 +74,10 @@
 		loads = append(loads, load{due: span, work: work})
 		strict += work * l.shares[j.spec.Class]
 		whole += work
+		for _, d := range l.next(j, l.bootTime()) {
+			each := l.expected(d) + pull.time(d.spec.ImageGB)
+			loads = append(loads, load{due: max(l.dueFrom(d, n.now)-n.now, each), work: l.workLeft(d, pull)})
+		}
 	}
 	fluid := fluid(strict / max(whole, 1))
 	slices.SortFunc(loads, func(a, b load) int { return cmp.Or(cmp.Compare(a.due, b.due), cmp.Compare(a.work, b.work)) })
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -160,15 +160,18 @@
 // none on finishing; such work can wait for room on cheap machines.
 //
 // A job that others need is due no later than they leave it time for.
-func (l *leadership) due(j *job) Instant { return min(l.ownDue(j), j.endBy) }
+func (l *leadership) due(j *job) Instant { return l.dueFrom(j, j.from) }
 
-func (l *leadership) ownDue(j *job) Instant {
+// dueFrom is the same of a job whose times begin at some moment.
+func (l *leadership) dueFrom(j *job, from Instant) Instant { return min(l.ownDue(j, from), j.endBy) }
+
+func (l *leadership) ownDue(j *job, from Instant) Instant {
 	if j.spec.DeadlineS != nil {
 		return j.at + config.Seconds(*j.spec.DeadlineS)
 	}
 	aims := l.aims[j.spec.Class]
 	for i, a := range aims {
-		end := j.from + a.within
+		end := from + a.within
 		if a.start {
 			end += l.expected(j)
 		}
@@ -180,7 +183,7 @@
 		return j.endBy
 	}
 	// Nothing is said of such work: it is not to wait out of all proportion.
-	return j.from + min(4*l.expected(j)+l.n.lease(), planBegin+l.expected(j))
+	return from + min(4*l.expected(j)+l.n.lease(), planBegin+l.expected(j))
 }
 
 // expected is how long one of the job's tasks should run: the owner's estimate,
--- a/internal/coordination/pipelines.go
+++ b/internal/coordination/pipelines.go
@@ -76,6 +76,22 @@
 	}
 }
 
+// next are the jobs that wait for a job alone, once its end is as near as a machine takes
+// to come up: what they need is made ready meanwhile.
+func (l *leadership) next(j *job, near time.Duration) []*job {
+	after := l.after[j.spec.UID]
+	if len(after) == 0 || j.pending > 0 {
+		return nil
+	}
+	want := l.expected(j)
+	for _, r := range j.runs {
+		if l.remainingOf(r, want) > max(near, want/8) { // an overdue one may end at any time
+			return nil
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(after), func(d *job) bool { return d.gone || d.awaits > 1 })
+}
+
 // ended tells those that wait for a job that its end is durable.
 func (l *leadership) ended(id string, final storage.FinalRecord) {
 	waiting := l.after[id]
@@ -170,7 +186,7 @@
 		d := todo[0]
 		end := d.endBy
 		if d.spec.DeadlineS != nil {
-			end = min(end, l.ownDue(d))
+			end = min(end, l.ownDue(d, d.from))
 		}
 		if end < forever {
 			end -= l.lasts(d, pull)
--- a/internal/coordination/pipelines_test.go
+++ b/internal/coordination/pipelines_test.go
@@ -321,6 +321,30 @@
 	}
 }
 
+// What waits is no backlog, until the job before it is about to end: then machines for it
+// have just the time to come up.
+func TestNextStageIsPlannedInTime(t *testing.T) {
+	w, n := pipelines(t, 1)
+	w.runTime = func(string, int) time.Duration { return time.Hour }
+	a := spec("j-a", 1)
+	a.EstimateS = 60
+	w.accept(n.name, a)
+	w.until(20*time.Second, func() bool { return w.onMachines("j-a") == 1 })
+	w.run(time.Second)
+	f := &n.lead.fleet
+	alone := f.demand(1000)
+	w.accept(n.name, after("j-b", 200, "j-a"))
+	w.accept(n.name, after("j-c", 200, "j-a", "j-b")) // must wait for j-b as well
+	if got := f.demand(1000); got > alone {
+		t.Errorf("%v cores are planned for work that waits, %v without it", got, alone)
+	}
+	w.run(56 * time.Second) // a machine boots in 5 s
+	due := n.lead.dueFrom(n.lead.jobs["j-b"], n.now) - n.now
+	if got, want := f.demand(1000), 200*5/due.Seconds(); got < want || got > 2*want {
+		t.Errorf("%v cores are planned for the next stage, not %v", got, want)
+	}
+}
+
 // Jobs that wait cost a pass and a report nothing.
 func TestWaitingJobsCostNothing(t *testing.T) {
 	w, n := pipelines(t, 1)
