--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/segmentio/encoding/json"
@@ -48,6 +50,7 @@
 
 	cancel                []Origin // who waits for the cancellation
 	gone                  bool     // cancelled or done: nothing starts any more
+	withdrawn             bool     // and that is why
 	ending                bool     // its end may be written already, though no answer says so
 	waits                 string   // which check stopped it last
 	waiting               Instant  // since when it has had pending tasks
@@ -278,7 +281,8 @@
 // levelRaised lays out anew what level 0 could not have read. Bits are only ever set,
 // so a reader that finds both layouts takes all it finds; the old one is dropped last.
 func (l *leadership) levelRaised() {
-	for _, j := range l.jobs {
+	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
+		j := l.jobs[id]
 		old := j.parts
 		if j.spec.Tasks <= l.partTasks || j.gone {
 			continue
@@ -368,13 +372,13 @@
 // finish moves a job from the open ones to those that are over. Users are told
 // only after the write.
 func (l *leadership) finish(j *job, state string) {
-	j.gone = true
+	j.gone, j.withdrawn = true, state == protocol.Withdrawn
 	id := j.spec.UID
 	final := storage.FinalRecord{State: state, Tasks: j.spec.Tasks, Done: j.done}
 	for _, r := range j.runs {
 		l.stopRun(r, 0)
 	}
-	if state == protocol.Withdrawn {
+	if j.withdrawn {
 		l.relax(j)
 	}
 	l.writer.Add(l.importance(j, state), storage.Unit{
@@ -384,7 +388,7 @@
 		},
 		Taken: func() {
 			j.ending = true
-			if state == protocol.Withdrawn {
+			if j.withdrawn {
 				l.eachAfter(j, func(d *job) { d.ending = true })
 			}
 		},
--- a/internal/coordination/pipelines.go
+++ b/internal/coordination/pipelines.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -46,7 +47,8 @@
 		l.after[id] = append(l.after[id], j)
 		if before := l.jobs[id]; before != nil {
 			doomed = doomed || before.doomed
-			j.ending = j.ending || (before.ending && before.gone && before.done < before.spec.Tasks)
+			// Its cancellation, or that of one before it, may have been read elsewhere.
+			j.ending = j.ending || (before.ending && (before.withdrawn || !before.gone))
 		} else {
 			// It may come with the next page, or by the watch, or be long over.
 			l.lookups[id] = l.n.now
@@ -217,8 +219,8 @@
 // tickLookups reads what became of needed jobs that are not open here.
 func (l *leadership) tickLookups() {
 	busy := 0
-	for id, at := range l.lookups {
-		switch {
+	for _, id := range slices.Sorted(maps.Keys(l.lookups)) {
+		switch at := l.lookups[id]; {
 		case l.jobs[id] != nil || l.after[id] == nil:
 			delete(l.lookups, id)
 		case busy < lookupsAtOnce && l.n.now >= at && !l.n.elect.stateLost():
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -883,7 +883,8 @@
 	if !w.until(2*time.Second, func() bool { return w.state.keys[storage.FinalKey("j-1")].Version > 0 }) {
 		t.Fatal("not written")
 	}
-	for _, id := range []string{"j-1", "j-2", "j-3"} { // those that need it are cancelled with it
+	w.accept(w.followers()[0], after("j-4", 1, "j-3"))
+	for _, id := range []string{"j-1", "j-2", "j-3", "j-4"} { // those that need it are cancelled with it
 		if _, s := w.query(l.name, id); s.State != protocol.Withdrawn {
 			t.Fatalf("the leader says %q of %s after the end was written", s.State, id)
 		}
