A new leader reads what became of needed jobs at once, within a fifth of the state's rate

Two were read in each step, a few dozen steps a second at most: 40 live pipelines' needs took over a second after each takeover. Also a test of several ends in one report.

--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -29,16 +29,17 @@
 	writer    *storage.Writer
 	probing   bool
 
-	jobs        map[string]*job
-	runnable    map[string]*job    // those of them that wait for no others
-	after       map[string][]*job  // those that wait for a job that is not known to be over, by its id
-	lookups     map[string]Instant // needed jobs that are not open here: when to read what became of them
-	over        map[string]bool    // ended in this term
-	classes     map[string]*class
-	aims        map[string][]aim   // by class, shortest first
-	shares      map[string]float64 // by class, the least share of jobs that an aim asks for
-	startWithin time.Duration      // aim on starting guaranteed work; 0: none
-	usage       map[string]*usage  // by team
+	jobs         map[string]*job
+	runnable     map[string]*job    // those of them that wait for no others
+	after        map[string][]*job  // those that wait for a job that is not known to be over, by its id
+	lookups      map[string]Instant // needed jobs that are not open here: when to read what became of them
+	lookupBudget bucket             // those reads
+	over         map[string]bool    // ended in this term
+	classes      map[string]*class
+	aims         map[string][]aim   // by class, shortest first
+	shares       map[string]float64 // by class, the least share of jobs that an aim asks for
+	startWithin  time.Duration      // aim on starting guaranteed work; 0: none
+	usage        map[string]*usage  // by team
 
 	machines     map[string]*machine
 	catalogShape string     // of the machine types last stored, without prices
@@ -75,7 +76,8 @@
 		groupBytes: storage.GroupBytes(n.cfg.Cluster.State.ValueBytes()),
 		writer:     storage.NewWriter(n.cfg.Cluster.State.Ops(), leaderVer),
 		scheduled:  never, checkedAt: never,
-		jobs: map[string]*job{}, runnable: map[string]*job{}, after: map[string][]*job{}, lookups: map[string]Instant{},
+		lookupBudget: newBucket(n.cfg.Cluster.State.RPS*lookupShare, n.cfg.Cluster.State.RPS*lookupShare),
+		jobs:         map[string]*job{}, runnable: map[string]*job{}, after: map[string][]*job{}, lookups: map[string]Instant{},
 		over: map[string]bool{}, classes: map[string]*class{},
 		aims: map[string][]aim{}, shares: map[string]float64{}, usage: map[string]*usage{},
 		machines: map[string]*machine{}, gone: map[string]Instant{},
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -233,6 +233,7 @@
 	leaderWriteShare  = 0.6
 	submitWriteShare  = 0.3 // of all nodes together: see shareSubmissions
 	followerReadShare = 0.1
+	lookupShare       = 0.2 // a new leader's reads of what became of needed jobs
 	cloudShare        = 0.75
 	probesPerLease    = 28
 	beatsPerLease     = 32
--- a/internal/coordination/pipelines.go
+++ b/internal/coordination/pipelines.go
@@ -218,22 +218,17 @@
 
 // tickLookups reads what became of needed jobs that are not open here.
 func (l *leadership) tickLookups() {
-	busy := 0
 	for _, id := range slices.Sorted(maps.Keys(l.lookups)) {
 		switch at := l.lookups[id]; {
 		case l.jobs[id] != nil || l.after[id] == nil:
 			delete(l.lookups, id)
-		case busy < lookupsAtOnce && l.n.now >= at && !l.n.elect.stateLost():
-			busy++
+		case l.n.now >= at && !l.n.elect.stateLost() && l.lookupBudget.take(l.n.now, 1):
 			l.lookups[id] = l.n.now + l.n.lease()/probesPerLease
 			l.lookUp(id)
 		}
 	}
 }
 
-// lookupsAtOnce is how many are read in one step; there are a few dozen steps a second.
-const lookupsAtOnce = 2
-
 // lookUp reads the end of a needed job, and the open record where there is none. One
 // that has neither was moved from one to the other in between.
 func (l *leadership) lookUp(id string) {
--- a/internal/coordination/pipelines_test.go
+++ b/internal/coordination/pipelines_test.go
@@ -62,6 +62,20 @@
 	}
 }
 
+// Several jobs that one report shows as ended release what needs them all, once.
+func TestEndsInOneReport(t *testing.T) {
+	w, l := pipelines(t, 3)
+	w.cloud.capacity = 1
+	w.runTime = func(string, int) time.Duration { return 4 * time.Second }
+	for _, id := range []string{"j-a", "j-b", "j-c"} {
+		w.accept(l.name, spec(id, 1))
+	}
+	w.accept(l.name, after("j-d", 1, "j-a", "j-b", "j-c"))
+	w.accept(l.name, after("j-e", 1, "j-d", "j-b"))
+	w.waitState("j-e", protocol.Done, time.Minute)
+	w.startedOnce()
+}
+
 // What the leader alone has seen is not enough: the next leader may not know it.
 func TestStartWaitsForTheDurableEnd(t *testing.T) {
 	w, l := pipelines(t, 3)
