Groups of machines stay as small as they were where values may be large

Found in rereading: seven eighths of 32 KiB are 300 machines in one record, all of which is written for each change; it was a hundred. A quarter of a transaction at most now. With 2 KiB it stays at 19.

--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -130,8 +130,9 @@
 	return len(Encode(name)) + len(Encode(r)) + 2
 }
 
-// GroupBytes is how large a group's record may grow, well inside the value limit.
-func GroupBytes(valueBytes int) int { return valueBytes * 7 / 8 }
+// GroupBytes is how large a group's record may grow, well inside the value limit; and
+// several share a transaction, as all of a group is written for each change in it.
+func GroupBytes(valueBytes int) int { return min(valueBytes*7/8, maxTxnBytes/4) }
 
 // FlowRecord is what a leader has learnt of the work that arrives, over a time, by
 // class of jobs.
