A job may need more others than one value holds

A list of more than about 140 jobs did not fit a value of 2 KiB and was refused. It is now stored beside the job, in the same transaction, in as many values as that may change; a job is not known before all that it needs is, so that nothing starts too early.

--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -7,8 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
@@ -252,11 +250,11 @@
 	if !l.loaded {
 		return nil
 	}
-	var rec storage.JobRecord
-	if json.Unmarshal(item.Value, &rec) != nil || rec.Spec.UID != id {
-		return nil
+	if j := l.jobs[id]; j != nil {
+		return j
 	}
-	return l.addJob(rec, item.Version)
+	l.loadJobs([]storage.Item{item})
+	return l.jobs[id]
 }
 
 // layOut divides the job's bitmap into parts that fit the value limit. Level 0 reads and
@@ -407,6 +405,9 @@
 			for _, p := range j.parts {
 				l.dropKnown(p.key)
 			}
+			for i := 0; l.writer.Version(storage.NeedsKey(id, i)) != 0; i++ {
+				l.dropKnown(storage.NeedsKey(id, i))
+			}
 		},
 	})
 }
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -30,11 +31,13 @@
 	probing   bool
 
 	jobs         map[string]*job
-	runnable     map[string]*job    // those of them that wait for no others
-	after        map[string][]*job  // those that wait for a job that is not known to be over, by its id
-	lookups      map[string]Instant // needed jobs that are not open here: when to read what became of them
-	lookupBudget bucket             // those reads
-	over         map[string]bool    // ended in this term
+	runnable     map[string]*job           // those of them that wait for no others
+	after        map[string][]*job         // those that wait for a job that is not known to be over, by its id
+	needs        map[string][]storage.Item // read before the jobs that need them
+	reading      map[string]bool           // jobs of which that is under way
+	lookups      map[string]Instant        // needed jobs that are not open here: when to read what became of them
+	lookupBudget bucket                    // those reads
+	over         map[string]bool           // ended in this term
 	classes      map[string]*class
 	aims         map[string][]aim   // by class, shortest first
 	shares       map[string]float64 // by class, the least share of jobs that an aim asks for
@@ -77,7 +80,7 @@
 		writer:     storage.NewWriter(n.cfg.Cluster.State.Ops(), leaderVer),
 		scheduled:  never, checkedAt: never,
 		lookupBudget: newBucket(n.cfg.Cluster.State.RPS*lookupShare, n.cfg.Cluster.State.RPS*lookupShare),
-		jobs:         map[string]*job{}, runnable: map[string]*job{}, after: map[string][]*job{}, lookups: map[string]Instant{},
+		jobs:         map[string]*job{}, runnable: map[string]*job{}, after: map[string][]*job{}, needs: map[string][]storage.Item{}, reading: map[string]bool{}, lookups: map[string]Instant{},
 		over: map[string]bool{}, classes: map[string]*class{},
 		aims: map[string][]aim{}, shares: map[string]float64{}, usage: map[string]*usage{},
 		machines: map[string]*machine{}, gone: map[string]Instant{},
@@ -135,6 +138,7 @@
 		take   func([]storage.Item)
 	}{
 		{storage.VersionPrefix, l.n.takeVersions},
+		{storage.NeedsPrefix, l.loadNeeds}, // before the jobs: what is written later is read with them
 		{storage.JobPrefix, l.loadJobs},
 		{storage.BitsPrefix, l.loadBits},
 		{storage.GroupPrefix, l.loadGroups},
@@ -198,10 +202,56 @@
 			l.n.log.Error("record can't be read", "key", it.Key)
 			continue
 		}
+		id := rec.Spec.UID
+		if !rec.TakeNeeds(l.needs[id]) {
+			l.readNeeds(it, rec.More)
+			continue
+		}
+		delete(l.needs, id)
 		l.addJob(rec, it.Version)
 	}
 }
 
+// loadNeeds reads what does not fit the records of the jobs that need it.
+func (l *leadership) loadNeeds(items []storage.Item) {
+	l.knowAll(items)
+	for _, it := range items {
+		id := storage.NeedsOf(it.Key)
+		l.needs[id] = append(l.needs[id], it)
+	}
+}
+
+// readNeeds does the same for one job that has come since. A job is not known before
+// all that it needs is: it would start at once.
+func (l *leadership) readNeeds(job storage.Item, records int) {
+	id := strings.TrimPrefix(job.Key, storage.JobPrefix)
+	if l.jobs[id] != nil || l.reading[id] {
+		return
+	}
+	l.reading[id] = true
+	delete(l.needs, id)
+	l.readAll(storage.NeedsPrefix+id+"/", "", l.loadNeeds, func() {
+		delete(l.reading, id)
+		if len(l.needs[id]) != records {
+			l.later(func() { l.readNeeds(job, records) })
+			return
+		}
+		l.loadJobs([]storage.Item{job})
+	})
+}
+
+// dropNeeds drops what is left of jobs that are over.
+func (l *leadership) dropNeeds() {
+	for _, id := range slices.Sorted(maps.Keys(l.needs)) {
+		for _, it := range l.needs[id] {
+			if l.jobs[id] == nil && !l.reading[id] {
+				l.dropKnown(it.Key)
+			}
+		}
+		delete(l.needs, id)
+	}
+}
+
 func (l *leadership) loadBits(items []storage.Item) {
 	for _, it := range items {
 		l.writer.Know(it.Key, it.Version)
@@ -308,6 +358,7 @@
 // ready begins to decide.
 func (l *leadership) ready() {
 	l.loaded, l.dirty = true, true
+	l.dropNeeds()
 	l.splitGroups()
 	l.fleet.inherit()
 	l.storeCatalog()
--- a/internal/coordination/pipelines.go
+++ b/internal/coordination/pipelines.go
@@ -251,13 +251,18 @@
 	})
 }
 
-// needsOf are the jobs that an open job's record names.
-func needsOf(open *storage.Item) []string {
+// needsOf reads which jobs an open one needs.
+func (n *Node) needsOf(open *storage.Item, then func(ok bool, ids []string)) {
 	var rec storage.JobRecord
-	if json.Unmarshal(open.Value, &rec) != nil {
-		return nil
+	if json.Unmarshal(open.Value, &rec) != nil || rec.TakeNeeds(nil) {
+		then(true, rec.Spec.Needs)
+		return
 	}
-	return rec.Spec.Needs
+	n.stateCall("GET", storage.ListPath(storage.NeedsPrefix+rec.Spec.UID+"/", "", rec.More), nil, func(r Result) {
+		var page storage.Page
+		ok := r.Status == 200 && json.Unmarshal(r.Body, &page) == nil && rec.TakeNeeds(page.Items)
+		then(ok, rec.Spec.Needs)
+	})
 }
 
 // readTruth reads what the records say of a job: an open one is cancelled if some job
@@ -269,7 +274,7 @@
 			then(ok, open, final)
 			return
 		}
-		n.anyWithdrawn(needsOf(open), map[string]bool{}, func(ok, withdrawn bool) {
+		n.anyWithdrawn(open, nil, map[string]bool{}, func(ok, withdrawn bool) {
 			switch {
 			case !ok:
 				then(false, nil, nil)
@@ -282,9 +287,20 @@
 	})
 }
 
-// anyWithdrawn tells whether one of some jobs, or one before them, is cancelled. What
-// is done had all its needs done.
-func (n *Node) anyWithdrawn(ids []string, seen map[string]bool, then func(ok, withdrawn bool)) {
+// anyWithdrawn tells whether a job that an open one needs, directly or through others, or
+// one of some more jobs, is cancelled. What is done had all its needs done.
+func (n *Node) anyWithdrawn(open *storage.Item, more []string, seen map[string]bool, then func(ok, withdrawn bool)) {
+	n.needsOf(open, func(ok bool, ids []string) {
+		if !ok {
+			then(false, false)
+			return
+		}
+		n.oneWithdrawn(append(slices.Clone(more), ids...), seen, then)
+	})
+}
+
+// oneWithdrawn is the same of some jobs.
+func (n *Node) oneWithdrawn(ids []string, seen map[string]bool, then func(ok, withdrawn bool)) {
 	for i, id := range ids {
 		if seen[id] {
 			continue
@@ -297,9 +313,9 @@
 			case final != nil && final.State == protocol.Withdrawn:
 				then(true, true)
 			case open != nil:
-				n.anyWithdrawn(append(slices.Clone(ids[i+1:]), needsOf(open)...), seen, then)
+				n.anyWithdrawn(open, ids[i+1:], seen, then)
 			default:
-				n.anyWithdrawn(ids[i+1:], seen, then)
+				n.oneWithdrawn(ids[i+1:], seen, then)
 			}
 		})
 		return
--- a/internal/coordination/pipelines_test.go
+++ b/internal/coordination/pipelines_test.go
@@ -157,6 +157,64 @@
 	w.waitState("j-all", protocol.Done, 2*time.Minute)
 }
 
+// What a job needs may take more than one value of the state service: it is stored with
+// the job, read before the job is known, by any node and leader, and dropped with it.
+func TestNeedsOverManyRecords(t *testing.T) {
+	w := newWorld(t, 3)
+	w.announce(1, 4, 60)
+	w.state.lowered = true
+	l := w.waitLeader()
+	w.allNew()
+	w.machines(4)
+	w.runTime = func(task string, _ int) time.Duration {
+		if jobOf(task) == "j-000" {
+			return time.Minute
+		}
+		return time.Second
+	}
+	var all []string
+	for i := range 200 {
+		all = append(all, fmt.Sprintf("j-%03d", i))
+		w.accept(l.name, spec(all[i], 1))
+	}
+	other := w.followers()[0]
+	w.accept(other, after("j-all", 1, all...))
+	w.accept(l.name, after("j-most", 1, append(slices.Clone(all[1:]), "j-all")...))
+	w.accept(l.name, after("j-mine", 1, all...))
+	for _, id := range []string{"j-all", "j-most", "j-mine"} {
+		if n := len(w.state.keys[storage.JobKey(id)].Value); n > 1024 || n == 0 {
+			t.Errorf("the record of %s has %d bytes", id, n)
+		}
+		if j := l.lead.jobs[id]; j == nil || len(j.spec.Needs) != 200 {
+			t.Errorf("%s is known as %+v", id, j)
+		}
+	}
+	var broad []string
+	for range 5 {
+		broad = append(broad, all...)
+	}
+	for i := range broad {
+		broad[i] = fmt.Sprintf("%s-%d", broad[i], i/200)
+	}
+	if r := w.submit(l.name, after("j-broad", 1, broad...)); r.Status != 400 {
+		t.Errorf("more than can be stored: answered %d", r.Status)
+	}
+	w.crash(l.name)
+	l = w.waitLeader()
+	w.run(time.Second)
+	w.cancel(l.name, "j-mine")
+	w.waitState("j-most", protocol.Done, 5*time.Minute)
+	if len(w.state.refused) > 0 {
+		t.Errorf("too large: %v", w.state.refused)
+	}
+	w.run(5 * time.Second)
+	for key := range w.state.keys {
+		if strings.HasPrefix(key, storage.NeedsPrefix) {
+			t.Errorf("%s is kept", key)
+		}
+	}
+}
+
 // Cancelling a job reaches all that need it, also one that is submitted later, and only
 // those.
 func TestCancelReachesAllAfter(t *testing.T) {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -328,12 +328,12 @@
 
 // submission is a submission that is to be written.
 type submission struct {
-	r     Request
-	rec   storage.JobRecord
-	write storage.Write // of the record: formed once, as it may be sent again
-	lead  *leadership   // that took it, if any
-	until Instant       // when its user is told to come back instead
-	tries int
+	r      Request
+	rec    storage.JobRecord
+	writes []storage.Write // of the record: formed once, as they may be sent again
+	lead   *leadership     // that took it, if any
+	until  Instant         // when its user is told to come back instead
+	tries  int
 }
 
 // submitDirect writes a submission, conditioned on the job being unknown, and
@@ -344,12 +344,13 @@
 		return
 	}
 	rec := storage.JobRecord{Spec: *r.Job, AtMS: n.wallMS()}
-	write := storage.Set(storage.JobKey(rec.Spec.UID), rec)
+	limits := &n.cfg.Cluster.State
+	writes := storage.JobWrites(rec, limits.ValueBytes())
 	// A job that was accepted once stays accepted, even if the catalogue has shrunk
 	// since, or the limits, or if this node knows less than the one that took it: only
 	// an unknown one is refused.
 	switch {
-	case len(write.Value) > n.cfg.Cluster.State.ValueBytes():
+	case !storage.Fits(writes, limits.ValueBytes(), limits.Ops()):
 		n.answerKnown(r, lead, 400) // no record holds it, however often it is sent
 		return
 	case !n.canRun(r.Job) && !n.catalogSure:
@@ -368,7 +369,7 @@
 	if len(unknown) > needsRead && lead == nil && n.passOn(r) {
 		return // the leader knows most of them
 	}
-	s := submission{r: r, rec: rec, write: write, lead: lead, until: n.now + n.lease()/10}
+	s := submission{r: r, rec: rec, writes: writes, lead: lead, until: n.now + n.lease()/10}
 	n.wereAccepted(unknown, func(ok, all bool) {
 		switch {
 		case !ok:
@@ -422,7 +423,7 @@
 		switch {
 		case n.now >= s.until || n.elect.stateLost():
 			n.unavailable(s.r.Origin)
-		case n.submitBudget.take(n.now, 1):
+		case n.submitBudget.take(n.now, min(n.submitBudget.burst, float64(len(s.writes)))):
 			n.writeSubmission(s)
 		default:
 			n.submits = append(n.submits, s)
@@ -434,7 +435,7 @@
 	id := s.rec.Spec.UID
 	txn := storage.Txn{
 		If:     []storage.Cond{{Key: storage.JobKey(id)}, {Key: storage.FinalKey(id)}},
-		Writes: []storage.Write{s.write},
+		Writes: s.writes,
 	}
 	n.stateCall("POST", "/multi", txn, func(res Result) {
 		var out storage.TxnResult
@@ -442,6 +443,9 @@
 		case res.Status == 200 && json.Unmarshal(res.Body, &out) == nil:
 			n.accepted.put(id, true)
 			if s.lead != nil && n.lead == s.lead {
+				for _, w := range s.writes {
+					s.lead.writer.Know(w.Key(), out.Revision)
+				}
 				s.lead.addJob(s.rec, out.Revision)
 			}
 			n.reply(s.r.Origin, 201, 0, protocol.JobState{UID: id, State: protocol.Queued})
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -28,6 +28,7 @@
 	FlowKey       = "flow"
 	CatalogKey    = "catalog"
 	VersionPrefix = "version/"
+	NeedsPrefix   = "needs/"
 )
 
 // JobKey is the key of an open job.
@@ -39,6 +40,15 @@
 // GroupKey is the key of one group of machines.
 func GroupKey(i int) string { return fmt.Sprintf("%s%03d", GroupPrefix, i) }
 
+// NeedsKey is the key of one of the records of the jobs that a job needs.
+func NeedsKey(id string, i int) string { return fmt.Sprintf("%s%s/%03d", NeedsPrefix, id, i) }
+
+// NeedsOf is the job of such a key.
+func NeedsOf(key string) string {
+	id, _, _ := strings.Cut(strings.TrimPrefix(key, NeedsPrefix), "/")
+	return id
+}
+
 // GroupNumber is the reverse of GroupKey.
 func GroupNumber(key string) int {
 	i, _ := strconv.Atoi(strings.TrimPrefix(key, GroupPrefix))
@@ -92,6 +102,62 @@
 type JobRecord struct {
 	Spec protocol.Job `json:"spec"`
 	AtMS int64        `json:"at"`
+	// More is in how many records of their own the jobs are that it needs, where its own
+	// can't hold them.
+	More int `json:"more,omitempty"`
+}
+
+// JobWrites are the changes that store a job: one, or some more where it needs too many
+// others for one value.
+func JobWrites(rec JobRecord, valueBytes int) []Write {
+	whole := Set(JobKey(rec.Spec.UID), rec)
+	if len(whole.Value) <= valueBytes || len(rec.Spec.Needs) == 0 {
+		return []Write{whole}
+	}
+	needs := rec.Spec.Needs
+	rec.Spec.Needs = nil
+	var more []Write
+	for len(needs) > 0 {
+		count, size := 0, 2
+		for count < len(needs) && (count == 0 || size+len(needs[count])+3 <= valueBytes) {
+			size += len(needs[count]) + 3
+			count++
+		}
+		more = append(more, Set(NeedsKey(rec.Spec.UID, len(more)), needs[:count]))
+		needs = needs[count:]
+	}
+	rec.More = len(more)
+	return append([]Write{Set(JobKey(rec.Spec.UID), rec)}, more...)
+}
+
+// Fits tells whether a transaction of some changes is within the limits.
+func Fits(writes []Write, valueBytes, ops int) bool {
+	size := 0
+	for _, w := range writes {
+		if len(w.Value) > valueBytes {
+			return false
+		}
+		size += w.bytes()
+	}
+	return len(writes) <= ops && size <= maxTxnBytes
+}
+
+// TakeNeeds puts the jobs that a record needs back into it from records of their own, in
+// their order, and tells whether all of them are there.
+func (r *JobRecord) TakeNeeds(more []Item) bool {
+	if len(more) != r.More {
+		return false
+	}
+	var all []string
+	for _, it := range more {
+		var needs []string
+		if json.Unmarshal(it.Value, &needs) != nil {
+			return false
+		}
+		all = append(all, needs...)
+	}
+	r.Spec.Needs, r.More = append(r.Spec.Needs, all...), 0
+	return true
 }
 
 // FinalRecord is what remains of a job that is over. AtMS is the time of day of its
@@ -212,6 +278,9 @@
 	Drop  string          `json:"drop,omitempty"`
 }
 
+// bytes is about what the write takes in a transaction, with its condition.
+func (w Write) bytes() int { return len(w.Value) + 2*len(w.Key()) + 64 }
+
 // Key is the key that the write touches.
 func (w Write) Key() string { return w.Set + w.Drop }
 
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -113,7 +113,7 @@
 			grown := size
 			for _, wr := range writes {
 				fits = fits && !touched[wr.Key()]
-				grown += len(wr.Value) + 2*len(wr.Key()) + 64
+				grown += wr.bytes()
 			}
 			if !fits || (grown > w.maxBytes && len(w.writes) > 0) {
 				break
