A cancellation of many jobs works out anew once what those before them owe

Found in rereading: each job that a cancellation reaches walked all machines and all that needs the same jobs; a thousand jobs after one would have kept the leader busy for minutes. They are relaxed together now.

--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -376,7 +376,7 @@
 	for _, r := range j.runs {
 		l.stopRun(r, 0)
 	}
-	if j.withdrawn {
+	if j.withdrawn && !j.doomed {
 		l.relax(j)
 	}
 	l.writer.Add(l.importance(j, state), storage.Unit{
--- a/internal/coordination/pipelines.go
+++ b/internal/coordination/pipelines.go
@@ -55,9 +55,7 @@
 		}
 	}
 	delete(l.lookups, j.spec.UID)
-	for _, d := range l.after[j.spec.UID] {
-		l.hasten(d)
-	}
+	l.hasten(l.after[j.spec.UID]...)
 	switch {
 	case doomed:
 		l.doom(j)
@@ -117,12 +115,14 @@
 // durable already, so their users may be told at once; their own ends are written as
 // there is time, however many they are.
 func (l *leadership) doom(j *job) {
+	var doomed []*job
 	for todo := []*job{j}; len(todo) > 0; todo = todo[1:] {
 		d := todo[0]
 		if d.doomed {
 			continue
 		}
 		d.doomed = true
+		doomed = append(doomed, d)
 		for _, o := range d.cancel {
 			l.n.reply(o, 200, 0, d.state())
 		}
@@ -132,6 +132,7 @@
 		}
 		todo = append(todo, l.after[d.spec.UID]...)
 	}
+	l.relax(doomed...)
 }
 
 // eachAfter does something with all jobs that need a job, directly or through others.
@@ -146,10 +147,10 @@
 	}
 }
 
-// relax works out anew what a job that is cancelled has asked of those before it.
-func (l *leadership) relax(j *job) {
-	var before []*job
-	for todo := []*job{j}; len(todo) > 0; todo = todo[1:] {
+// relax works out anew what jobs that are cancelled have asked of those before them.
+func (l *leadership) relax(jobs ...*job) {
+	var before, after []*job
+	for todo := slices.Clone(jobs); len(todo) > 0; todo = todo[1:] {
 		for _, id := range todo[0].spec.Needs {
 			if b := l.jobs[id]; b != nil && !b.gone && (b.endBy != forever || b.urgency != math.MaxInt) {
 				b.endBy, b.urgency = forever, math.MaxInt
@@ -158,12 +159,9 @@
 		}
 	}
 	for _, b := range before {
-		for _, d := range l.after[b.spec.UID] {
-			if !d.gone {
-				l.hasten(d)
-			}
-		}
+		after = append(after, l.after[b.spec.UID]...)
 	}
+	l.hasten(after...)
 }
 
 // importance is that of a job's end, where not all that waits can be written.
@@ -179,13 +177,19 @@
 	return storage.Soon
 }
 
-// hasten works out, for all jobs before a job, until when they must be done for it to be
-// in time, and how urgent it makes them. The slack of a pipeline is thus spent once: a
-// job is due when the longest way from it to an end leaves no more time.
-func (l *leadership) hasten(j *job) {
+// hasten works out, for all jobs before some jobs, until when they must be done for these
+// to be in time, and how urgent that makes them. The slack of a pipeline is thus spent
+// once: a job is due when the longest way from it to an end leaves no more time.
+func (l *leadership) hasten(jobs ...*job) {
+	if len(jobs) == 0 {
+		return
+	}
 	pull := l.pull()
-	for todo := []*job{j}; len(todo) > 0; todo = todo[1:] {
+	for todo := slices.Clone(jobs); len(todo) > 0; todo = todo[1:] {
 		d := todo[0]
+		if d.gone {
+			continue
+		}
 		end := d.endBy
 		if d.spec.DeadlineS != nil {
 			end = min(end, l.ownDue(d, d.from))
