--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -459,7 +459,7 @@
 // and a predecessor may have told so.
 func (l *leadership) answer(r Request, j *job) {
 	if !j.doomed && (j.ending || (j.awaits > 0 && len(l.lookups) > 0)) {
-		l.n.answerKnown(r, l, 503)
+		l.n.answerKnown(r, l, comeBack)
 		return
 	}
 	l.n.reply(r.Origin, 200, 0, j.state())
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -276,16 +276,30 @@
 		n.reply(r.Origin, 404, 0, nil)
 		return
 	}
-	n.answerKnown(r, lead, 404)
+	n.answerKnown(r, lead, noSuchJob)
 }
 
+// denial is what a user is told of a job that the state service does not know.
+type denial struct {
+	status int
+	Error  string `json:"error"`
+}
+
+var (
+	noSuchJob    = denial{404, "no such job"}
+	tooLarge     = denial{400, "the job is too large to be stored"}
+	neverRuns    = denial{422, "unknown team, or a task that fits no machine type or the team's limit"}
+	needsNobodys = denial{422, "aguarda: names a job that was never accepted"}
+	comeBack     = denial{503, ""}
+)
+
 // answerKnown answers with what the state service knows of a job; otherwise is
 // the status of a job that it does not know. The authority of the leadership
 // that asks must still hold then.
-func (n *Node) answerKnown(r Request, lead *leadership, otherwise int) {
+func (n *Node) answerKnown(r Request, lead *leadership, otherwise denial) {
 	n.readTruth(r.ID, func(ok bool, open *storage.Item, final *storage.FinalRecord) {
 		switch {
-		case !ok || (open == nil && final == nil && otherwise == 503):
+		case !ok || (open == nil && final == nil && otherwise == comeBack):
 			n.unavailable(r.Origin)
 		case final != nil:
 			n.reply(r.Origin, 200, 0, finalState(r.ID, *final))
@@ -303,7 +317,7 @@
 			}
 			n.reply(r.Origin, 200, 0, queuedState(r.ID))
 		default:
-			n.reply(r.Origin, otherwise, 0, nil)
+			n.reply(r.Origin, otherwise.status, 0, otherwise)
 		}
 	})
 }
@@ -351,18 +365,21 @@
 	// an unknown one is refused.
 	switch {
 	case !storage.Fits(writes, limits.ValueBytes(), limits.Ops()):
-		n.answerKnown(r, lead, 400) // no record holds it, however often it is sent
+		n.answerKnown(r, lead, tooLarge) // no record holds it, however often it is sent
 		return
 	case !n.canRun(r.Job) && !n.catalogSure:
-		n.answerKnown(r, lead, 503) // the types may have changed since they were stored
+		n.answerKnown(r, lead, comeBack) // the types may have changed since they were stored
+		return
+	case !n.canRun(r.Job):
+		n.answerKnown(r, lead, neverRuns)
 		return
-	case !n.canRun(r.Job) || slices.Contains(r.Job.Needs, r.Job.UID):
-		n.answerKnown(r, lead, 422)
+	case slices.Contains(r.Job.Needs, r.Job.UID):
+		n.answerKnown(r, lead, needsNobodys)
 		return
 	case len(r.Job.Needs) > 0 && !n.versions.all:
 		// A node of the version before would start it at once. Nothing says that all are
 		// new until each has written so.
-		n.answerKnown(r, lead, 503)
+		n.answerKnown(r, lead, comeBack)
 		return
 	}
 	unknown := n.notKnownAccepted(r.Job.Needs)
@@ -373,9 +390,9 @@
 	n.wereAccepted(unknown, func(ok, all bool) {
 		switch {
 		case !ok:
-			n.answerKnown(r, lead, 503)
+			n.answerKnown(r, lead, comeBack)
 		case !all:
-			n.answerKnown(r, lead, 422)
+			n.answerKnown(r, lead, needsNobodys)
 		default:
 			n.queueSubmission(s)
 		}
@@ -450,11 +467,11 @@
 			}
 			n.reply(s.r.Origin, 201, 0, protocol.JobState{UID: id, State: protocol.Queued})
 		case res.Status == 409:
-			n.answerKnown(s.r, s.lead, 503)
+			n.answerKnown(s.r, s.lead, comeBack)
 		case res.Status == 400:
 			// Too large for what the limits have become; but an earlier copy may have been
 			// taken.
-			n.answerKnown(s.r, s.lead, 400)
+			n.answerKnown(s.r, s.lead, tooLarge)
 		case (res.Status == 0 || res.Status == 429) && s.tries < submitTries:
 			// Too many changes at once, or an answer lost. Its condition lets only
 			// one copy through, so it may be sent again.
