A stage released in this term is not held up by machines that are not accounted for

A job that needs one whose end this leader has written can't have been started by an earlier one: that end was written on the condition of this leader's key, after which no earlier leader commands anything.

--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -397,7 +397,7 @@
 			l.over[id] = true
 			delete(l.jobs, id)
 			delete(l.runnable, id)
-			l.ended(id, final)
+			l.ended(id, final, true)
 			for _, o := range j.cancel {
 				l.n.reply(o, 200, 0, protocol.JobState{UID: id, State: state})
 			}
--- a/internal/coordination/pipelines.go
+++ b/internal/coordination/pipelines.go
@@ -22,6 +22,7 @@
 type chain struct {
 	awaits  int     // jobs that it needs whose end is not durable, or not known here
 	doomed  bool    // one of them is cancelled, durably
+	fresh   bool    // one of them has ended in this term: no earlier leader can have started it
 	endBy   Instant // when it must be done for those after it to be in time
 	urgency int     // the best rank of those after it
 }
@@ -92,8 +93,9 @@
 	return slices.DeleteFunc(slices.Clone(after), func(d *job) bool { return d.gone || d.awaits > 1 })
 }
 
-// ended tells those that wait for a job that its end is durable.
-func (l *leadership) ended(id string, final storage.FinalRecord) {
+// ended tells those that wait for a job that its end is durable; ours tells whether this
+// leader has written it.
+func (l *leadership) ended(id string, final storage.FinalRecord, ours bool) {
 	waiting := l.after[id]
 	delete(l.after, id)
 	delete(l.lookups, id)
@@ -104,6 +106,7 @@
 			l.doom(d)
 		default:
 			d.from = max(d.from, min(l.n.instantOf(final.AtMS), l.n.now))
+			d.fresh = d.fresh || ours
 			if d.awaits--; d.awaits == 0 {
 				l.unblock(d)
 			}
@@ -244,7 +247,7 @@
 		case n.lead != l:
 		case r.Status == 200 && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &final) == nil:
 			n.finals.put(id, final)
-			l.ended(id, final)
+			l.ended(id, final, false)
 		case r.Status == 404:
 			n.stateCall("GET", "/store/"+storage.JobKey(id), nil, func(r Result) {
 				if n.lead == l && r.Status == 200 && json.Unmarshal(r.Body, &item) == nil {
--- a/internal/coordination/pipelines_test.go
+++ b/internal/coordination/pipelines_test.go
@@ -417,6 +417,38 @@
 	}
 }
 
+// A stage that the new leader has released need not wait for machines that hold up older
+// jobs: no earlier leader can have started it.
+func TestReleasedStageIsNotHeldUp(t *testing.T) {
+	w, first := pipelines(t, 3)
+	w.runTime = func(task string, _ int) time.Duration {
+		if jobOf(task) == "j-a" {
+			return 12 * time.Second
+		}
+		return 200 * time.Second
+	}
+	w.submitAndStart(first.name, spec("j-1", 6), 6)
+	w.submitAndStart(first.name, spec("j-a", 1), 1)
+	w.accept(first.name, after("j-b", 1, "j-a"))
+	silenced := 0
+	for _, x := range w.workers {
+		if !slices.ContainsFunc(x.tasks, func(t *simTask) bool { return jobOf(t.key) == "j-a" }) {
+			x.silent = true
+			silenced++
+		}
+	}
+	w.cloud.noReturn = true // or that would make sure sooner
+	w.crash(first.name)
+	l := w.waitLeader()
+	took := w.now
+	if !w.until(30*time.Second, func() bool { return w.onMachines("j-b") == 1 }) || silenced == 0 {
+		t.Fatal("not started")
+	}
+	if l.lead.complete {
+		t.Errorf("started only when all machines were accounted for, %v after the takeover", w.now-took)
+	}
+}
+
 // Jobs that wait cost a pass and a report nothing.
 func TestWaitingJobsCostNothing(t *testing.T) {
 	w, n := pipelines(t, 1)
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -372,8 +372,9 @@
 func (l *leadership) admit(j *job, p *pass, fetch bool, most int) string {
 	n := l.n
 	// A job accepted after our leader key was written can't have been started
-	// by an earlier leader; any other may be running where we don't see it.
-	if !p.complete && j.version <= l.writer.LeaderVer {
+	// by an earlier leader, nor one that needs a job whose end we have written; any
+	// other may be running where we don't see it.
+	if !p.complete && j.version <= l.writer.LeaderVer && !j.fresh {
 		return waitUnknown
 	}
 	team := n.team(j.spec.Team)
