An answer to an earlier process of a node is nobody's

A node had passed on a cancellation, died and was back within a fraction of a second; the leader's answer, kept until the cancellation was written, came to the new process, which had passed on another user's submission under the same number: that user was told 200. Questions passed on are now numbered from a random start.

--- a/internal/coordination/forgotten_test.go
+++ b/internal/coordination/forgotten_test.go
@@ -211,6 +211,40 @@
 	}
 }
 
+// An answer to a question that an earlier process of a node had passed on is nobody's: a
+// node that was back at once handed the answer to one user's cancellation to another
+// user's submission, and that job was never stored.
+func TestAnswerToAnEarlierProcess(t *testing.T) {
+	w := newWorld(t, 3)
+	l := w.waitLeader()
+	w.submit(l.name, spec("j-1", 1))
+	name := w.followers()[0]
+	forwarded := func(r Request, f func(Reply)) uint64 {
+		w.ask(name, r, f)
+		w.run(2 * step)
+		for id := range w.nodes[name].forwards {
+			return id
+		}
+		t.Fatal("not passed on")
+		return 0
+	}
+	l.frozen = true
+	before := forwarded(Request{Kind: ReqCancel, ID: "j-1"}, func(Reply) {})
+	l.frozen = false
+	w.crash(name)
+	w.restart(name)
+	w.run(time.Second)
+	l.frozen = true
+	var got *Reply
+	forwarded(Request{Kind: ReqQuery, ID: "j-2"}, func(r Reply) { got = &r })
+	n := w.nodes[name]
+	n.inbox = append(n.inbox, PeerMessage{From: l.name, Msg: Message{Type: msgAnswer, ID: before, Code: 200, Body: []byte(`{"uid":"j-1","situacao":"withdrawn"}`)}})
+	w.run(5 * step)
+	if got != nil {
+		t.Errorf("it is handed %d %s", got.Status, got.Body)
+	}
+}
+
 // Workers that were sent to the leader and come back, as they can't reach it, are
 // relayed for, however many there are; and they are forgotten once that is over.
 func TestRelayForAnyNumberOfWorkers(t *testing.T) {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -259,6 +259,10 @@
 	}
 	n.elect = newElection()
 	n.run = n.rng.Uint64() ^ uint64(n.wall.UnixNano()) | 1 // 0: not heard yet
+	// An answer to an earlier process of this node may still come, as the leader keeps a
+	// cancellation until it is written. Numbered from one by each process, it was handed
+	// to whoever had asked under that number now: a user was told that his job is known.
+	n.nextFwd = n.run
 	return n
 }
 
