--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -142,11 +142,10 @@
 
 // flow is the work that arrives of a class of jobs.
 type flow struct {
-	work  float64       // in core seconds, decaying
-	slow  float64       // the same, decaying slowly
-	jobs  float64       // how many jobs that is
-	quiet time.Duration // since the last of them, while arrivals could be written
-	due   time.Duration // how long after its arrival it is due, of the last job
+	work float64       // in core seconds, decaying
+	slow float64       // the same, decaying slowly
+	jobs float64       // how many jobs that is
+	due  time.Duration // how long after its arrival it is due, of the last job
 }
 
 // arrived counts the work that a new job brings.
@@ -161,7 +160,7 @@
 	x.work += work
 	x.slow += work
 	x.jobs++
-	f.quiet, x.quiet = 0, 0
+	f.quiet = 0
 	x.due = max(0, f.l.due(j)-j.from) // a job that waited for others may be late by then
 }
 
@@ -174,13 +173,7 @@
 	now := f.l.n.now
 	by := math.Exp(-(now - f.flowAt).Seconds() / f.span())
 	slowly := math.Pow(by, 1.0/slowSpan)
-	silence := max(0, now-f.flowAt)
-	if f.l.n.elect.stateDown() {
-		silence = 0
-	}
-	f.quiet += silence
 	for class, x := range f.flows {
-		x.quiet += silence
 		x.work *= by
 		x.slow *= slowly
 		if x.jobs *= slowly; x.jobs < 0.01 {
@@ -188,6 +181,9 @@
 		}
 	}
 	f.inherited *= by
+	if !f.l.n.elect.stateDown() {
+		f.quiet += max(0, now-f.flowAt)
+	}
 	f.flowAt = now
 }
 
@@ -208,25 +204,17 @@
 	return jobs
 }
 
-// ebb is how much is still believed of what usually comes, where so many jobs were
-// seen and none for so long. Sums that decay go on for minutes after the last job, and
-// machines were held, and even rented anew, for work that nobody brought; that so many
-// jobs in a row stay away is no luck.
-func (f *fleet) ebb(jobs float64, quiet time.Duration) float64 {
-	missed := jobs / f.slowTime() * (quiet - f.l.n.lease()).Seconds()
+// ebb is how much of what usually comes is still believed. Sums that decay go on for
+// minutes after the last job, and machines were held, and even rented anew, for work
+// that nobody brought; that so many jobs in a row stay away is no luck.
+func (f *fleet) ebb() float64 {
+	missed := f.jobsSeen() / f.slowTime() * (f.quiet - f.l.n.lease()).Seconds()
 	if missed <= ebbJobs {
 		return 1
 	}
 	return ebbJobs / missed
 }
 
-// believed is the same of a class. Where all are quiet, that shows sooner; but the jobs
-// of one say nothing of the others: while a few pipelines still came, machines were held
-// for large jobs that had stopped coming minutes before.
-func (f *fleet) believed(x *flow) float64 {
-	return min(f.ebb(f.jobsSeen(), f.quiet), f.ebb(x.jobs, x.quiet))
-}
-
 // ebbJobs is how many jobs may stay away by luck, at a steady rate. Users who found no
 // node come back within about a lease, so that long says nothing.
 const ebbJobs = 3
@@ -282,11 +270,11 @@
 // while. A new leader begins with what its predecessor held.
 func (f *fleet) usual() float64 {
 	f.decay()
-	work := f.inherited * f.ebb(f.jobsSeen(), f.quiet)
+	work := f.inherited
 	for _, x := range f.flows {
-		work += x.work * f.believed(x)
+		work += x.work
 	}
-	return work / f.span()
+	return f.ebb() * work / f.span()
 }
 
 // coming is the work that should arrive, as usual, early enough to be due within
@@ -298,11 +286,11 @@
 	}
 	work := 0.0
 	for _, x := range f.flows {
-		work += x.slow * max(0, within-x.due.Seconds()) * f.believed(x)
+		work += x.slow * max(0, within-x.due.Seconds())
 	}
 	jobs := f.jobsSeen()
 	trust := math.Pow(jobs, 4) / (math.Pow(jobs, 4) + math.Pow(forecastJobs, 4))
-	return trust * work / f.slowTime()
+	return f.ebb() * trust * work / f.slowTime()
 }
 
 // forecastJobs is of how many jobs half of the forecast is believed: what a few
@@ -330,8 +318,5 @@
 		}
 	}
 	f.quiet = 0 // what users did while nobody led is not known
-	for _, x := range f.flows {
-		x.quiet = 0
-	}
 	f.inherited = max(0, held/(1+f.l.n.set.Headroom)-f.usual()) * f.span()
 }
