Clean-up after rereading the change: what was written or looked up twice stands once

The reading of a job's end is one function for questions and for a new leader's look-ups; a part of a bitmap is found once; whether a job can run is worked out once; known versions are not gone through again. No change of behaviour.

--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -379,7 +379,7 @@
 	if j.withdrawn && !j.doomed {
 		l.relax(j)
 	}
-	l.writer.Add(l.importance(j, state), storage.Unit{
+	l.writer.Add(l.importance(j), storage.Unit{
 		Build: func() []storage.Write {
 			final.AtMS = l.n.wallMS()
 			return []storage.Write{storage.Drop(storage.JobKey(id)), storage.Set(storage.FinalKey(id), final)}
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -266,10 +266,9 @@
 			l.dropKnown(it.Key)
 			continue
 		}
-		for _, p := range j.parts {
-			if p.key == it.Key {
-				p.stored = bits
-			}
+		at := slices.IndexFunc(j.parts, func(p *partState) bool { return p.key == it.Key })
+		if at >= 0 {
+			j.parts[at].stored = bits
 		}
 		for i := range bits {
 			for b := 0; b < 8; b++ {
@@ -279,7 +278,7 @@
 				}
 			}
 		}
-		if !slices.ContainsFunc(j.parts, func(p *partState) bool { return p.key == it.Key }) {
+		if at < 0 {
 			l.dropKnown(it.Key) // of another layout; what it holds is written first
 		}
 	}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -174,10 +174,10 @@
 
 	stateBudget  bucket // reads for users
 	cloudBudget  bucket
-	writeBudget  bucket // the leader's own changes
-	submitBudget bucket // submissions
-	slowed       bool   // the state service takes changes at the lower rate only
-	crowdedUntil Instant
+	writeBudget  bucket  // the leader's own changes
+	submitBudget bucket  // submissions
+	slowed       bool    // the state service takes changes at the lower rate only
+	crowdedUntil Instant // until when submissions of other nodes need the rate, too
 }
 
 type peer struct {
--- a/internal/coordination/pipelines.go
+++ b/internal/coordination/pipelines.go
@@ -168,11 +168,11 @@
 }
 
 // importance is that of a job's end, where not all that waits can be written.
-func (l *leadership) importance(j *job, state string) storage.Priority {
+func (l *leadership) importance(j *job) storage.Priority {
 	switch {
 	case j.doomed:
 		return storage.Lazy // it follows from what is written
-	case state == protocol.Withdrawn:
+	case j.withdrawn:
 		return storage.Cancels
 	case len(l.after[j.spec.UID]) > 0:
 		return storage.Releases
@@ -240,16 +240,14 @@
 // that has neither was moved from one to the other in between.
 func (l *leadership) lookUp(id string) {
 	n := l.n
-	n.stateCall("GET", "/store/"+storage.FinalKey(id), nil, func(r Result) {
-		var item storage.Item
-		var final storage.FinalRecord
+	n.readFinal(id, func(ok bool, final *storage.FinalRecord) {
 		switch {
 		case n.lead != l:
-		case r.Status == 200 && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &final) == nil:
-			n.finals.put(id, final)
-			l.ended(id, final, false)
-		case r.Status == 404:
+		case final != nil:
+			l.ended(id, *final, false)
+		case ok:
 			n.stateCall("GET", "/store/"+storage.JobKey(id), nil, func(r Result) {
+				var item storage.Item
 				if n.lead == l && r.Status == 200 && json.Unmarshal(r.Body, &item) == nil {
 					l.adopt(id, item)
 				}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -254,18 +254,24 @@
 			then(false, nil, nil)
 			return
 		}
-		n.stateCall("GET", "/store/"+storage.FinalKey(id), nil, func(r Result) {
-			var final storage.FinalRecord
-			switch {
-			case r.Status == 404:
-				then(true, nil, nil)
-			case r.Status == 200 && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &final) == nil:
-				n.finals.put(id, final)
-				then(true, nil, &final)
-			default:
-				then(false, nil, nil)
-			}
-		})
+		n.readFinal(id, func(ok bool, final *storage.FinalRecord) { then(ok, nil, final) })
+	})
+}
+
+// readFinal reads the end of a job, none if it is not over.
+func (n *Node) readFinal(id string, then func(ok bool, final *storage.FinalRecord)) {
+	n.stateCall("GET", "/store/"+storage.FinalKey(id), nil, func(r Result) {
+		var item storage.Item
+		var final storage.FinalRecord
+		switch {
+		case r.Status == 404:
+			then(true, nil)
+		case r.Status == 200 && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &final) == nil:
+			n.finals.put(id, final)
+			then(true, &final)
+		default:
+			then(false, nil)
+		}
 	})
 }
 
@@ -363,14 +369,15 @@
 	// A job that was accepted once stays accepted, even if the catalogue has shrunk
 	// since, or the limits, or if this node knows less than the one that took it: only
 	// an unknown one is refused.
+	canRun := n.canRun(r.Job)
 	switch {
 	case !storage.Fits(writes, limits.ValueBytes(), limits.Ops()):
 		n.answerKnown(r, lead, tooLarge) // no record holds it, however often it is sent
 		return
-	case !n.canRun(r.Job) && !n.catalogSure:
+	case !canRun && !n.catalogSure:
 		n.answerKnown(r, lead, comeBack) // the types may have changed since they were stored
 		return
-	case !n.canRun(r.Job):
+	case !canRun:
 		n.answerKnown(r, lead, neverRuns)
 		return
 	case slices.Contains(r.Job.Needs, r.Job.UID):
--- a/internal/coordination/versions.go
+++ b/internal/coordination/versions.go
@@ -48,6 +48,9 @@
 
 // takeVersions learns from the records of the nodes' versions.
 func (n *Node) takeVersions(items []storage.Item) {
+	if n.versions.all {
+		return
+	}
 	known := map[string]int{}
 	own := uint64(0)
 	for _, it := range items {
@@ -71,9 +74,6 @@
 			return
 		}
 	}
-	if n.versions.all {
-		return
-	}
 	n.versions.all = true
 	n.log.Info("all nodes are of this version or later", "level", level)
 	if n.lead != nil {
