A machine in two groups is recorded as used before the record that says so goes

Found in rereading: where the earlier of two groups alone says that a machine is used, a new leader took it for used, but dropped that record before the other one said so. No order of writes that we know leads there, as the later entry is the newer; the test did not look at what is left.

--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -312,6 +312,9 @@
 			m.used = m.used || r.Used
 			m.wantsUse, m.accounted = m.used, !m.used
 			g.add(l, m)
+			if !r.Used && m.used {
+				l.storeGroup(g, true) // before the other group's record, which says so, goes
+			}
 		}
 	}
 }
--- a/internal/coordination/versions_test.go
+++ b/internal/coordination/versions_test.go
@@ -159,6 +159,10 @@
 		if _, left := w.state.keys[storage.GroupKey(0)]; left {
 			t.Error("it is kept in both")
 		}
+		var rec storage.GroupRecord
+		if it, ok := w.state.keys[storage.GroupKey(1)]; ok && (json.Unmarshal(it.Value, &rec) != nil || !rec["m-000900"].Used) {
+			t.Errorf("first used: %v: what is left says %+v", first, rec)
+		}
 	}
 }
 
