--- a/internal/coordination/chaos_test.go
+++ b/internal/coordination/chaos_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -18,14 +17,8 @@
 
 // chaos is one short run of mixed troubles, all of it repeatable by its seed.
 type chaos struct {
-	*world
-	rng      *rand.Rand
-	accepted map[string]bool
-	told     map[string]string // final states that users were told
-	cancels  map[string]Instant
-	asked    map[string]bool    // jobs that a user has begun to cancel
-	orphans  map[string]Instant // when the user of a job before was told that it is cancelled
-	limits   bool               // the state service may lower its limits
+	*crowd
+	limits bool // the state service may lower its limits
 }
 
 // TestMixedTroubles mixes, in many short runs, crashes and quick returns of
@@ -33,8 +26,8 @@
 // controllers, state outages, lost answers, late transactions, deaf, hanging and silent machines, machines that are
 // back at once, late copies of reports, rolling upgrades from the version before, and a
 // state service that lowers its limits; jobs need others. The world checks at each moment that
-// one node leads, no task runs twice and no team is over its limit; this test
-// checks what users are told, and that every accepted job runs in the end.
+// one node leads, no task runs twice and no team is over its limit; the judge
+// also hears what users are told, and every accepted job runs in the end.
 func TestMixedTroubles(t *testing.T) {
 	for seed := range uint64(24) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -45,8 +38,7 @@
 }
 
 func runChaos(t *testing.T, seed uint64) {
-	c := &chaos{world: newWorld(t, 3+4*int(seed%3/2)), rng: rand.New(rand.NewPCG(seed, 7)), accepted: map[string]bool{},
-		told: map[string]string{}, cancels: map[string]Instant{}, asked: map[string]bool{}, orphans: map[string]Instant{}}
+	c := &chaos{crowd: newCrowd(newWorld(t, 3+4*int(seed%3/2)), seed)}
 	if seed%4 >= 2 {
 		c.limits = true
 		c.announce(1, 4, 30)
@@ -83,9 +75,10 @@
 		c.run(time.Duration(c.rng.IntN(8000)) * time.Millisecond)
 	}
 	c.run(30 * time.Second) // all troubles end by themselves
+	c.calmDown()
 	c.poll()
 	for _, id := range slices.Sorted(maps.Keys(c.accepted)) {
-		if c.cancelled(id) {
+		if _, cancelled := c.cancelledAt(id); cancelled {
 			if !c.until(time.Minute, func() bool { return c.final(id) != "" }) {
 				t.Fatalf("at %v: the end of %s is not written", c.now, id)
 			}
@@ -94,30 +87,15 @@
 			}
 			continue
 		}
-		if !c.until(5*time.Minute, func() bool { return c.over(id) }) {
+		if !c.until(5*time.Minute, func() bool { return c.isDone(id) }) {
 			t.Fatalf("at %v: %s is not done: %s; starts %d", c.now, id, c.why(id), c.starts[id+"/4"])
 		}
 	}
 	c.poll()
 }
 
-// user asks any node, and gives up after 5 s as users do.
-func (c *chaos) user(r Request, f func(Reply)) {
-	done := false
-	once := func(r Reply) {
-		if !done {
-			done = true
-			f(r)
-		}
-	}
-	c.ask(c.anyNode(), r, once)
-	c.after(5*time.Second, func() { once(Reply{}) })
-}
-
-func (c *chaos) anyNode() string { return c.names[c.rng.IntN(len(c.names))] }
-
-// over tells whether the state service knows a job as done.
-func (c *chaos) over(id string) bool {
+// isDone tells whether the state service knows a job as done.
+func (c *chaos) isDone(id string) bool {
 	var f storage.FinalRecord
 	it, ok := c.state.keys[storage.FinalKey(id)]
 	return ok && json.Unmarshal(it.Value, &f) == nil && f.State == protocol.Done
@@ -130,7 +108,7 @@
 		j.Team = "team"
 	}
 	for range c.rng.IntN(4) {
-		if id := fmt.Sprintf("j-%d", c.rng.IntN(i+1)); c.accepted[id] && len(c.old) == 0 {
+		if id := fmt.Sprintf("j-%d", c.rng.IntN(i+1)); c.knows(id) && len(c.old) == 0 {
 			j.Needs = append(j.Needs, id)
 		}
 	}
@@ -138,144 +116,15 @@
 		c.state.lowered = true
 	}
 	c.specs[j.UID] = j
-	var try func(int)
-	try = func(tries int) {
-		c.user(Request{Kind: ReqSubmit, ID: j.UID, Job: &j}, func(r Reply) {
-			switch {
-			case r.Status == 201 || r.Status == 200:
-				c.accepted[j.UID] = true
-				if c.cancelled(j.UID) {
-					c.orphaned(j.UID)
-				}
-			case r.Status == 503 || r.Status == 0:
-				if r.Status == 503 && r.RetryAfter == 0 {
-					c.t.Errorf("%s: 503 without Retry-After", j.UID)
-				}
-				if tries < 40 {
-					c.after(time.Second, func() { try(tries + 1) })
-				}
-			default:
-				c.t.Errorf("%s: submission answered %d", j.UID, r.Status)
-			}
-		})
-	}
-	try(0)
+	c.submitUntil(j)
 	if i > 2 && c.rng.IntN(3) == 0 {
 		id := fmt.Sprintf("j-%d", i-2)
-		if c.accepted[id] {
+		if c.knows(id) {
 			c.cancelUntil(id)
 		}
 	}
 }
 
-func (c *chaos) cancelUntil(id string) {
-	c.asked[id] = true
-	c.user(Request{Kind: ReqCancel, ID: id}, func(r Reply) {
-		switch {
-		case r.Status == 200 && strings.Contains(string(r.Body), protocol.Withdrawn):
-			if c.cancels[id] == 0 {
-				c.cancels[id] = c.now
-				c.after(config.Seconds(c.cfg.Workers.CancelS), func() { c.goneForGood(id) })
-				for other := range c.accepted {
-					if other != id && c.cancelled(other) {
-						c.orphaned(other)
-					}
-				}
-			}
-			c.tell(id, protocol.Withdrawn)
-		case r.Status == 200:
-			c.tell(id, protocol.Done)
-		case r.Status == 404 || r.Status == 400:
-			c.t.Errorf("%s: cancellation answered %d", id, r.Status)
-		default:
-			c.after(time.Second, func() { c.cancelUntil(id) })
-		}
-	})
-}
-
-// cancelled tells whether the user of a job, or of one that it needs, was told that it is.
-func (c *chaos) cancelled(id string) bool {
-	_, told := c.cancels[id]
-	return told || slices.ContainsFunc(c.specs[id].Needs, c.cancelled)
-}
-
-// orphaned notes that a job before another is cancelled.
-func (c *chaos) orphaned(id string) {
-	if c.orphans[id] == 0 {
-		c.orphans[id] = c.now
-		c.after(config.Seconds(c.cfg.Workers.CancelS), func() { c.goneForGood(id) })
-	}
-}
-
-// goneForGood checks that no task of a cancelled job is or comes on a machine.
-func (c *chaos) goneForGood(id string) {
-	if n := c.onMachines(id); n > 0 {
-		c.t.Errorf("at %v: ran_cancelled: %d tasks of %s", c.now, n, id)
-		return
-	}
-	c.after(time.Second, func() { c.goneForGood(id) })
-}
-
-// tell notes a final state that a user was told.
-func (c *chaos) tell(id, state string) {
-	if was := c.told[id]; was != "" && was != state {
-		c.t.Errorf("went_back: %s was %s and is %s", id, was, state)
-	}
-	if state == protocol.Done || state == protocol.Withdrawn {
-		c.told[id] = state
-	}
-}
-
-// poll asks any nodes about all jobs, and about one that nobody submitted.
-func (c *chaos) poll() {
-	for _, id := range slices.Sorted(maps.Keys(c.accepted)) {
-		was := c.told[id]
-		c.user(Request{Kind: ReqQuery, ID: id}, func(r Reply) {
-			if r.Status == 404 {
-				c.t.Errorf("forgotten: %s", id)
-			}
-			if r.Status != 200 {
-				return
-			}
-			_, rest, _ := strings.Cut(string(r.Body), `"situacao":"`)
-			state, _, _ := strings.Cut(rest, `"`)
-			if since := c.orphans[id]; since != 0 && c.now > since+config.Seconds(c.cfg.Workers.CancelS) && state != protocol.Withdrawn {
-				c.t.Errorf("orphaned: %s is %s", id, state)
-			}
-			if state == protocol.Withdrawn && !c.mayBeCancelled(id) {
-				c.t.Errorf("went_back: %s is cancelled, and nobody asked for it", id)
-			}
-			if was != "" {
-				c.tell(id, state)
-			} else if state == protocol.Done || state == protocol.Withdrawn {
-				c.tell(id, state)
-			}
-			if state == protocol.Done {
-				c.allRan(id)
-			}
-		})
-	}
-	c.user(Request{Kind: ReqQuery, ID: "j-nobodys"}, func(r Reply) {
-		if r.Status == 200 {
-			c.t.Error("invented: j-nobodys")
-		}
-	})
-}
-
-// mayBeCancelled tells whether a user has asked to cancel a job or one that it needs.
-func (c *chaos) mayBeCancelled(id string) bool {
-	return c.asked[id] || slices.ContainsFunc(c.specs[id].Needs, c.mayBeCancelled)
-}
-
-// allRan checks that a job called done had all its tasks started at least.
-func (c *chaos) allRan(id string) {
-	for i := range c.specs[id].Tasks {
-		if c.starts[taskKey(id, i)] == 0 {
-			c.t.Errorf("not_done: %s never ran", taskKey(id, i))
-		}
-	}
-}
-
 func (c *chaos) anyWorkers(f func(*worker)) {
 	for i := range c.cloud.last {
 		if x := c.workers[fmt.Sprintf("m-%06d", i+1)]; x != nil && c.rng.IntN(3) == 0 {
--- /dev/null
+++ b/internal/coordination/crowd_test.go
@@ -0,0 +1,138 @@
+package coordination
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"hitchdoor/internal/protocol"
+)
+
+// crowd is a world with users who ask any node, repeat what was not answered, and look
+// closely. What they are told is heard by the judge.
+type crowd struct {
+	*world
+	rng *rand.Rand
+}
+
+func newCrowd(w *world, seed uint64) *crowd {
+	return &crowd{world: w, rng: rand.New(rand.NewPCG(seed, 7))}
+}
+
+func (c *crowd) anyNode() string { return c.names[c.rng.IntN(len(c.names))] }
+
+// knows tells whether some user was told that a job is accepted.
+func (c *crowd) knows(id string) bool { _, ok := c.accepted[id]; return ok }
+
+// user asks any node, and gives up after 5 s as users do.
+func (c *crowd) user(r Request, f func(Reply)) {
+	done := false
+	once := func(r Reply) {
+		if !done {
+			done = true
+			f(r)
+		}
+	}
+	c.ask(c.anyNode(), r, once)
+	c.after(5*time.Second, func() { once(Reply{}) })
+}
+
+// submitUntil submits a job until some node has taken it, 40 times at most.
+func (c *crowd) submitUntil(j protocol.Job) {
+	var try func(int)
+	try = func(tries int) {
+		c.user(Request{Kind: ReqSubmit, ID: j.UID, Job: &j}, func(r Reply) {
+			switch {
+			case r.Status == 201 || r.Status == 200:
+			case r.Status != 503 && r.Status != 0:
+				c.t.Errorf("%s: submission answered %d", j.UID, r.Status)
+			case tries < 40:
+				c.after(time.Second, func() { try(tries + 1) })
+			}
+		})
+	}
+	try(0)
+}
+
+// cancelUntil cancels a job until some node has confirmed it, or says that it is done.
+func (c *crowd) cancelUntil(id string) {
+	c.user(Request{Kind: ReqCancel, ID: id}, func(r Reply) {
+		switch {
+		case r.Status == 200:
+		case r.Status == 404 || r.Status == 400:
+			c.t.Errorf("%s: cancellation answered %d", id, r.Status)
+		default:
+			c.after(time.Second, func() { c.cancelUntil(id) })
+		}
+	})
+}
+
+// poll asks any nodes about all jobs, and about one that nobody submitted.
+func (c *crowd) poll() {
+	for _, id := range slices.Sorted(maps.Keys(c.accepted)) {
+		c.user(Request{Kind: ReqQuery, ID: id}, func(Reply) {})
+	}
+	c.user(Request{Kind: ReqQuery, ID: "j-nobodys"}, func(Reply) {})
+}
+
+// lookClosely lets users ask at all nodes, again and again within milliseconds, and repeat
+// the submission, as soon as anybody was told that a job is accepted, done or cancelled.
+func (c *crowd) lookClosely() {
+	c.told = func(id, _ string) {
+		j := c.specs[id]
+		for i := range 6 {
+			c.after(time.Duration(i*i)*step, func() {
+				for _, name := range c.names {
+					c.ask(name, Request{Kind: ReqQuery, ID: id}, func(Reply) {})
+					if i%3 == 1 && j.UID == id {
+						c.ask(name, Request{Kind: ReqSubmit, ID: id, Job: &j}, func(Reply) {})
+					}
+				}
+			})
+		}
+	}
+}
+
+// calmDown says that all troubles are over: from here on nothing waits beside room, and
+// each job is asked about every 5 s and has to be answered within 75 s.
+func (c *crowd) calmDown() {
+	c.calm = c.now
+	var again func()
+	again = func() {
+		c.poll()
+		c.after(5*time.Second, again)
+	}
+	again()
+	c.after(75*time.Second, func() {
+		for id, at := range c.answered {
+			if at < c.calm && c.now >= c.calm {
+				c.broken("forgotten", "no question about %s is answered for 75 s", id)
+			}
+		}
+	})
+}
+
+// settle waits until every job that was accepted and not cancelled is done, and the others
+// have their end written.
+func (c *crowd) settle(d time.Duration) {
+	c.t.Helper()
+	c.calmDown()
+	open := func() []string {
+		return slices.DeleteFunc(slices.Sorted(maps.Keys(c.accepted)), func(id string) bool {
+			switch state := c.final(id); {
+			case state == protocol.Withdrawn:
+				return c.mayBeCancelled(id)
+			default:
+				_, cancelled := c.cancelledAt(id)
+				return state == protocol.Done && !cancelled
+			}
+		})
+	}
+	if !c.until(d, func() bool { return len(open()) == 0 }) {
+		c.t.Fatalf("at %v: not over as they should be: %s", c.now, strings.Join(open(), ", "))
+	}
+	c.poll()
+	c.run(2 * time.Second)
+}
--- /dev/null
+++ b/internal/coordination/judge_test.go
@@ -0,0 +1,398 @@
+package coordination
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/config"
+	"hitchdoor/internal/protocol"
+)
+
+// The judge is the part of the world that knows the rules. It hears every answer that a
+// user gets, from any node and by any way, and sees every task on every machine. Answers
+// are ordered by real time: a question that was asked after an answer had arrived may get
+// nothing older, milliseconds later at another node included.
+type judge struct {
+	submitted map[string]bool
+	accepted  map[string]Instant // when a user was first told so
+	over      map[string]string  // final states that users were told
+	overAt    map[string]Instant // when the first of them was
+	asked     map[string]bool    // jobs that a user has begun to cancel
+	answered  map[string]Instant // when a question about a job was last answered
+	finished  map[string]bool    // tasks that have completed
+	begun     map[string]Instant // when a job's first task started
+	calm      Instant            // since when there are no troubles; never: there are
+	waits     map[string]Instant // since when a job waits though there is room for it
+	lookedAt  Instant
+	told      func(id, state string) // is told what users are told for the first time
+	caught    map[string]int         // by rule, instead of failing the test: to judge the judge
+}
+
+func newJudge() judge {
+	return judge{submitted: map[string]bool{}, accepted: map[string]Instant{}, over: map[string]string{},
+		overAt: map[string]Instant{}, asked: map[string]bool{}, answered: map[string]Instant{},
+		finished: map[string]bool{}, begun: map[string]Instant{}, calm: never, waits: map[string]Instant{}}
+}
+
+// broken reports that a rule is broken.
+func (w *world) broken(rule, format string, args ...any) {
+	w.t.Helper()
+	if w.caught != nil {
+		w.caught[rule]++
+		return
+	}
+	w.t.Fatalf("at %v: %s: %s", w.now, rule, fmt.Sprintf(format, args...))
+}
+
+// hears judges the answer to a user's request that was sent at some moment.
+func (w *world) hears(r Request, node string, sent Instant, reply Reply) {
+	w.t.Helper()
+	id := r.ID
+	accepted, known := w.accepted[id]
+	if reply.Status == 503 && reply.RetryAfter == 0 {
+		w.broken("silent wait", "%s of %s at %s: 503 without Retry-After", r.Kind, id, node)
+	}
+	if known && sent >= accepted &&
+		(reply.Status == 404 || r.Kind == ReqSubmit && (reply.Status == 400 || reply.Status == 422)) {
+		w.broken("forgotten", "%s of %s at %s: %d", r.Kind, id, node, reply.Status)
+	}
+	if reply.Status != 200 && reply.Status != 201 {
+		return
+	}
+	var s protocol.JobState
+	if json.Unmarshal(reply.Body, &s) != nil {
+		w.t.Fatalf("%s of %s: %s", r.Kind, id, reply.Body)
+	}
+	if !w.submitted[id] {
+		w.broken("invented", "%s of %s at %s: %s", r.Kind, id, node, s.State)
+	}
+	w.answered[id] = w.now
+	if !known {
+		w.accepted[id] = w.now
+		w.tells(id, "accepted")
+	}
+	was, over := w.over[id]
+	final := s.State == protocol.Done || s.State == protocol.Withdrawn
+	switch {
+	case over && s.State != was && (final || sent >= w.overAt[id]):
+		w.broken("went_back", "%s of %s at %s: %s after %s (asked at %v, told at %v)", r.Kind, id, node, s.State, was, sent, w.overAt[id])
+	case s.State == protocol.Withdrawn && !w.mayBeCancelled(id):
+		w.broken("went_back", "%s is cancelled, and nobody asked for it", id)
+	case s.State == protocol.Done:
+		for i := range w.specs[id].Tasks {
+			if !w.finished[taskKey(id, i)] {
+				w.broken("not_done", "%s is done, but %s is not", id, taskKey(id, i))
+				break
+			}
+		}
+	}
+	if since, orphan := w.cancelledAt(id); orphan && !over && sent > since+w.cancelSpan() && s.State != protocol.Withdrawn {
+		w.broken("orphaned", "%s is %s", id, s.State)
+	}
+	if final && !over {
+		w.over[id], w.overAt[id] = s.State, w.now
+		w.tells(id, s.State)
+	}
+}
+
+func (w *world) tells(id, state string) {
+	if w.told != nil {
+		w.told(id, state)
+	}
+}
+
+// mayBeCancelled tells whether a user has asked to cancel a job or one that it needs.
+func (w *world) mayBeCancelled(id string) bool {
+	return w.asked[id] || slices.ContainsFunc(w.specs[id].Needs, w.mayBeCancelled)
+}
+
+// cancelledAt is when users were first told that a job, or one that it needs, is cancelled;
+// of the latter not before it was itself accepted.
+func (w *world) cancelledAt(id string) (at Instant, ok bool) {
+	if w.over[id] == protocol.Withdrawn {
+		at, ok = w.overAt[id], true
+	}
+	for _, need := range w.specs[id].Needs {
+		since, is := w.cancelledAt(need)
+		accepted, known := w.accepted[id]
+		if since = max(since, accepted); is && known && (!ok || since < at) {
+			at, ok = since, true
+		}
+	}
+	return at, ok
+}
+
+func (w *world) cancelSpan() time.Duration { return config.Seconds(w.cfg.Workers.CancelS) }
+
+// check looks for a rule that is broken at this moment.
+func (w *world) check() {
+	w.t.Helper()
+	leaders := 0
+	for _, n := range w.nodes {
+		if !n.down && !n.frozen && n.authority() {
+			leaders++
+		}
+	}
+	if leaders > 1 {
+		w.broken("two leaders", "%d nodes have authority", leaders)
+	}
+	where := map[string]string{}
+	cores, accelerators := map[string]float64{}, map[string]float64{}
+	for _, x := range w.workers {
+		for _, t := range x.tasks {
+			if t.state == protocol.TaskExited {
+				continue
+			}
+			if other, twice := where[t.key]; twice {
+				w.broken("ran_twice", "%s is on %s and %s", t.key, other, x.name)
+			}
+			where[t.key] = x.name
+			id := jobOf(t.key)
+			j := w.specs[id]
+			cores[j.Team] += j.Cores
+			accelerators[j.Team] += j.Accelerators
+			if since, cancelled := w.cancelledAt(id); cancelled && w.now > since+w.cancelSpan() {
+				w.broken("ran_cancelled", "%s is on %s, cancelled at %v (%s)", t.key, x.name, since, x.how())
+			}
+		}
+	}
+	for _, team := range w.cfg.Teams {
+		if team.CPUsMax > 0 && cores[team.Name] > team.CPUsMax || team.GPUsMax > 0 && accelerators[team.Name] > team.GPUsMax {
+			w.broken("quota", "%s uses %v cores, %v accelerators", team.Name, cores[team.Name], accelerators[team.Name])
+		}
+	}
+	if w.calm != never && w.now >= w.lookedAt+time.Second {
+		w.lookedAt = w.now
+		w.checkWaiting(where, cores)
+	}
+}
+
+// checkWaiting looks for jobs that wait, after all troubles, for 90 s though a machine
+// that fits has room and their team is under its limit, and for jobs that have not begun
+// after four minutes.
+func (w *world) checkWaiting(where map[string]string, cores map[string]float64) {
+	w.t.Helper()
+	for _, id := range slices.Sorted(maps.Keys(w.accepted)) {
+		if _, cancelled := w.cancelledAt(id); cancelled || w.over[id] != "" || w.mayBeCancelled(id) {
+			delete(w.waits, id)
+			continue
+		}
+		if !w.hasRoom(id, where, cores) {
+			delete(w.waits, id)
+			continue
+		}
+		if w.waits[id] == 0 {
+			w.waits[id] = w.now
+		}
+		if w.now > w.waits[id]+90*time.Second {
+			w.broken("waits", "%s waits for 90 s beside a machine with room", id)
+		}
+		if w.begun[id] == 0 && w.now > max(w.calm, w.accepted[id])+4*time.Minute {
+			w.broken("waits", "%s has not begun after four minutes", id)
+		}
+	}
+}
+
+// hasRoom tells whether a task of a job waits though it could run somewhere.
+func (w *world) hasRoom(id string, where map[string]string, cores map[string]float64) bool {
+	j := w.specs[id]
+	if slices.ContainsFunc(j.Needs, func(need string) bool { return w.over[need] != protocol.Done }) {
+		return false
+	}
+	waiting := false
+	for i := range j.Tasks {
+		key := taskKey(id, i)
+		waiting = waiting || !w.finished[key] && where[key] == ""
+	}
+	for _, team := range w.cfg.Teams {
+		if team.Name == j.Team && team.CPUsMax > 0 && cores[team.Name]+j.Cores > team.CPUsMax {
+			return false
+		}
+	}
+	if !waiting {
+		return false
+	}
+	for _, x := range w.workers {
+		used := 0.0
+		for _, t := range x.tasks {
+			if t.state != protocol.TaskExited {
+				used += w.specs[jobOf(t.key)].Cores
+			}
+		}
+		if x.notice == nil && !x.faulty && used+j.Cores <= 4 && w.misplaced(&j, x) == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// misplaced tells why a job's next task may not start on a machine now, if so.
+func (w *world) misplaced(j *protocol.Job, x *worker) string {
+	switch {
+	case len(j.Types) > 0 && !slices.Contains(j.Types, x.typ):
+		return "type " + x.typ
+	case j.Zone != "" && j.Zone != x.zone:
+		return "zone " + x.zone
+	case !j.Spot && x.spot:
+		return "a spot machine"
+	}
+	if !j.SameZone && !j.Spread {
+		return ""
+	}
+	same, other := 0, 0
+	for _, y := range w.workers {
+		for _, t := range y.tasks {
+			if jobOf(t.key) == j.UID && t.state != protocol.TaskExited {
+				if y.zone == x.zone {
+					same++
+				} else {
+					other++
+				}
+			}
+		}
+	}
+	switch {
+	case j.SameZone && other > 0:
+		return "not where the other tasks are"
+	case j.Spread && same+1 > (j.Tasks+1)/2:
+		return "more than half in one zone"
+	}
+	return ""
+}
+
+// checkStart judges a start on a machine. An answer to a report takes four seconds at
+// most, so a later start after the confirmation of a cancellation was commanded after it.
+func (w *world) checkStart(x *worker, key string) {
+	w.t.Helper()
+	id := jobOf(key)
+	j := w.specs[id]
+	for _, need := range j.Needs {
+		if w.final(need) != protocol.Done {
+			w.broken("too_early", "%s, while the end of %s is %q", key, need, w.final(need))
+		}
+	}
+	if why := w.misplaced(&j, x); why != "" {
+		w.broken("wrong_place", "%s starts on %s: %s", key, x.name, why)
+	}
+	if since, cancelled := w.cancelledAt(id); cancelled && w.now > since+4*time.Second {
+		w.broken("started after its cancellation", "%s, cancelled at %v", key, since)
+	}
+	if w.begun[id] == 0 {
+		w.begun[id] = w.now
+	}
+}
+
+func (x *worker) how() string {
+	return fmt.Sprintf("session %d, token %d, reports to %s, hanging %v, silent %v, deaf %v", x.session, x.token, x.node, x.hanging, x.silent, x.dropAnswers)
+}
+
+// The judge must be able to fail: each rule is broken here on purpose, by an answer that
+// no node gives, or by a machine that no leader has told what it does.
+func TestTheJudgeCatches(t *testing.T) {
+	state := func(s string) Reply {
+		return Reply{Status: 200, Body: []byte(`{"uid":"j-1","situacao":"` + s + `"}`)}
+	}
+	query, submit := Request{Kind: ReqQuery, ID: "j-1"}, Request{Kind: ReqSubmit, ID: "j-1"}
+	put := func(w *world, name, key string, attempt uint64) {
+		w.workers[name].tasks = append(w.workers[name].tasks,
+			&simTask{key: key, attempt: attempt, state: protocol.TaskRunning, end: w.now + time.Hour})
+	}
+	start := func(w *world, name, key string) {
+		w.workers[name].execute(protocol.Command{Op: protocol.OpStart, Task: key, Attempt: 99})
+	}
+	for rule, breaks := range map[string]func(w *world){
+		"forgotten":  func(w *world) { w.hears(query, "n0", w.now, Reply{Status: 404}) },
+		"forgotten ": func(w *world) { w.hears(submit, "n0", w.now, Reply{Status: 422}) },
+		"invented":   func(w *world) { w.hears(Request{Kind: ReqQuery, ID: "j-x"}, "n0", w.now, state(protocol.Queued)) },
+		"went_back": func(w *world) {
+			w.over["j-1"], w.overAt["j-1"] = protocol.Withdrawn, w.now
+			w.hears(query, "n0", w.now, state(protocol.Running))
+		},
+		"went_back ":  func(w *world) { w.hears(query, "n0", w.now, state(protocol.Withdrawn)) },
+		"not_done":    func(w *world) { w.hears(query, "n0", w.now, state(protocol.Done)) },
+		"silent wait": func(w *world) { w.hears(query, "n0", w.now, Reply{Status: 503}) },
+		"orphaned": func(w *world) {
+			j := w.specs["j-1"]
+			j.Needs = []string{"j-0"}
+			w.specs["j-1"] = j
+			w.over["j-0"], w.overAt["j-0"] = protocol.Withdrawn, w.now-time.Minute
+			w.accepted["j-1"] -= time.Minute
+			w.hears(query, "n0", w.now, state(protocol.Queued))
+		},
+		"ran_twice": func(w *world) {
+			put(w, "m-000001", "j-1/0", 1)
+			put(w, "m-000002", "j-1/0", 2)
+			w.check()
+		},
+		"quota": func(w *world) {
+			j := spec("j-2", 17)
+			j.Team = "team"
+			w.specs["j-2"] = j
+			for i := range 17 {
+				put(w, "m-000001", taskKey("j-2", i), 1)
+			}
+			w.check()
+		},
+		"ran_cancelled": func(w *world) {
+			w.over["j-1"], w.overAt["j-1"] = protocol.Withdrawn, w.now-w.cancelSpan()-time.Second
+			put(w, "m-000001", "j-1/0", 1)
+			w.check()
+		},
+		"started after its cancellation": func(w *world) {
+			w.over["j-1"], w.overAt["j-1"] = protocol.Withdrawn, w.now-5*time.Second
+			start(w, "m-000001", "j-1/0")
+		},
+		"too_early": func(w *world) {
+			j := after("j-2", 1, "j-1")
+			w.specs["j-2"] = j
+			start(w, "m-000001", "j-2/0")
+		},
+		"wrong_place": func(w *world) {
+			j := spec("j-2", 1)
+			j.Spot = false
+			w.specs["j-2"] = j
+			start(w, "m-000001", "j-2/0")
+		},
+		"wrong_place ": func(w *world) {
+			j := spec("j-2", 2)
+			j.SameZone = true
+			w.specs["j-2"] = j
+			start(w, "m-000001", "j-2/0")
+			start(w, "m-000002", "j-2/1")
+		},
+		"two leaders": func(w *world) {
+			for _, n := range w.nodes {
+				if n.lead == nil {
+					n.becomeLeader(99, 0, 0, n.now)
+				}
+			}
+			w.check()
+		},
+		"waits": func(w *world) {
+			for _, n := range w.nodes {
+				n.down = true
+			}
+			w.accepted["j-2"], w.specs["j-2"], w.calm = w.now, spec("j-2", 1), w.now
+			w.run(92 * time.Second)
+		},
+	} {
+		t.Run(rule, func(t *testing.T) {
+			w := newWorld(t, 3)
+			w.runTime = func(string, int) time.Duration { return time.Hour }
+			l := w.waitLeader()
+			w.machines(2)
+			w.submit(l.name, spec("j-1", 1))
+			w.caught = map[string]int{}
+			breaks(w)
+			if rule = strings.TrimSpace(rule); w.caught[rule] == 0 {
+				t.Fatalf("not caught: %v", w.caught)
+			}
+		})
+	}
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -25,8 +25,8 @@
 
 // The world of the tests: a fake clock, nodes that are stepped by hand, and
 // stand-ins for the state service, the cloud and the workers, written from the
-// protocol. Every test also checks the rules that hold at each moment: one node
-// with authority, no task on two machines, no team over its limit.
+// protocol. Every test also has the judge of judge_test.go, who looks at each moment and
+// at each answer for a rule that is broken.
 
 const step = 5 * time.Millisecond
 
@@ -51,6 +51,7 @@
 	copies  func(x *worker, rep *protocol.Report) // sees every report that is sent
 	starts  map[string]int                        // by task
 	old     map[string]bool                       // nodes that start with level 0
+	judge
 }
 
 type event struct {
@@ -100,7 +101,7 @@
 
 func newWorld(t *testing.T, nodes int) *world {
 	w := &world{t: t, nodes: map[string]*simNode{}, workers: map[string]*worker{}, specs: map[string]protocol.Job{},
-		cut: map[[2]string]bool{}, far: map[string]bool{}, starts: map[string]int{}, old: map[string]bool{},
+		cut: map[[2]string]bool{}, far: map[string]bool{}, starts: map[string]int{}, old: map[string]bool{}, judge: newJudge(),
 		runTime: func(string, int) time.Duration { return 5 * time.Second }}
 	c := &w.cfg
 	c.Count = nodes
@@ -357,10 +358,31 @@
 	}
 	n.ticket++
 	r.Origin = Origin{Ticket: n.ticket}
-	n.asks[n.ticket] = f
+	n.asks[n.ticket] = w.listen(name, r, f)
 	n.inbox = append(n.inbox, r)
 }
 
+// listen lets the judge hear what a user is told.
+func (w *world) listen(name string, r Request, f func(Reply)) func(Reply) {
+	switch r.Kind {
+	case ReqSubmit:
+		w.submitted[r.ID] = true
+		if _, known := w.specs[r.ID]; !known {
+			w.specs[r.ID] = *r.Job
+		}
+	case ReqCancel:
+		w.asked[r.ID] = true
+	case ReqQuery:
+	default:
+		return f
+	}
+	sent := w.now
+	return func(reply Reply) {
+		w.hears(r, name, sent, reply)
+		f(reply)
+	}
+}
+
 // request asks a node and waits for the answer, 5 s at most.
 func (w *world) request(name string, r Request) Reply {
 	w.t.Helper()
@@ -490,40 +512,6 @@
 	return count
 }
 
-// check looks for a rule that is broken at this moment.
-func (w *world) check() {
-	w.t.Helper()
-	leaders := 0
-	for _, n := range w.nodes {
-		if !n.down && !n.frozen && n.authority() {
-			leaders++
-		}
-	}
-	if leaders > 1 {
-		w.t.Fatalf("at %v: %d nodes have authority", w.now, leaders)
-	}
-	where := map[string]string{}
-	used := map[string]float64{}
-	for _, x := range w.workers {
-		for _, t := range x.tasks {
-			if t.state == protocol.TaskExited {
-				continue
-			}
-			if other, twice := where[t.key]; twice {
-				w.t.Fatalf("at %v: ran_twice: %s is on %s and %s", w.now, t.key, other, x.name)
-			}
-			where[t.key] = x.name
-			j := w.specs[jobOf(t.key)]
-			used[j.Team] += j.Cores
-		}
-	}
-	for _, team := range w.cfg.Teams {
-		if team.CPUsMax > 0 && used[team.Name] > team.CPUsMax {
-			w.t.Fatalf("at %v: quota: %s uses %v", w.now, team.Name, used[team.Name])
-		}
-	}
-}
-
 func jobOf(key string) string { id, _, _ := strings.Cut(key, "/"); return id }
 
 // fakeState is the state service.
@@ -546,6 +534,7 @@
 	lose      int                                   // answers of executed transactions to swallow
 	hold      func(node string, t storage.Txn) bool // transactions to keep back
 	held      []func()
+	late      func() (d time.Duration, is bool) // calls that get no answer and are carried out so much later
 	watchers  []func() bool
 }
 
@@ -596,6 +585,17 @@
 	if s.lost[node] {
 		return
 	}
+	if s.late != nil && c.Method != "GET" && !s.down && !s.refuse[node] {
+		if d, is := s.late(); is {
+			// A late one meets an outage or a refusal of its own node, too.
+			s.w.after(d, func() { s.carryOut(node, c, func(int, any) {}) })
+			return
+		}
+	}
+	s.carryOut(node, c, back)
+}
+
+func (s *fakeState) carryOut(node string, c Call, back func(int, any)) {
 	if s.down || s.refuse[node] {
 		if !strings.HasPrefix(c.Path, "/follow") {
 			s.w.after(step, func() { back(503, nil) })
@@ -731,6 +731,13 @@
 
 // put writes a value, as some earlier leader did.
 func (s *fakeState) put(key string, value any) {
+	switch rec := value.(type) {
+	case storage.JobRecord:
+		s.w.submitted[rec.Spec.UID], s.w.specs[rec.Spec.UID] = true, rec.Spec
+	case storage.FinalRecord:
+		id := strings.TrimPrefix(key, storage.FinalPrefix)
+		s.w.submitted[id], s.w.asked[id] = true, rec.State == protocol.Withdrawn
+	}
 	s.rev++
 	s.keys[key] = storage.Item{Key: key, Value: storage.Encode(value), Version: s.rev}
 }
@@ -916,6 +923,8 @@
 			t.state, t.why, x.changed = protocol.TaskExited, protocol.WhyDone, true
 			if x.faulty {
 				t.why = protocol.WhyError
+			} else {
+				w.finished[t.key] = true
 			}
 		}
 	}
@@ -1000,13 +1009,12 @@
 			return
 		}
 		x.w.starts[c.Task]++
-		for _, id := range x.w.specs[jobOf(c.Task)].Needs {
-			if x.w.final(id) != protocol.Done {
-				x.w.t.Fatalf("at %v: too_early: %s, while the end of %s is %q", x.w.now, c.Task, id, x.w.final(id))
-			}
+		x.w.checkStart(x, c.Task)
+		end := x.w.now
+		if !x.w.finished[c.Task] { // else its result was kept
+			end += x.w.runTime(c.Task, x.w.starts[c.Task])
 		}
-		x.tasks = append(x.tasks, &simTask{key: c.Task, attempt: c.Attempt, state: protocol.TaskRunning,
-			end: x.w.now + x.w.runTime(c.Task, x.w.starts[c.Task])})
+		x.tasks = append(x.tasks, &simTask{key: c.Task, attempt: c.Attempt, state: protocol.TaskRunning, end: end})
 	case protocol.OpStop:
 		if i >= 0 && x.tasks[i].state != protocol.TaskExited {
 			x.grace = append(x.grace, *c.GraceS)
