--- a/internal/coordination/chaos_test.go
+++ b/internal/coordination/chaos_test.go
@@ -2,17 +2,11 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/protocol"
-	"hitchdoor/internal/storage"
 )
 
 // chaos is one short run of mixed troubles, all of it repeatable by its seed.
@@ -75,30 +69,7 @@
 		c.run(time.Duration(c.rng.IntN(8000)) * time.Millisecond)
 	}
 	c.run(30 * time.Second) // all troubles end by themselves
-	c.calmDown()
-	c.poll()
-	for _, id := range slices.Sorted(maps.Keys(c.accepted)) {
-		if _, cancelled := c.cancelledAt(id); cancelled {
-			if !c.until(time.Minute, func() bool { return c.final(id) != "" }) {
-				t.Fatalf("at %v: the end of %s is not written", c.now, id)
-			}
-			if got := c.final(id); got != protocol.Withdrawn {
-				t.Errorf("%s is %s, though it or a job before it is cancelled", id, got)
-			}
-			continue
-		}
-		if !c.until(5*time.Minute, func() bool { return c.isDone(id) }) {
-			t.Fatalf("at %v: %s is not done: %s; starts %d", c.now, id, c.why(id), c.starts[id+"/4"])
-		}
-	}
-	c.poll()
-}
-
-// isDone tells whether the state service knows a job as done.
-func (c *chaos) isDone(id string) bool {
-	var f storage.FinalRecord
-	it, ok := c.state.keys[storage.FinalKey(id)]
-	return ok && json.Unmarshal(it.Value, &f) == nil && f.State == protocol.Done
+	c.settle(5 * time.Minute)
 }
 
 // userWork submits a job, and at times cancels one.
@@ -135,16 +106,6 @@
 
 func (c *chaos) soon() time.Duration { return time.Duration(200+c.rng.IntN(25_000)) * time.Millisecond }
 
-func (c *chaos) back(name string, after time.Duration) {
-	c.crash(name)
-	c.after(after, func() {
-		if c.nodes[name].down {
-			c.restart(name)
-			c.nodes[name].rate = 1 + (c.rng.Float64()-0.5)/1000
-		}
-	})
-}
-
 func (c *chaos) crashSome() {
 	for range 1 + c.rng.IntN(3) {
 		c.back(c.anyNode(), 3*time.Second)
@@ -270,28 +231,3 @@
 		x.tasks, x.renewed, x.changed, x.busy = nil, c.now, true, false
 	})
 }
-
-// why tells what a job that is not done waits for.
-func (c *chaos) why(id string) string {
-	name := c.leader()
-	if name == "" {
-		return "nobody leads"
-	}
-	l := c.nodes[name].lead
-	j := l.jobs[id]
-	if j == nil {
-		return "the leader does not know it"
-	}
-	out := fmt.Sprintf("%d pending, waits for %q", j.pending, j.waits)
-	for _, r := range j.runs {
-		out += fmt.Sprintf("; %s in phase %d on %s (up %v, shown %v, %s)", r.key(), r.phase, r.m.name, r.m.up, r.m.shown, r.m.why)
-	}
-	for name, x := range c.workers {
-		for _, t := range x.tasks {
-			if strings.HasPrefix(t.key, id+"/") {
-				out += fmt.Sprintf("; %s reports %+v to %s, hanging %v, deaf %v, silent %v, session %d", name, *t, x.node, x.hanging, x.dropAnswers, x.silent, x.session)
-			}
-		}
-	}
-	return out
-}
--- a/internal/coordination/crowd_test.go
+++ b/internal/coordination/crowd_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -131,8 +132,33 @@
 		})
 	}
 	if !c.until(d, func() bool { return len(open()) == 0 }) {
-		c.t.Fatalf("at %v: not over as they should be: %s", c.now, strings.Join(open(), ", "))
+		c.t.Fatalf("at %v: not over as they should be: %s: %s", c.now, strings.Join(open(), ", "), c.why(open()[0]))
 	}
 	c.poll()
 	c.run(2 * time.Second)
 }
+
+// why tells what a job that is not done waits for.
+func (c *crowd) why(id string) string {
+	name := c.leader()
+	if name == "" {
+		return "nobody leads"
+	}
+	l := c.nodes[name].lead
+	j := l.jobs[id]
+	if j == nil {
+		return "the leader does not know it"
+	}
+	out := fmt.Sprintf("%d pending, waits for %q", j.pending, j.waits)
+	for _, r := range j.runs {
+		out += fmt.Sprintf("; %s in phase %d on %s (up %v, shown %v, %s)", r.key(), r.phase, r.m.name, r.m.up, r.m.shown, r.m.why)
+	}
+	for name, x := range c.workers {
+		for _, t := range x.tasks {
+			if strings.HasPrefix(t.key, id+"/") {
+				out += fmt.Sprintf("; %s reports %+v to %s, hanging %v, deaf %v, silent %v, session %d", name, *t, x.node, x.hanging, x.dropAnswers, x.silent, x.session)
+			}
+		}
+	}
+	return out
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/url"
 	"os"
@@ -39,6 +40,7 @@
 	state   *fakeState
 	cloud   *fakeCloud
 	workers map[string]*worker
+	ordered []*worker
 	specs   map[string]protocol.Job
 	events  events
 	planned int
@@ -99,14 +101,21 @@
 	return Instant(float64(now-n.boot) * n.rate)
 }
 
-func newWorld(t *testing.T, nodes int) *world {
+// proportions are the workers' settings of a deployment.
+type proportions struct{ report, lease, cancel float64 }
+
+var deployments = []proportions{{1.5, 14, 34}, {3, 18, 38}, {5, 26.5, 46.5}}
+
+func newWorld(t *testing.T, nodes int) *world { return newWorldOf(t, nodes, deployments[0]) }
+
+func newWorldOf(t *testing.T, nodes int, p proportions) *world {
 	w := &world{t: t, nodes: map[string]*simNode{}, workers: map[string]*worker{}, specs: map[string]protocol.Job{},
 		cut: map[[2]string]bool{}, far: map[string]bool{}, starts: map[string]int{}, old: map[string]bool{}, judge: newJudge(),
 		runTime: func(string, int) time.Duration { return 5 * time.Second }}
 	c := &w.cfg
 	c.Count = nodes
 	c.Zones = []string{"a", "b"}
-	c.Workers.ReportS, c.Workers.LeaseS, c.Workers.CancelS = 1.5, 14, 34
+	c.Workers.ReportS, c.Workers.LeaseS, c.Workers.CancelS = p.report, p.lease, p.cancel
 	c.State.RPS, c.State.WriteRPS, c.State.ValueKB, c.State.TxnOps = 200, 100, 8, 20
 	c.Cloud.RPS, c.Cloud.ListLagS = 4, 10
 	c.Resources.CoreShare, c.Resources.MemMB, c.Resources.MaxConnections = 0.1, 100, 1000
@@ -180,19 +189,27 @@
 		for _, name := range w.names {
 			w.stepNode(w.nodes[name])
 		}
-		names := make([]string, 0, len(w.workers))
-		for name := range w.workers {
-			names = append(names, name)
-		}
-		sort.Strings(names)
-		for _, name := range names {
-			w.workers[name].tick()
+		for _, x := range w.inOrder() {
+			x.tick()
 		}
 		w.check()
 	}
 	return cond()
 }
 
+// inOrder lists the workers by name. The list is kept as long as it is true: sorted at
+// each step it was half of the tests' time.
+func (w *world) inOrder() []*worker {
+	same := len(w.ordered) == len(w.workers)
+	for _, x := range w.ordered {
+		same = same && w.workers[x.name] == x
+	}
+	if !same {
+		w.ordered = slices.SortedFunc(maps.Values(w.workers), func(a, b *worker) int { return cmp.Compare(a.name, b.name) })
+	}
+	return w.ordered
+}
+
 func (w *world) stepNode(n *simNode) {
 	if n.down || n.frozen {
 		return
