Copies kept for a new leader end nothing; types no longer sold fill limits; see body

Cause: a new leader took a report without its token at its word. Tasks are now adopted from reports that show the token only. Reports that come while records can't be read are answered at once.

--- a/internal/coordination/copies_test.go
+++ b/internal/coordination/copies_test.go
@@ -285,3 +285,73 @@
 	}
 	w.startedOnce()
 }
+
+// A copy that was kept for the next leader, and reaches it before anything newer does,
+// shows a task where it ran before it moved. The task goes on where it is: the copy once
+// had it ended there.
+func TestCopyKeptForTheNextLeader(t *testing.T) {
+	for nodes := 1; nodes <= 7; nodes += 2 {
+		for offset := range 12 {
+			t.Run(fmt.Sprintf("%d nodes, offset %d", nodes, offset), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(t, nodes)
+				w.runTime = func(string, int) time.Duration { return 80 * time.Second }
+				l := w.waitLeader()
+				w.machines(1)
+				j := spec("j-1", 4)
+				j.EstimateS = 80
+				w.submitAndStart(l.name, j, 4)
+				kept := map[string]*protocol.Report{}
+				w.copies = func(x *worker, rep *protocol.Report) {
+					if len(rep.Tasks) > 0 {
+						copied := *rep
+						kept[x.name] = &copied
+					}
+				}
+				w.run(4 * time.Second)
+				// The cloud says that it takes the machines, so that their tasks move, but
+				// neither takes them nor lets them be returned.
+				w.cloud.noReturn = true
+				soon := 30.0
+				var old []*worker
+				for _, x := range w.inOrder() {
+					x.notice = &soon
+					old = append(old, x)
+				}
+				w.copies = nil
+				if !w.until(time.Minute, func() bool { return w.onMachines("j-1") == 4 && len(old[0].tasks)+len(old[len(old)-1].tasks) == 0 }) {
+					t.Fatal("the tasks don't run elsewhere")
+				}
+				w.run(5 * time.Second)
+				before := len(w.starts)
+				total := 0
+				for _, n := range w.starts {
+					total += n
+				}
+				w.back(w.leader(), 300*time.Millisecond)
+				send := func() {
+					for _, rep := range kept {
+						for _, name := range w.names {
+							again := *rep
+							w.ask(name, Request{Kind: ReqReport, Report: &again}, func(Reply) {})
+						}
+					}
+				}
+				w.until(30*time.Second, func() bool { return w.leader() != "" })
+				for i := range 8 {
+					w.after(time.Duration(offset*i)*10*time.Millisecond, send)
+				}
+				w.run(20 * time.Second)
+				now := 0
+				for _, n := range w.starts {
+					now += n
+				}
+				if len(w.starts) != before || now != total || w.onMachines("j-1") != 4 {
+					t.Errorf("%d of 4 tasks run, %d starts after %d", w.onMachines("j-1"), now, total)
+				}
+				w.cloud.noReturn = false
+				w.waitState("j-1", protocol.Done, 2*time.Minute)
+			})
+		}
+	}
+}
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -126,9 +126,16 @@
 			l.n.unavailable(o)
 		}
 	}
+	l.turnEarlyAway()
+}
+
+// turnEarlyAway answers the reports that wait for the records to be read: workers would
+// wait for four seconds for an answer that can't come now.
+func (l *leadership) turnEarlyAway() {
 	for _, r := range l.early {
 		l.n.reply(r.Origin, 503, 1, nil)
 	}
+	l.early = nil
 }
 
 // load reads all records. Nothing is decided before they are all there.
@@ -383,6 +390,9 @@
 			l.timers = append(l.timers, t)
 		}
 	}
+	if !l.loaded && n.elect.stateLost() {
+		l.turnEarlyAway()
+	}
 	if !l.loaded || n.lead != l {
 		return
 	}
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -61,17 +61,6 @@
 	look()
 }
 
-// back lets a node end and begin anew.
-func (c *crowd) back(name string, after time.Duration) {
-	c.crash(name)
-	c.after(after, func() {
-		if c.nodes[name].down {
-			c.restart(name)
-			c.nodes[name].rate = 1 + (c.rng.Float64()-0.5)/1000
-		}
-	})
-}
-
 // gapWays are the ways in which an end comes to be told while the old leader doesn't know
 // of it, or in which that leader may come to keep its workers.
 var gapWays = map[string]func(c *crowd, old string){
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -10,7 +10,7 @@
 func (l *leadership) onReport(r Request) {
 	n := l.n
 	if !l.loaded {
-		if len(l.early) >= n.maxWaiting() {
+		if len(l.early) >= n.maxWaiting() || n.elect.stateLost() {
 			n.reply(r.Origin, 503, 1, nil)
 			return
 		}
@@ -50,6 +50,14 @@
 		n.reply(r.Origin, 503, 1, nil)
 		return
 	}
+	shown := rep.Token == l.term
+	if m.accounted && !shown && len(rep.Tasks) > 0 {
+		// Nothing of an earlier leader is on it, by its record or because its lease has
+		// surely run out unanswered; whatever is started from now on comes with our
+		// token. So this is a copy, of what was on it once.
+		n.reply(r.Origin, 503, 1, nil)
+		return
+	}
 	if rep.Session > m.session && m.session != 0 {
 		// The worker began a new session, so it has killed everything.
 		m.strays, l.censusOK = 0, false
@@ -69,7 +77,6 @@
 			m.reborn = true
 		}
 	}
-	shown := rep.Token == l.term
 	l.hears(m, rep, shown)
 	if m.shown != shown {
 		m.shown, l.dirty, l.censusOK = shown, true, false
@@ -232,8 +239,15 @@
 			}
 			continue
 		}
+		if j != nil && !j.gone && (r == nil || r.attempt != t.Attempt) && rep.Token != l.term {
+			// Started by an earlier leader. It goes on, but where is only known from a
+			// report that shows our token: this one may be a copy from before the term, and
+			// the task may have moved since. Taken at its word, such a copy had the task
+			// ended on the machine that does run it.
+			m.strays++
+			continue
+		}
 		if r == nil && j != nil && j.tasks[index] == taskPending && !j.gone {
-			// Started by an earlier leader: it goes on.
 			r = &run{job: j, index: index, attempt: t.Attempt, m: m, phase: phaseSent, since: now}
 			l.place(r)
 			r.shown = true
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -890,3 +890,36 @@
 		}
 	}
 }
+
+// quota: what may still run on a machine of a type that is no longer sold fills the limits
+// of all teams until it is known; it once counted for nothing.
+func TestQuotaCountsTypesNoLongerSold(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(string, int) time.Duration { return time.Hour }
+	l := w.waitLeader()
+	j := spec("j-1", 16) // the team's limit
+	j.Team, j.EstimateS = "team", 3600
+	w.submitAndStart(l.name, j, 16)
+	w.cloud.types = []protocol.MachineType{{Name: "c9", Cores: 4, RAM: 16, CacheGB: 40, PullGBPerS: 1, Rate: 0.3, SpotRate: 0.1, ReadyS: 5, Zones: []string{"a", "b"}}}
+	w.state.keys[storage.CatalogKey] = storage.Item{Key: storage.CatalogKey, Value: storage.Encode(protocol.Catalog{Types: w.cloud.types}), Version: 1}
+	w.cloud.noReturn = true
+	for _, x := range w.workers {
+		x.hanging = true
+	}
+	for _, name := range w.names {
+		w.back(name, 100*time.Millisecond)
+	}
+	next := w.waitLeader()
+	j = spec("j-2", 4)
+	j.Team, j.EstimateS = "team", 3600
+	w.submit(next.name, j)
+	w.run(config.Seconds(w.cfg.Workers.LeaseS) - 4*time.Second)
+	if n := w.onMachines("j-2"); n > 0 {
+		t.Fatalf("%d tasks run beside 16 that may", n)
+	}
+	w.cloud.noReturn = false
+	w.run(30 * time.Second)
+	if n := w.onMachines("j-1") + w.onMachines("j-2"); n == 0 {
+		t.Fatal("the room does not come back")
+	}
+}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -95,6 +95,11 @@
 		l.looked++
 		c.complete = c.complete && m.accounted
 		if m.kind == nil {
+			if !m.accounted || m.strays > 0 {
+				// Nobody knows how much may be in use there, so no limit has room: counted
+				// as nothing, a machine of a type that is no longer sold let teams exceed it.
+				c.unknown.cores, c.unknown.accelerators = math.Inf(1), math.Inf(1)
+			}
 			continue
 		}
 		if m.up && m.shown {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -166,6 +166,18 @@
 
 func (w *world) restart(name string) { w.start(name) }
 
+// back lets a node end and begin anew.
+func (w *world) back(name string, after time.Duration) {
+	w.crash(name)
+	w.after(after, func() {
+		if w.nodes[name].down {
+			rate := w.nodes[name].rate
+			w.restart(name)
+			w.nodes[name].rate = rate
+		}
+	})
+}
+
 func (w *world) after(d time.Duration, f func()) {
 	w.planned++
 	heap.Push(&w.events, event{w.now + d, w.planned, f})
