--- a/internal/coordination/chaos_test.go
+++ b/internal/coordination/chaos_test.go
@@ -18,12 +18,16 @@
 // TestMixedTroubles mixes, in many short runs, crashes and quick returns of
 // controllers, controllers that stand still, cuts that hold messages, cut zones, half-cut
 // controllers, state outages, lost answers, late transactions, deaf, hanging and silent machines, machines that are
-// back at once, late copies of reports, rolling upgrades from the version before, and a
+// back at once, mute ones, hangs at a cancellation, cancellations at an end, late copies of reports, also for the next leader, rolling upgrades from the version before, and a
 // state service that lowers its limits; jobs need others. The world checks at each moment that
 // one node leads, no task runs twice and no team is over its limit; the judge
 // also hears what users are told, and every accepted job runs in the end.
 func TestMixedTroubles(t *testing.T) {
-	for seed := range uint64(24) {
+	seeds := uint64(96)
+	if sweepAll() {
+		seeds = 6000
+	}
+	for seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			runChaos(t, seed)
@@ -32,7 +36,7 @@
 }
 
 func runChaos(t *testing.T, seed uint64) {
-	c := &chaos{crowd: newCrowd(newWorld(t, 3+4*int(seed%3/2)), seed)}
+	c := &chaos{crowd: newCrowd(newWorldOf(t, 3+4*int(seed%3/2), deployments[seed/6%3]), seed)}
 	if seed%4 >= 2 {
 		c.limits = true
 		c.announce(1, 4, 30)
@@ -50,7 +54,17 @@
 	for _, name := range c.names {
 		c.nodes[name].rate = 1 + (c.rng.Float64()-0.5)/1000
 	}
-	c.copies = func(_ *worker, rep *protocol.Report) {
+	if seed%2 == 1 {
+		c.lookClosely()
+	}
+	if seed%5 == 0 {
+		c.holdBack()
+	}
+	kept := c.copies
+	c.copies = func(x *worker, rep *protocol.Report) {
+		if kept != nil {
+			kept(x, rep)
+		}
 		if c.rng.IntN(4) == 0 {
 			copied := *rep
 			copied.Tasks = append([]protocol.TaskReport(nil), rep.Tasks...)
@@ -61,14 +75,17 @@
 	c.waitLeader()
 	c.machines(3)
 	troubles := []func(){c.crashSome, c.cutSome, c.halfCut, c.stateOutage, c.refuseOne, c.loseAnswers, c.lateTransaction,
-		c.deafen, c.hang, c.silence, c.reborn, c.quickReturn, c.peersRefuse, c.standStill, c.cutZone}
+		c.deafen, c.hang, c.silence, c.reborn, c.quickReturn, c.peersRefuse, c.standStill, c.cutZone, c.lateWrites, c.answersLost, c.mute, c.cancelAndHang, c.cancelAtEnd,
+		c.refuseWithPeers, c.slowState, c.answersHeldUp, c.refusedThenOut}
 	for i := range 14 {
 		c.userWork(i)
-		troubles[c.rng.IntN(len(troubles))]()
+		for range 1 + c.rng.IntN(2) {
+			troubles[c.rng.IntN(len(troubles))]()
+		}
 		c.poll()
 		c.run(time.Duration(c.rng.IntN(8000)) * time.Millisecond)
 	}
-	c.run(30 * time.Second) // all troubles end by themselves
+	c.run(c.cancelSpan()*5/4 + c.lease()) // all troubles end by themselves
 	c.settle(5 * time.Minute)
 }
 
@@ -231,3 +248,79 @@
 		x.tasks, x.renewed, x.changed, x.busy = nil, c.now, true, false
 	})
 }
+
+// lateWrites lets some transactions and lease calls go unanswered and be carried out late.
+func (c *chaos) lateWrites() {
+	c.state.late = func() (time.Duration, bool) {
+		return 2*time.Second + c.within(10*time.Second), c.rng.IntN(4) == 0
+	}
+	c.after(c.soon(), func() { c.state.late = nil })
+}
+
+// answersLost lets some be carried out at once, with only the answer lost.
+func (c *chaos) answersLost() {
+	c.state.late = func() (time.Duration, bool) { return 0, c.rng.IntN(3) == 0 }
+	c.after(c.soon(), func() { c.state.late = nil })
+}
+
+// slowState holds up each call to the state service.
+func (c *chaos) slowState() {
+	c.state.slow = func() time.Duration { return c.within(c.lease() / 16) }
+	c.after(c.soon(), func() { c.state.slow = nil })
+}
+
+// mute takes all controllers from some workers.
+func (c *chaos) mute() {
+	mute := map[string]bool{}
+	c.anyWorkers(func(x *worker) { mute[x.name] = true })
+	c.reach = func(x *worker, _ string) bool { return !mute[x.name] }
+	c.after(c.soon(), func() { c.reach = nil })
+}
+
+// cancelAndHang cancels jobs and lets machines hang at that moment.
+func (c *chaos) cancelAndHang() {
+	c.cancelSome(3, 200*time.Millisecond)
+	c.after(c.within(400*time.Millisecond), c.hang)
+}
+
+// cancelAtEnd cancels jobs when their last task is about to end.
+func (c *chaos) cancelAtEnd() {
+	for _, x := range c.inOrder() {
+		for _, t := range x.tasks {
+			if id := jobOf(t.key); t.state == protocol.TaskRunning && c.rng.IntN(4) == 0 {
+				c.after(max(0, t.end-c.now)+c.within(400*time.Millisecond), func() { c.cancelUntil(id) })
+			}
+		}
+	}
+}
+
+// refuseWithPeers lets a node be refused by the state service and the other nodes at once.
+func (c *chaos) refuseWithPeers() {
+	name := c.anyNode()
+	c.state.refuse[name] = true
+	c.cutOff(name)
+	c.after(c.soon(), func() { delete(c.state.refuse, name); c.mend() })
+}
+
+// answersHeldUp holds up answers to workers, for some beyond the four seconds.
+func (c *chaos) answersHeldUp() {
+	c.anyWorkers(func(x *worker) {
+		x.lag = c.within(6 * time.Second)
+		c.after(c.soon(), func() { x.lag = 0 })
+	})
+}
+
+// refusedThenOut is the first meeting: the leader refused alone, then an outage for all.
+func (c *chaos) refusedThenOut() {
+	name := c.leader()
+	if name == "" {
+		return
+	}
+	c.state.refuse[name] = true
+	c.after(c.soon(), func() { delete(c.state.refuse, name) })
+	c.cancelSome(3, c.lease()/3)
+	c.after(c.within(c.lease()/2), func() {
+		c.state.setDown(true)
+		c.after(c.cancelSpan()*5/4, func() { c.state.setDown(false) })
+	})
+}
--- a/internal/coordination/crowd_test.go
+++ b/internal/coordination/crowd_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
 )
 
 // crowd is a world with users who ask any node, repeat what was not answered, and look
@@ -139,10 +140,10 @@
 }
 
 // why tells what a job that is not done waits for.
-func (c *crowd) why(id string) string {
+func (c *world) why(id string) string {
 	name := c.leader()
 	if name == "" {
-		return "nobody leads"
+		return "nobody leads: " + c.noLeader()
 	}
 	l := c.nodes[name].lead
 	j := l.jobs[id]
@@ -162,3 +163,15 @@
 	}
 	return out
 }
+
+// noLeader tells what each node does about it.
+func (c *world) noLeader() string {
+	out := fmt.Sprintf("state down %v, refuses %v, lost %v, leader key %q", c.state.down, c.state.refuse, c.state.lost, c.state.keys[storage.LeaderKey].Value)
+	for _, name := range c.names {
+		n := c.nodes[name]
+		e := &n.elect
+		out += fmt.Sprintf("; %s: down %v, frozen %v, draining %v, leads %v, stands %v, state down %v, abstains %v, heard %d", name, n.down, n.frozen, n.draining,
+			n.lead != nil, e.candidate != nil, e.stateDown(), e.abstain, n.peersHeard(n.termSpan()))
+	}
+	return out
+}
--- a/internal/coordination/judge_test.go
+++ b/internal/coordination/judge_test.go
@@ -191,7 +191,7 @@
 			w.waits[id] = w.now
 		}
 		if w.now > w.waits[id]+90*time.Second {
-			w.broken("waits", "%s waits for 90 s beside a machine with room", id)
+			w.broken("waits", "%s waits for 90 s beside a machine with room: %s", id, w.why(id))
 		}
 		if w.begun[id] == 0 && w.now > max(w.calm, w.accepted[id])+4*time.Minute {
 			w.broken("waits", "%s has not begun after four minutes", id)
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -199,3 +201,464 @@
 	c.poll()
 	c.run(c.cancelSpan())
 }
+
+// within is a random time up to a bound.
+func (c *crowd) within(d time.Duration) time.Duration { return time.Duration(c.rng.Int64N(int64(d))) }
+
+// someWorkers does something to a random share of the workers, one in so many.
+func (c *crowd) someWorkers(oneIn int, f func(*worker)) {
+	for _, x := range c.inOrder() {
+		if c.rng.IntN(oneIn) == 0 {
+			f(x)
+		}
+	}
+}
+
+// newLeader ends the leader, or tells it to end, and brings it back, often at once.
+func (c *crowd) newLeader() {
+	name := c.leader()
+	if name == "" {
+		return
+	}
+	if c.rng.IntN(3) == 0 {
+		c.nodes[name].inbox = append(c.nodes[name].inbox, Drain{})
+		c.after(c.within(c.lease()/8), func() { c.back(name, c.within(time.Second)) })
+		return
+	}
+	c.back(name, c.within(c.lease()/[]time.Duration{1, 40}[c.rng.IntN(2)]))
+}
+
+// cancelSome cancels some of the jobs that are open, all within a moment.
+func (c *crowd) cancelSome(oneIn int, moment time.Duration) {
+	for _, id := range slices.Sorted(maps.Keys(c.accepted)) {
+		if c.over[id] == "" && c.rng.IntN(oneIn) == 0 {
+			c.after(c.within(moment), func() { c.cancelUntil(id) })
+		}
+	}
+}
+
+// more submits jobs within some time.
+func (c *crowd) more(jobs int, d time.Duration, change func(i int, j *protocol.Job)) {
+	first := len(c.submitted)
+	for i := range jobs {
+		j := spec(fmt.Sprintf("j-%d", first+i), 1+c.rng.IntN(5))
+		j.Team = []string{"team", "free"}[c.rng.IntN(2)]
+		j.Priority = []string{"urgent", "standard", "low"}[c.rng.IntN(3)]
+		if change != nil {
+			change(i, &j)
+		}
+		c.submitted[j.UID] = true
+		c.after(c.within(d), func() { c.submitUntil(j) })
+	}
+}
+
+// holdBack keeps copies of the reports, and gives them to all nodes when there is another
+// leader, and again and again for some time after.
+func (c *crowd) holdBack() {
+	var kept []*protocol.Report
+	c.copies = func(_ *worker, rep *protocol.Report) {
+		if c.rng.IntN(6) == 0 {
+			again := *rep
+			kept = append(kept, &again)
+		}
+	}
+	seen := c.leader()
+	var look func()
+	look = func() {
+		name := c.leader()
+		if name == "" || name == seen {
+			c.after(step, look)
+			return
+		}
+		seen = name
+		for _, rep := range kept {
+			for _, node := range c.names {
+				for range 2 {
+					c.after(c.within(c.lease()/10), func() {
+						again := *rep
+						c.ask(node, Request{Kind: ReqReport, Report: &again}, func(Reply) {})
+					})
+				}
+			}
+		}
+		kept = nil
+		c.after(step, look)
+	}
+	look()
+}
+
+// meetings are the users' other meetings, by what meets. Each gets a leader, eight
+// machines and some jobs, and lasts for as long as it says.
+var meetings = map[string]func(c *crowd) time.Duration{
+	"ends far apart, and a change of leader": func(c *crowd) time.Duration {
+		c.runTime = func(task string, _ int) time.Duration {
+			return 2*time.Second + time.Duration(task[len(task)-1]-'0')*20*time.Second
+		}
+		c.more(10, 10*time.Second, func(_ int, j *protocol.Job) { j.Tasks = 2 + c.rng.IntN(2) })
+		for i := range 3 {
+			c.after(time.Duration(i)*15*time.Second+c.within(10*time.Second), c.newLeader)
+		}
+		return 50 * time.Second
+	},
+	"cancelled as soon as accepted, under close looks": func(c *crowd) time.Duration {
+		look := c.told
+		c.told = func(id, state string) {
+			look(id, state)
+			if state == "accepted" && c.rng.IntN(2) == 0 {
+				c.after(c.within(200*time.Millisecond), func() { c.cancelUntil(id) })
+			}
+		}
+		c.more(30, 20*time.Second, nil)
+		c.after(c.within(20*time.Second), c.newLeader)
+		return 30 * time.Second
+	},
+	"only the answer of a transaction is lost": func(c *crowd) time.Duration {
+		c.state.late = func() (time.Duration, bool) { return 0, c.rng.IntN(5) < 2 }
+		c.more(20, 40*time.Second, nil)
+		for i := range 4 {
+			c.after(time.Duration(i)*10*time.Second, func() { c.cancelSome(4, time.Second) })
+		}
+		c.after(c.within(40*time.Second), c.newLeader)
+		return 45 * time.Second
+	},
+	"transactions and lease calls are carried out late": func(c *crowd) time.Duration {
+		c.state.late = func() (time.Duration, bool) {
+			return 2*time.Second + c.within(10*time.Second), c.rng.IntN(4) == 0
+		}
+		c.more(20, 60*time.Second, nil)
+		for i := range 4 {
+			c.after(time.Duration(i)*15*time.Second, func() { c.cancelSome(4, time.Second) })
+			c.after(time.Duration(i)*15*time.Second+c.within(3*time.Second), c.newLeader)
+		}
+		return 70 * time.Second
+	},
+	"more work than room, over slow links": func(c *crowd) time.Duration {
+		c.cloud.capacity = 9
+		c.state.slow = func() time.Duration { return c.within(600 * time.Millisecond) }
+		c.more(40, 40*time.Second, func(_ int, j *protocol.Job) { j.Team = "free" })
+		c.after(c.within(40*time.Second), c.newLeader)
+		c.after(20*time.Second, func() { c.cancelSome(4, time.Second) })
+		return 60 * time.Second
+	},
+	"controllers hand over and back, all end, one returns": func(c *crowd) time.Duration {
+		c.more(15, 60*time.Second, nil)
+		for i := range 3 {
+			at := time.Duration(i) * 20 * time.Second
+			c.after(at, c.newLeader)
+			c.after(at+c.within(time.Second), c.newLeader)
+			c.after(at+8*time.Second+c.within(4*time.Second), func() {
+				first := c.anyNode()
+				for _, name := range c.names {
+					d := c.lease() / 2
+					if name == first {
+						d = c.within(time.Second)
+					}
+					c.back(name, d)
+				}
+				c.cancelSome(4, 3*time.Second)
+			})
+		}
+		return 70 * time.Second
+	},
+	"workers reach no controller": func(c *crowd) time.Duration {
+		mute := map[string]bool{}
+		c.someWorkers(2, func(x *worker) { mute[x.name] = true })
+		c.reach = func(x *worker, _ string) bool { return !mute[x.name] }
+		c.more(10, 30*time.Second, nil)
+		c.cancelSome(3, 2*time.Second)
+		c.after(c.within(c.lease()), c.newLeader)
+		c.after(c.lease()/2+c.within(c.lease()), func() { c.reach = nil })
+		return 2 * c.lease()
+	},
+	"a leader ends while machines can't be reached or hear nothing": func(c *crowd) time.Duration {
+		c.someWorkers(3, func(x *worker) { x.silent = true })
+		c.someWorkers(3, func(x *worker) { x.dropAnswers = true })
+		c.more(10, 30*time.Second, nil)
+		c.after(c.within(6*time.Second), c.newLeader)
+		c.after(c.within(10*time.Second), func() { c.cancelSome(3, 2*time.Second) })
+		for _, x := range c.inOrder() {
+			c.after(c.within(3*c.lease()/2), func() { x.silent, x.dropAnswers = false, false })
+		}
+		return 2 * c.lease()
+	},
+	"a zone is cut off for longer than a lease": func(c *crowd) time.Duration {
+		inside := c.anyNode()
+		c.reach = func(x *worker, node string) bool { return (x.zone == "a") == (node == inside) }
+		c.state.lost[inside] = true
+		c.holds = c.rng.IntN(2) == 0
+		c.cutOff(inside)
+		c.more(10, 30*time.Second, nil)
+		c.cancelSome(3, 8*time.Second)
+		c.after(c.within(c.lease()), c.newLeader)
+		c.after(c.lease()*5/4+c.within(c.lease()/2), func() {
+			c.reach = nil
+			delete(c.state.lost, inside)
+			c.mend()
+		})
+		return 2 * c.lease()
+	},
+	"cancelled as a controller's work changes hands": func(c *crowd) time.Duration {
+		c.more(20, 40*time.Second, nil)
+		for i := range 5 {
+			at := 2*time.Second + time.Duration(i)*10*time.Second
+			c.after(at, c.newLeader)
+			c.after(at-2*time.Second, func() { c.cancelSome(3, 5*time.Second) })
+		}
+		return 55 * time.Second
+	},
+	"all controllers are away for longer than a lease": func(c *crowd) time.Duration {
+		c.cancelSome(3, 2*time.Second)
+		c.more(10, 2*time.Second, nil)
+		c.after(c.within(2*time.Second), func() {
+			for _, name := range c.names {
+				if c.rng.IntN(2) == 0 {
+					c.back(name, c.lease()*6/5+c.within(time.Second))
+				} else {
+					c.freeze(c.nodes[name], c.lease()*6/5+c.within(time.Second), func() {})
+				}
+			}
+		})
+		return 2 * c.lease()
+	},
+	"a half-cut leader, and cancellations through the new one": func(c *crowd) time.Duration {
+		old := c.leader()
+		c.reach = func(x *worker, node string) bool { return node == old || x.zone == "a" }
+		c.state.lost[old] = true
+		c.holds = c.rng.IntN(2) == 0
+		c.cutOff(old)
+		for range 3 {
+			c.after(c.within(c.lease()), func() { c.cancelSome(4, time.Second) })
+		}
+		c.more(8, 20*time.Second, nil)
+		c.after(c.cancelSpan()+c.within(c.lease()), func() {
+			c.reach = nil
+			delete(c.state.lost, old)
+			c.mend()
+		})
+		return c.cancelSpan() + c.lease()
+	},
+	"ten leaders in two minutes, inside an outage too": func(c *crowd) time.Duration {
+		c.more(20, 100*time.Second, nil)
+		for i := range 10 {
+			c.after(time.Duration(i)*12*time.Second+c.within(3*time.Second), c.newLeader)
+			c.after(time.Duration(i)*12*time.Second+c.within(6*time.Second), func() { c.cancelSome(8, time.Second) })
+		}
+		at := c.within(90 * time.Second)
+		c.after(at, func() { c.state.setDown(true) })
+		c.after(at+5*time.Second+c.within(25*time.Second), func() { c.state.setDown(false) })
+		return 2 * time.Minute
+	},
+	"machines up at once while writes lag, and the leader ends": func(c *crowd) time.Duration {
+		c.cloud.boot = 300 * time.Millisecond
+		c.state.slow = func() time.Duration { return c.within(c.lease() / 16) }
+		c.more(30, 30*time.Second, nil)
+		for i := range 3 {
+			c.after(time.Duration(i)*10*time.Second+c.within(8*time.Second), c.newLeader)
+		}
+		return 40 * time.Second
+	},
+	"jobs bound to one zone lose machines": func(c *crowd) time.Duration {
+		c.more(15, 30*time.Second, func(i int, j *protocol.Job) {
+			j.SameZone, j.Spread = i%3 == 0, i%3 == 1
+			if i%3 == 2 {
+				j.Zone = "a"
+			}
+			j.Tasks = 2 + c.rng.IntN(6)
+		})
+		for range 3 {
+			c.after(c.within(30*time.Second), func() {
+				c.someWorkers(4, func(x *worker) {
+					delete(c.workers, x.name)
+					delete(c.cloud.hosts, x.name)
+				})
+			})
+		}
+		c.after(c.within(30*time.Second), c.newLeader)
+		c.after(c.within(30*time.Second), func() { c.cancelSome(5, time.Second) })
+		return 45 * time.Second
+	},
+	"questions and cancellations meet the end of the last task": func(c *crowd) time.Duration {
+		run := c.runTime
+		c.runTime = func(task string, n int) time.Duration {
+			d := run(task, n)
+			id := jobOf(task)
+			c.after(d+c.within(400*time.Millisecond), func() {
+				j := c.specs[id]
+				switch c.rng.IntN(3) {
+				case 0:
+					c.cancelUntil(id)
+				case 1:
+					c.submitUntil(j)
+				default:
+					c.user(Request{Kind: ReqQuery, ID: id}, func(Reply) {})
+				}
+			})
+			return d
+		}
+		c.more(30, 30*time.Second, func(_ int, j *protocol.Job) { j.Tasks = 1 + c.rng.IntN(2) })
+		return 45 * time.Second
+	},
+	"old reports after newer ones": func(c *crowd) time.Duration {
+		c.copies = func(_ *worker, rep *protocol.Report) {
+			if c.rng.IntN(2) == 0 {
+				again := *rep
+				c.after(time.Duration(c.rng.ExpFloat64()*float64(c.lease())), func() {
+					c.ask(c.anyNode(), Request{Kind: ReqReport, Report: &again}, func(Reply) {})
+				})
+			}
+		}
+		c.someWorkers(3, func(x *worker) {
+			c.after(c.within(20*time.Second), func() {
+				x.session++
+				x.tasks, x.renewed, x.changed, x.busy = nil, c.now, true, false
+			})
+		})
+		c.more(15, 30*time.Second, nil)
+		c.after(c.within(30*time.Second), c.newLeader)
+		c.cancelSome(4, 20*time.Second)
+		return 45 * time.Second
+	},
+	"reports held back until a new leader acts, at all nodes": func(c *crowd) time.Duration {
+		c.holdBack()
+		c.more(15, 40*time.Second, nil)
+		for i := range 3 {
+			c.after(4*time.Second+time.Duration(i)*14*time.Second, c.newLeader)
+		}
+		c.after(c.within(40*time.Second), func() { c.cancelSome(4, time.Second) })
+		return 50 * time.Second
+	},
+	"teams at their limits, machines cut off or hanging, cancellations, a takeover": func(c *crowd) time.Duration {
+		c.more(16, 5*time.Second, func(i int, j *protocol.Job) { j.Team, j.Tasks = []string{"team", "small"}[i%2], 4 })
+		at := 8*time.Second + c.within(4*time.Second)
+		c.after(at, func() {
+			c.cancelSome(2, time.Second)
+			c.someWorkers(2, func(x *worker) {
+				if c.rng.IntN(2) == 0 {
+					x.silent = true
+					c.after(c.within(2*c.lease()), func() { x.silent = false })
+				} else {
+					x.hanging = true
+					c.after(c.within(c.lease()*3/2), func() { x.hanging = false })
+				}
+			})
+		})
+		c.after(at+c.within(3*time.Second)-time.Second, c.newLeader)
+		return at + 2*c.lease()
+	},
+	"answers are held up for seconds": func(c *crowd) time.Duration {
+		c.someWorkers(2, func(x *worker) { x.lag = c.within(6 * time.Second) })
+		c.more(15, 30*time.Second, nil)
+		c.cancelSome(3, 20*time.Second)
+		c.after(c.within(30*time.Second), c.newLeader)
+		for _, x := range c.inOrder() {
+			c.after(20*time.Second+c.within(20*time.Second), func() { x.lag = 0 })
+		}
+		return 45 * time.Second
+	},
+	"a slow state service refuses the leader, then everybody": func(c *crowd) time.Duration {
+		c.state.slow = func() time.Duration { return c.within(c.lease() / 20) }
+		name := c.leader()
+		c.state.refuse[name] = true
+		c.cancelSome(3, 4*time.Second)
+		c.more(6, 10*time.Second, nil)
+		at := c.within(c.lease() / 2)
+		c.after(at, func() { c.state.setDown(true) })
+		c.after(at+c.cancelSpan()*5/4, func() {
+			c.state.setDown(false)
+			delete(c.state.refuse, name)
+			c.state.slow = nil
+		})
+		return at + c.cancelSpan()*5/4 + 2*time.Second
+	},
+	"cancelled jobs' machines hang, and the leader changes": func(c *crowd) time.Duration {
+		at := c.within(4 * time.Second)
+		c.after(at, func() { c.cancelSome(2, 200*time.Millisecond) })
+		c.after(at+c.within(400*time.Millisecond), func() {
+			c.someWorkers(2, func(x *worker) {
+				x.hanging = true
+				c.after(c.within(c.lease()*3/2), func() { x.hanging = false })
+			})
+		})
+		c.after(at+c.within(4*time.Second), c.newLeader)
+		c.more(6, 10*time.Second, nil)
+		return 2 * c.lease()
+	},
+	"odd requests": func(c *crowd) time.Duration {
+		c.more(10, 20*time.Second, nil)
+		for range 40 {
+			c.after(c.within(40*time.Second), func() { c.oddRequest() })
+		}
+		c.after(c.within(30*time.Second), c.newLeader)
+		return 40 * time.Second
+	},
+}
+
+// oddRequest repeats a submission in another form, cancels what is over, or sends a job
+// that fits no machine.
+func (c *crowd) oddRequest() {
+	ids := slices.Sorted(maps.Keys(c.accepted))
+	if len(ids) == 0 {
+		return
+	}
+	id := ids[c.rng.IntN(len(ids))]
+	switch c.rng.IntN(3) {
+	case 0:
+		again := c.specs[id]
+		again.Cores, again.Tasks, again.Team = 400, 77, "nobody"
+		c.user(Request{Kind: ReqSubmit, ID: id, Job: &again}, func(Reply) {})
+	case 1:
+		if c.over[id] != "" {
+			c.user(Request{Kind: ReqCancel, ID: id}, func(Reply) {})
+		}
+	default:
+		j := spec(fmt.Sprintf("j-odd-%d", c.rng.IntN(5)), 1)
+		j.Cores = 400
+		c.user(Request{Kind: ReqSubmit, ID: j.UID, Job: &j}, func(r Reply) {
+			if r.Status != 422 && r.Status != 503 && r.Status != 0 {
+				c.t.Errorf("a job that fits no machine: %d", r.Status)
+			}
+		})
+	}
+}
+
+// TestMeetings brings about each of the meetings, with 3 and 7 nodes, in the proportions
+// of each deployment, at random offsets; under close looks all along. Whatever met, in the
+// end every job is done or cancelled, nothing waits beside room, and nothing is forgotten.
+func TestMeetings(t *testing.T) {
+	seeds := uint64(6)
+	if sweepAll() {
+		seeds = 60
+	}
+	for name, meet := range meetings {
+		t.Run(name, func(t *testing.T) {
+			for seed := range seeds {
+				t.Run(fmt.Sprint(seed), func(t *testing.T) {
+					t.Parallel()
+					w := newWorldOf(t, []int{3, 7}[seed%2], deployments[seed/2%3])
+					w.cfg.Teams = append(w.cfg.Teams, config.Team{Name: "small", CPUsMax: 8})
+					c := newCrowd(w, seed*31+uint64(len(name)))
+					for _, node := range c.names {
+						c.start(node)
+						c.nodes[node].rate = 1 + (c.rng.Float64()-0.5)/1000
+					}
+					times := map[string]time.Duration{}
+					c.runTime = func(task string, _ int) time.Duration {
+						if times[task] == 0 {
+							times[task] = time.Second + c.within(40*time.Second)
+						}
+						return times[task]
+					}
+					c.waitLeader()
+					c.machines(8)
+					c.lookClosely()
+					c.more(8, 100*time.Millisecond, nil)
+					c.run(8 * time.Second)
+					c.run(meet(c))
+					c.state.late, c.state.slow, c.copies = nil, nil, nil
+					c.run(12 * time.Second) // what is late comes
+					c.settle(5 * time.Minute)
+				})
+			}
+		})
+	}
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -286,7 +286,11 @@
 				}
 			}
 			w.after(e.Timeout, func() { back(0, nil) })
-			w.after(step, func() {
+			held := step
+			if e.Target == State && w.state.slow != nil {
+				held += w.state.slow()
+			}
+			w.after(held, func() {
 				if e.Target == State {
 					if n.old && e.Path == "/multi" {
 						e.Body = oldShape(w.t, e.Body)
@@ -564,6 +568,7 @@
 	hold      func(node string, t storage.Txn) bool // transactions to keep back
 	held      []func()
 	late      func() (d time.Duration, is bool) // calls that get no answer and are carried out so much later
+	slow      func() time.Duration              // by how much each call is held up on its way
 	watchers  []func() bool
 }
 
@@ -780,6 +785,11 @@
 }
 
 func (s *fakeState) multi(t storage.Txn) (int, any) {
+	for _, wr := range t.Writes {
+		if wr.Lease != 0 && s.leases[wr.Lease] == nil {
+			return 400, map[string]string{"error": "no such lease"}
+		}
+	}
 	var failed []string
 	for _, c := range t.If {
 		if s.keys[c.Key].Version != c.Version {
@@ -912,7 +922,8 @@
 	hanging          bool
 	faulty           bool
 	dropAnswers      bool
-	grace            []float64 // of the stops it was given
+	lag              time.Duration // by how much answers to it are held up
+	grace            []float64     // of the stops it was given
 	forgotten        []string
 	answers, refused int
 }
@@ -986,7 +997,7 @@
 	}
 	w.ask(x.node, Request{Kind: ReqReport, Report: rep}, func(r Reply) {
 		if !x.silent && !x.dropAnswers {
-			finish(r)
+			w.after(x.lag, func() { finish(r) })
 		}
 	})
 }
