--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -662,3 +662,53 @@
 		})
 	}
 }
+
+// One-task jobs come four a second for minutes, a quarter of them cancelled, while the
+// state service takes changes at its rate and the leader changes: no backlog of changes
+// grows, and cancellations are not confirmed later for it.
+func TestSmallJobsByTheHundred(t *testing.T) {
+	for k, p := range deployments {
+		t.Run(fmt.Sprintf("lease %v", p.lease), func(t *testing.T) {
+			t.Parallel()
+			c := newCrowd(newWorldOf(t, 3, p), uint64(k))
+			c.state.limited = true
+			c.runTime = func(string, int) time.Duration { return time.Second + c.within(6*time.Second) }
+			c.waitLeader()
+			c.machines(12)
+			const minutes, rate = 3, 4
+			slowest, most := time.Duration(0), 0
+			for i := range minutes * 60 * rate {
+				j := spec(fmt.Sprintf("j-%d", i), 1)
+				c.after(time.Duration(i)*time.Second/rate, func() { c.submitUntil(j) })
+				if i%4 == 0 {
+					c.after(time.Duration(i)*time.Second/rate+time.Second+c.within(5*time.Second), func() {
+						if !c.knows(j.UID) {
+							return // it is not accepted yet, as the leader changes
+						}
+						asked := c.now
+						c.user(Request{Kind: ReqCancel, ID: j.UID}, func(r Reply) {
+							if r.Status == 200 {
+								slowest = max(slowest, c.now-asked)
+							} else {
+								c.cancelUntil(j.UID)
+							}
+						})
+					})
+				}
+			}
+			c.after(minutes*30*time.Second, c.newLeader)
+			for end := c.now + minutes*time.Minute; c.now < end; c.run(time.Second) {
+				if name := c.leader(); name != "" {
+					most = max(most, c.nodes[name].lead.writer.Pending())
+				}
+			}
+			if slowest > 2*time.Second {
+				t.Errorf("a cancellation was confirmed after %v", slowest)
+			}
+			if most > 60 {
+				t.Errorf("%d changes waited", most)
+			}
+			c.settle(time.Minute)
+		})
+	}
+}
