--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -15,9 +15,9 @@
 // The leader holds the leader key, which hangs on a lease of the state service.
 // Its authority counts from when its last renewal was sent. While the state
 // service is down, leases stand still there but authority here would run out;
-// the leader then lives by short promises of a majority not to stand. So that
+// the leader then lives by short lease grants of a majority, each of which binds a peer not to stand. So that
 // both ways exclude each other, a candidate needs, besides the keys, a majority
-// that is free of promises, and a peer that has cleared a candidate promises
+// that is bound by no grant, and a peer that has voted for a candidate grants
 // nothing more to leaders of lower terms.
 type election struct {
 	// what the state service last said
@@ -25,17 +25,17 @@
 	stateBad Instant // last 429, 5xx or missing answer
 	badCalls int     // such calls in a row
 
-	probeAt   Instant
-	probing   bool
-	beatAt    Instant
-	abstain   bool // until a peer is heard: we were cut off
-	standAt   Instant
-	candidate *candidacy
+	probeAt     Instant
+	probing     bool
+	heartbeatAt Instant
+	abstain     bool // until a peer is heard: we were cut off
+	standAt     Instant
+	candidate   *candidacy
 
 	// as a peer
-	promisedTerm  uint64
-	promisedUntil Instant
-	clearedTerm   uint64
+	grantedTerm  uint64
+	grantedUntil Instant
+	votedTerm    uint64
 
 	// as a leader
 	lease     uint64
@@ -48,16 +48,16 @@
 type candidacy struct {
 	term     uint64
 	termVer  uint64
-	cleared  map[string]bool
-	clearing bool
+	votes    map[string]bool
+	asking   bool
 	since    Instant
 	askedAt  Instant
-	listedAt Instant // when clearances were last read from the state service
+	listedAt Instant // when votes were last read from the state service
 }
 
 func newElection() election {
-	return election{stateOK: never, stateBad: never, probeAt: never, beatAt: never, standAt: never,
-		promisedUntil: never, authUntil: never, renewAt: never}
+	return election{stateOK: never, stateBad: never, probeAt: never, heartbeatAt: never, standAt: never,
+		grantedUntil: never, authUntil: never, renewAt: never}
 }
 
 // saw notes whether the state service answers.
@@ -77,7 +77,7 @@
 // an answer, as happens when a packet is lost, is no reason yet.
 func (e *election) stateLost() bool { return e.badCalls >= 2 }
 
-// term is the span of a leader's lease and of a promise.
+// term is the span of a leader's lease and of a peer's grant.
 func (n *Node) termSpan() time.Duration { return n.lease() / termsPerLease }
 
 // authority tells whether this node may answer and command as the leader.
@@ -85,18 +85,18 @@
 	if n.lead == nil {
 		return false
 	}
-	return n.now < n.elect.authUntil || n.now < n.promisedAuthority()
+	return n.now < n.elect.authUntil || n.now < n.quorumLease()
 }
 
-// promisedAuthority is until when a majority, this node included, won't stand.
-func (n *Node) promisedAuthority() Instant {
+// quorumLease is until when a majority, this node included, won't stand.
+func (n *Node) quorumLease() Instant {
 	others := n.cfg.Cluster.Count / 2 // peers needed besides ourselves
 	if others == 0 {
 		return never
 	}
 	until := make([]Instant, 0, len(n.peers))
 	for _, p := range n.peers {
-		until = append(until, p.promised)
+		until = append(until, p.granted)
 	}
 	sort.Slice(until, func(i, j int) bool { return until[i] > until[j] })
 	return until[others-1]
@@ -125,9 +125,9 @@
 
 func (n *Node) tickElection() {
 	e := &n.elect
-	if n.now >= e.beatAt+n.lease()/beatsPerLease || e.beatAt == never {
-		e.beatAt = n.now
-		m := Message{Type: msgBeat, Sent: int64(n.now), Up: int64(n.now), Run: n.run, Level: level, Slow: n.slowed}
+	if n.now >= e.heartbeatAt+n.lease()/heartbeatsPerLease || e.heartbeatAt == never {
+		e.heartbeatAt = n.now
+		m := Message{Type: msgHeartbeat, Sent: int64(n.now), Up: int64(n.now), Run: n.run, Level: level, Slow: n.slowed}
 		if n.lead != nil {
 			m.Term, m.Lead, m.Want = n.lead.term, n.authority(), e.renewBad
 		}
@@ -173,7 +173,7 @@
 			}
 		case 404:
 			if n.peersHeard(n.termSpan()) < n.cfg.Cluster.Count/2 {
-				n.clearByState()
+				n.voteByState()
 				return
 			}
 			n.standInTurn()
@@ -207,12 +207,12 @@
 	}
 }
 
-// freeOfPromises tells whether this node may clear a candidate. A restarted
-// node does not remember its promises, so it waits one out, unless nobody can be
+// freeToVote tells whether this node may vote for a candidate. A restarted
+// node does not remember its grants, so it waits one out, unless nobody can be
 // living by one: every peer, having heard this process, has said that it does not
-// lead. A leadership that is over never returns, and a promise is for one term.
-func (n *Node) freeOfPromises() bool {
-	return (n.now >= drift(n.termSpan()) || n.allIdle()) && n.now >= n.elect.promisedUntil
+// lead. A leadership that is over never returns, and a grant is for one term.
+func (n *Node) freeToVote() bool {
+	return (n.now >= drift(n.termSpan()) || n.allIdle()) && n.now >= n.elect.grantedUntil
 }
 
 // allIdle tells whether every peer has said, to this process, that it does not lead.
@@ -227,7 +227,7 @@
 
 func (n *Node) stand() {
 	e := &n.elect
-	c := &candidacy{since: n.now, cleared: map[string]bool{}, askedAt: never, listedAt: n.now}
+	c := &candidacy{since: n.now, votes: map[string]bool{}, askedAt: never, listedAt: n.now}
 	e.candidate = c
 	n.readTerm(func(t storage.Term, version uint64, ok bool) {
 		if e.candidate != c {
@@ -252,7 +252,7 @@
 				e.candidate = nil
 				return
 			}
-			c.termVer, c.clearing = res.Revision, true
+			c.termVer, c.asking = res.Revision, true
 			n.tickCandidate()
 		})
 	})
@@ -276,74 +276,74 @@
 		e.candidate = nil
 		return
 	}
-	if !c.clearing {
+	if !c.asking {
 		return
 	}
-	if n.freeOfPromises() && len(c.cleared) >= n.cfg.Cluster.Count/2 {
-		c.clearing = false
-		e.clearedTerm = max(e.clearedTerm, c.term)
+	if n.freeToVote() && len(c.votes) >= n.cfg.Cluster.Count/2 {
+		c.asking = false
+		e.votedTerm = max(e.votedTerm, c.term)
 		n.takeLeaderKey(c)
 		return
 	}
 	if n.now > c.listedAt+n.lease()/probesPerLease {
-		n.readClearances(c)
+		n.readVotes(c)
 	}
-	if c.askedAt == never || n.now > c.askedAt+n.lease()/beatsPerLease {
+	if c.askedAt == never || n.now > c.askedAt+n.lease()/heartbeatsPerLease {
 		c.askedAt = n.now
-		n.sendAll(Message{Type: msgClear, Term: c.term})
+		n.sendAll(Message{Type: msgVoteRequest, Term: c.term})
 	}
 }
 
-// clearByState clears, through the state service, a candidate that can't ask us: while
+// voteByState votes, through the state service, for a candidate that can't ask us: while
 // connections between controllers are refused, a leader that is lost could not be
 // replaced otherwise, as no candidate would hear from a majority. It binds this node
-// just as a message does. Only where there is nobody to clear may this node stand
-// itself: raising the term over one that the others are clearing, in their turn, kept
+// just as a message does. Only where there is nobody to vote for may this node stand
+// itself: raising the term over one that the others vote for, in their turn, kept
 // seven nodes without a leader for as long as they refused each other.
-func (n *Node) clearByState() {
+func (n *Node) voteByState() {
 	e := &n.elect
 	n.readTerm(func(t storage.Term, _ uint64, ok bool) {
-		if n.lead != nil || e.candidate != nil || !ok || !n.freeOfPromises() {
+		if n.lead != nil || e.candidate != nil || !ok || !n.freeToVote() {
 			return
 		}
 		led := false // whoever raised the term
 		for _, p := range n.peers {
 			led = led || t.Term <= p.term
 		}
-		if led || t.Node == "" || t.Node == n.cfg.Node || !n.clears(t.Term) {
+		if led || t.Node == "" || t.Node == n.cfg.Node || !n.mayVote(t.Term) {
 			n.standInTurn()
 			return
 		}
-		e.clearedTerm = t.Term
+		e.votedTerm = t.Term
 		e.standAt = n.now + n.termSpan() // its turn comes first
 		n.stateCall("POST", "/multi", storage.Txn{
-			Writes: []storage.Write{storage.Set(storage.ClearPrefix+n.cfg.Node, storage.Clearance{Term: t.Term})},
+			Writes: []storage.Write{storage.Set(storage.VotePrefix+n.cfg.Node, storage.VoteRecord{Term: t.Term})},
 		}, func(Result) {})
 	})
 }
 
-// readClearances counts the clearances that other nodes have written.
-func (n *Node) readClearances(c *candidacy) {
+// readVotes counts the votes that other nodes have written.
+func (n *Node) readVotes(c *candidacy) {
 	c.listedAt = n.now
-	n.stateCall("GET", storage.ListPath(storage.ClearPrefix, "", n.cfg.Cluster.Count), nil, func(r Result) {
+	n.stateCall("GET", storage.ListPath(storage.VotePrefix, "", n.cfg.Cluster.Count), nil, func(r Result) {
 		var page storage.Page
 		if n.elect.candidate != c || r.Status != 200 || json.Unmarshal(r.Body, &page) != nil {
 			return
 		}
 		for _, it := range page.Items {
-			var rec storage.Clearance
-			name := strings.TrimPrefix(it.Key, storage.ClearPrefix)
+			var rec storage.VoteRecord
+			name := strings.TrimPrefix(it.Key, storage.VotePrefix)
 			if json.Unmarshal(it.Value, &rec) == nil && rec.Term == c.term && n.peers[name] != nil {
-				c.cleared[name] = true
+				c.votes[name] = true
 			}
 		}
 		n.tickCandidate()
 	})
 }
 
-// clears tells whether this node may clear a candidate of a term.
-func (n *Node) clears(term uint64) bool {
-	return n.freeOfPromises() && term > n.elect.clearedTerm &&
+// mayVote tells whether this node may vote for a candidate of a term.
+func (n *Node) mayVote(term uint64) bool {
+	return n.freeToVote() && term > n.elect.votedTerm &&
 		(n.lead == nil || n.lead.term < term && !n.authority())
 }
 
@@ -385,7 +385,7 @@
 	})
 }
 
-// leaseSafe is how long a lease of the state service, or a promise, of the
+// leaseSafe is how long a lease of the state service, or of a peer, of the
 // given span surely holds by our clock.
 func leaseSafe(span time.Duration) time.Duration { return span - span/500 - time.Millisecond }
 
@@ -394,12 +394,12 @@
 	e.lease, e.authUntil, e.renewing, e.renewBad = lease, sent+leaseSafe(n.termSpan()), false, false
 	e.renewAt = sent
 	for _, p := range n.peers {
-		p.promised = never
+		p.granted = never
 	}
 	n.log.Info("leading", "term", term)
 	n.lead = newLeadership(n, term, leaderVer)
 	n.lead.load()
-	e.beatAt = never
+	e.heartbeatAt = never
 }
 
 // stepDown ends this node's leadership; everything it knew as a leader is dropped.
@@ -414,7 +414,7 @@
 	if e.lease != 0 {
 		n.stateCall("DELETE", "/holds/"+utoa(e.lease), nil, func(Result) {})
 	}
-	e.lease, e.authUntil, e.probeAt, e.beatAt = 0, never, n.now, never
+	e.lease, e.authUntil, e.probeAt, e.heartbeatAt = 0, never, n.now, never
 }
 
 func (n *Node) tickLeader() {
@@ -449,7 +449,7 @@
 			n.stepDown("lease ended")
 		default:
 			e.renewBad = true
-			e.beatAt = never // ask for promises at once
+			e.heartbeatAt = never // ask for grants at once
 		}
 	})
 }
@@ -463,30 +463,30 @@
 	p.heard = n.now
 	e := &n.elect
 	switch m.Type {
-	case msgBeat:
+	case msgHeartbeat:
 		p.leads, p.term, p.up, p.run, p.level = m.Lead, m.Term, time.Duration(m.Up), m.Run, m.Level
 		if m.Slow {
 			n.slowDown()
 		}
 		p.idle = p.idle || (m.Heard == n.run && !m.Lead)
 		if m.Lead && m.Want {
-			n.promise(p, m)
+			n.grantLease(p, m)
 		}
 		if m.Lead && n.lead != nil && m.Term > n.lead.term {
 			n.stepDown("a peer leads with a higher term")
 		}
-	case msgPromise:
+	case msgGrant:
 		if n.lead != nil && m.Term == n.lead.term && n.authority() {
-			p.promised = max(p.promised, Instant(m.Sent)+leaseSafe(n.termSpan()))
+			p.granted = max(p.granted, Instant(m.Sent)+leaseSafe(n.termSpan()))
 		}
-	case msgClear:
-		if n.clears(m.Term) || m.Term == e.clearedTerm {
-			e.clearedTerm = m.Term
-			n.send(p.name, Message{Type: msgCleared, Term: m.Term, OK: true})
+	case msgVoteRequest:
+		if n.mayVote(m.Term) || m.Term == e.votedTerm {
+			e.votedTerm = m.Term
+			n.send(p.name, Message{Type: msgVote, Term: m.Term, OK: true})
 		}
-	case msgCleared:
+	case msgVote:
 		if c := e.candidate; c != nil && c.term == m.Term && m.OK {
-			c.cleared[p.name] = true
+			c.votes[p.name] = true
 			n.tickCandidate()
 		}
 	case msgAsk:
@@ -496,16 +496,16 @@
 	}
 }
 
-// promise binds this node not to stand, or to clear a candidate, for a while.
+// grantLease binds this node not to stand, or to vote for a candidate, for a while.
 // It is given only while the state service is out of reach from here too:
 // otherwise the leader alone is refused, and is better replaced.
-func (n *Node) promise(p *peer, m Message) {
+func (n *Node) grantLease(p *peer, m Message) {
 	e := &n.elect
-	if n.lead != nil || e.candidate != nil || !e.stateDown() || m.Term < e.clearedTerm ||
-		m.Term < e.promisedTerm || n.now < drift(n.termSpan()) {
+	if n.lead != nil || e.candidate != nil || !e.stateDown() || m.Term < e.votedTerm ||
+		m.Term < e.grantedTerm || n.now < drift(n.termSpan()) {
 		return
 	}
-	e.promisedTerm = m.Term
-	e.promisedUntil = max(e.promisedUntil, n.now+drift(n.termSpan()))
-	n.send(p.name, Message{Type: msgPromise, Term: m.Term, Sent: m.Sent})
+	e.grantedTerm = m.Term
+	e.grantedUntil = max(e.grantedUntil, n.now+drift(n.termSpan()))
+	n.send(p.name, Message{Type: msgGrant, Term: m.Term, Sent: m.Sent})
 }
--- a/internal/coordination/election_test.go
+++ b/internal/coordination/election_test.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// Outages last longer than the leader's lease and than the workers': promises
+// Outages last longer than the leader's lease and than the workers': lease grants
 // of the peers keep the leader, and with it the tasks, alive.
 func TestStateOutageKeepsLeaderAndTasks(t *testing.T) {
 	w := newWorld(t, 3)
@@ -77,34 +77,34 @@
 	}
 }
 
-// A peer that has just restarted may have promised something that it no longer
-// remembers, so it neither promises nor clears anybody for one promise.
-func TestRestartedPeerWaitsOutOnePromise(t *testing.T) {
+// A peer that has just restarted may have granted a lease that it no longer
+// remembers, so it neither grants nor votes for one span.
+func TestRestartedPeerWaitsOutOneLeaseGrant(t *testing.T) {
 	w := newWorld(t, 3)
 	first := w.waitLeader()
 	peer := w.followers()[0]
 	w.crash(peer)
 	w.restart(peer)
 	n := w.nodes[peer]
-	out := n.Step(step, []any{PeerMessage{From: first.name, Msg: Message{Type: msgClear, Term: 99}}})
+	out := n.Step(step, []any{PeerMessage{From: first.name, Msg: Message{Type: msgVoteRequest, Term: 99}}})
 	for _, e := range out {
-		if s, ok := e.(Send); ok && s.Msg.Type == msgCleared {
-			t.Fatal("cleared a candidate right after a restart")
+		if s, ok := e.(Send); ok && s.Msg.Type == msgVote {
+			t.Fatal("voted right after a restart")
 		}
 	}
 	n.elect.stateBad = step
-	out = n.Step(2*step, []any{PeerMessage{From: first.name, Msg: Message{Type: msgBeat, Term: 99, Lead: true, Want: true}}})
+	out = n.Step(2*step, []any{PeerMessage{From: first.name, Msg: Message{Type: msgHeartbeat, Term: 99, Lead: true, Want: true}}})
 	for _, e := range out {
-		if s, ok := e.(Send); ok && s.Msg.Type == msgPromise {
-			t.Fatal("promised right after a restart")
+		if s, ok := e.(Send); ok && s.Msg.Type == msgGrant {
+			t.Fatal("granted a lease right after a restart")
 		}
 	}
 }
 
-// After an end of all controllers the next leader does not wait out a promise: every
+// After an end of all controllers the next leader does not wait out a lease grant: every
 // node has said that it does not lead. What an earlier process of a node was told says
-// nothing, nor does a majority: the one that is missing may live by a promise.
-func TestFullRestartWaitsForNoPromise(t *testing.T) {
+// nothing, nor does a majority: the one that is missing may live by a grant.
+func TestFullRestartWaitsForNoLeaseGrant(t *testing.T) {
 	w := newWorld(t, 3)
 	w.waitLeader()
 	for _, name := range w.names {
@@ -119,28 +119,28 @@
 		t.Fatalf("nobody leads %v after a full restart", span*2/3)
 	}
 	n := New(Options{Platform: w.nodes["n0"].cfg, Log: testLog(), Rand: rand.New(rand.NewPCG(1, 2)), Wall: time.Unix(5, 0)})
-	cleared := func(from string, m Message) bool {
-		m.Type = msgBeat
-		out := n.Step(n.now+step, []any{PeerMessage{From: from, Msg: m}, PeerMessage{From: "n1", Msg: Message{Type: msgClear, Term: 99}}})
-		return slices.ContainsFunc(out, func(e any) bool { s, ok := e.(Send); return ok && s.Msg.Type == msgCleared })
+	voted := func(from string, m Message) bool {
+		m.Type = msgHeartbeat
+		out := n.Step(n.now+step, []any{PeerMessage{From: from, Msg: m}, PeerMessage{From: "n1", Msg: Message{Type: msgVoteRequest, Term: 99}}})
+		return slices.ContainsFunc(out, func(e any) bool { s, ok := e.(Send); return ok && s.Msg.Type == msgVote })
 	}
-	if cleared("n1", Message{Heard: n.run}) {
-		t.Error("clears while a peer is not heard")
+	if voted("n1", Message{Heard: n.run}) {
+		t.Error("votes while a peer is not heard")
 	}
-	if cleared("n2", Message{Heard: n.run + 1}) {
-		t.Error("clears by what its earlier process was told")
+	if voted("n2", Message{Heard: n.run + 1}) {
+		t.Error("votes by what its earlier process was told")
 	}
-	if cleared("n2", Message{Heard: n.run, Lead: true, Term: 9}) {
-		t.Error("clears while a peer leads")
+	if voted("n2", Message{Heard: n.run, Lead: true, Term: 9}) {
+		t.Error("votes while a peer leads")
 	}
-	if !cleared("n2", Message{Heard: n.run}) {
-		t.Error("waits for a promise that nobody can live by")
+	if !voted("n2", Message{Heard: n.run}) {
+		t.Error("waits for a grant that nobody can live by")
 	}
 }
 
-// A peer that has promised clears nobody until the promise is over, and one
-// that has cleared a candidate promises nothing to an older leader.
-func TestPromiseAndClearanceExcludeEachOther(t *testing.T) {
+// A peer that has granted a lease votes for nobody until it is over, and one that has
+// voted for a candidate grants nothing to an older leader.
+func TestLeaseGrantAndVoteExcludeEachOther(t *testing.T) {
 	w := newWorld(t, 3)
 	w.state.setDown(true)
 	w.run(10 * time.Second)
@@ -159,18 +159,18 @@
 		}
 		return false
 	}
-	if !sent(msgPromise, Message{Type: msgBeat, Term: 7, Lead: true, Want: true}) {
-		t.Fatal("no promise in an outage")
+	if !sent(msgGrant, Message{Type: msgHeartbeat, Term: 7, Lead: true, Want: true}) {
+		t.Fatal("no lease granted in an outage")
 	}
-	if sent(msgCleared, Message{Type: msgClear, Term: 8}) {
-		t.Fatal("cleared a candidate under a promise")
+	if sent(msgVote, Message{Type: msgVoteRequest, Term: 8}) {
+		t.Fatal("voted under a lease grant")
 	}
 	now += 2 * n.termSpan()
-	if !sent(msgCleared, Message{Type: msgClear, Term: 8}) {
-		t.Fatal("did not clear after the promise")
+	if !sent(msgVote, Message{Type: msgVoteRequest, Term: 8}) {
+		t.Fatal("did not vote after the grant")
 	}
-	if sent(msgPromise, Message{Type: msgBeat, Term: 7, Lead: true, Want: true}) {
-		t.Fatal("promised to an older leader after clearing a candidate")
+	if sent(msgGrant, Message{Type: msgHeartbeat, Term: 7, Lead: true, Want: true}) {
+		t.Fatal("granted a lease to an older leader after a vote")
 	}
 }
 
--- a/internal/coordination/forgotten_test.go
+++ b/internal/coordination/forgotten_test.go
@@ -56,7 +56,7 @@
 }
 
 // A leader that alone is refused by the state service, while the other controllers
-// refuse its connections, is replaced; it neither leads on by promises nor comes back
+// refuse its connections, is replaced; it neither leads on by lease grants nor comes back
 // in the way of the next.
 func TestLeaderRefusedByStateAndPeers(t *testing.T) {
 	w, l := running(t, 3, 25*time.Second, 3, 6)
@@ -159,7 +159,7 @@
 }
 
 // While the controllers refuse each other's connections, a leader that is lost is
-// replaced all the same: candidates are cleared through the state service.
+// replaced all the same: votes come through the state service.
 func TestLeaderLostWhilePeersRefuse(t *testing.T) {
 	for _, nodes := range []int{3, 5, 7} {
 		w, l := running(t, nodes, 20*time.Second, 3, 8)
@@ -178,7 +178,7 @@
 		if !w.until(8*time.Second, func() bool { return w.leader() != "" }) {
 			t.Fatalf("%d nodes: nobody leads", nodes)
 		}
-		// Each raise takes the term from a candidate that others are clearing: with
+		// Each raise takes the term from a candidate that others vote for: with
 		// seven nodes they went on until connections were no longer refused.
 		if raised := w.nodes[w.leader()].lead.term - term; raised > 2 {
 			t.Errorf("%d nodes: the term was raised %d times", nodes, raised)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -75,12 +75,12 @@
 
 // Message types.
 const (
-	msgBeat    = "beat"    // "I am here", from everybody to everybody
-	msgPromise = "promise" // answer to a leader's beat that wants a promise
-	msgClear   = "clear"   // a candidate asks whether a peer is free of promises
-	msgCleared = "cleared" // the answer
-	msgAsk     = "ask"     // a forwarded request
-	msgAnswer  = "answer"  // its answer
+	msgHeartbeat   = "beat"    // "I am here", from everybody to everybody
+	msgGrant       = "promise" // answer to a leader's heartbeat that wants a lease grant
+	msgVoteRequest = "clear"   // a candidate asks for a vote, which a peer bound by a grant can't give
+	msgVote        = "cleared" // the answer
+	msgAsk         = "ask"     // a forwarded request
+	msgAnswer      = "answer"  // its answer
 )
 
 // PeerMessage is a message with its sender.
@@ -181,15 +181,15 @@
 }
 
 type peer struct {
-	name     string
-	heard    Instant
-	run      uint64        // its process, as it was heard last
-	idle     bool          // it has heard this process, and did not lead then
-	up       time.Duration // how long it had been up when it was heard
-	term     uint64
-	leads    bool
-	promised Instant // until when it won't stand against us
-	level    int     // of its version
+	name    string
+	heard   Instant
+	run     uint64        // its process, as it was heard last
+	idle    bool          // it has heard this process, and did not lead then
+	up      time.Duration // how long it had been up when it was heard
+	term    uint64
+	leads   bool
+	granted Instant // until when it won't stand against us
+	level   int     // of its version
 }
 
 // bucket is a token bucket.
@@ -230,14 +230,14 @@
 // submissions, which all nodes write, never wait behind the leader's records;
 // every node keeps a margin for requests of a predecessor that are still under way.
 const (
-	leaderWriteShare  = 0.6
-	submitWriteShare  = 0.3 // of all nodes together: see shareSubmissions
-	followerReadShare = 0.1
-	lookupShare       = 0.2 // a new leader's reads of what became of needed jobs
-	cloudShare        = 0.75
-	probesPerLease    = 28
-	beatsPerLease     = 32
-	termsPerLease     = 6 // leader leases and promises that fit one worker lease
+	leaderWriteShare   = 0.6
+	submitWriteShare   = 0.3 // of all nodes together: see shareSubmissions
+	followerReadShare  = 0.1
+	lookupShare        = 0.2 // a new leader's reads of what became of needed jobs
+	cloudShare         = 0.75
+	probesPerLease     = 28
+	heartbeatsPerLease = 32
+	termsPerLease      = 6 // leader leases and grants that fit one worker lease
 )
 
 // New makes a node.
@@ -255,7 +255,7 @@
 	}
 	n.writeBudget, n.submitBudget = writeBuckets(c, c.State.WriteRPS)
 	for _, k := range o.Platform.Known {
-		n.peers[k.Node] = &peer{name: k.Node, heard: never, promised: never}
+		n.peers[k.Node] = &peer{name: k.Node, heard: never, granted: never}
 	}
 	n.elect = newElection()
 	n.run = n.rng.Uint64() ^ uint64(n.wall.UnixNano()) | 1 // 0: not heard yet
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -19,7 +19,7 @@
 	}
 	rep := r.Report
 	l.heardWorker = n.now
-	if rep.Token > l.term {
+	if rep.FencingToken > l.term {
 		// The worker has seen a newer leader: our answers would be dropped.
 		n.reply(r.Origin, 503, 1, nil)
 		n.stepDown("a worker has seen a higher token")
@@ -50,7 +50,7 @@
 		n.reply(r.Origin, 503, 1, nil)
 		return
 	}
-	shown := rep.Token == l.term
+	shown := rep.FencingToken == l.term
 	if m.accounted && !shown && len(rep.Tasks) > 0 {
 		// Nothing of an earlier leader is on it, by its record or because its lease has
 		// surely run out unanswered; whatever is started from now on comes with our
@@ -118,7 +118,7 @@
 		n.reply(r.Origin, 503, 1, nil)
 		return
 	}
-	m.answered, m.last = n.now, &protocol.ReportAnswer{Token: l.term, Commands: l.commands(m, forget)}
+	m.answered, m.last = n.now, &protocol.ReportAnswer{FencingToken: l.term, Commands: l.commands(m, forget)}
 	n.reply(r.Origin, 200, 0, m.last)
 }
 
@@ -239,7 +239,7 @@
 			}
 			continue
 		}
-		if j != nil && !j.gone && (r == nil || r.attempt != t.Attempt) && rep.Token != l.term {
+		if j != nil && !j.gone && (r == nil || r.attempt != t.Attempt) && rep.FencingToken != l.term {
 			// Started by an earlier leader. It goes on, but where is only known from a
 			// report that shows our token: this one may be a copy from before the term, and
 			// the task may have moved since. Taken at its word, such a copy had the task
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -186,7 +186,7 @@
 	for _, x := range w.workers {
 		m := l.lead.machines[x.name]
 		runs := len(m.runs)
-		late := &protocol.Report{Machine: x.name, Type: x.typ, Zone: x.zone, Spot: x.spot, Session: x.session, Seq: 1, Token: l.lead.term}
+		late := &protocol.Report{Machine: x.name, Type: x.typ, Zone: x.zone, Spot: x.spot, Session: x.session, Seq: 1, FencingToken: l.lead.term}
 		if r := w.request(l.name, Request{Kind: ReqReport, Report: late}); r.Status == 200 {
 			t.Fatal("a late report got a 200")
 		}
--- a/internal/coordination/versions_test.go
+++ b/internal/coordination/versions_test.go
@@ -81,7 +81,7 @@
 	}
 	// And what this version adds, production ignores: it is added, nothing is changed.
 	var beat map[string]any
-	json.Unmarshal(storage.Encode(Message{Type: msgBeat, Term: 4, Lead: true, Sent: 12, Up: 12, Run: 5, Heard: 7, Level: level, Slow: true}), &beat)
+	json.Unmarshal(storage.Encode(Message{Type: msgHeartbeat, Term: 4, Lead: true, Sent: 12, Up: 12, Run: 5, Heard: 7, Level: level, Slow: true}), &beat)
 	var old map[string]any
 	json.Unmarshal([]byte(productionBeat), &old)
 	for k, v := range old {
@@ -256,7 +256,7 @@
 	w.waitState("j-b", protocol.Done, 2*time.Minute)
 	w.startedOnce()
 	// A late message of an earlier process changes nothing.
-	w.nodes["n0"].inbox = append(w.nodes["n0"].inbox, PeerMessage{From: "n1", Msg: Message{Type: msgBeat, Up: 1}})
+	w.nodes["n0"].inbox = append(w.nodes["n0"].inbox, PeerMessage{From: "n1", Msg: Message{Type: msgHeartbeat, Up: 1}})
 	w.accept("n0", after("j-c", 1, "j-b"))
 }
 
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -940,7 +940,7 @@
 func (x *worker) report() *protocol.Report {
 	x.seq++
 	r := &protocol.Report{Machine: x.name, Type: x.typ, Zone: x.zone, Spot: x.spot, Session: x.session, Seq: x.seq,
-		Token: x.token, NoticeS: x.notice}
+		FencingToken: x.token, NoticeS: x.notice}
 	for _, t := range x.tasks {
 		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: t.key, Attempt: t.attempt, State: t.state, Why: t.why, Saved: t.saved})
 	}
@@ -1016,11 +1016,11 @@
 		if err := json.Unmarshal(r.Body, &a); err != nil {
 			w.t.Fatal(err)
 		}
-		if a.Token < x.token || session != x.session {
+		if a.FencingToken < x.token || session != x.session {
 			return
 		}
-		if a.Token > x.token {
-			x.token, x.changed = a.Token, true
+		if a.FencingToken > x.token {
+			x.token, x.changed = a.FencingToken, true
 		}
 		x.renewed = sent
 		for _, c := range a.Commands {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -150,16 +150,16 @@
 
 // Report is what a worker says of itself.
 type Report struct {
-	Machine string       `json:"maquina"`
-	Address string       `json:"address"`
-	Type    string       `json:"porte"`
-	Zone    string       `json:"praca"`
-	Spot    bool         `json:"avulsas"`
-	Session uint64       `json:"turno"`
-	Seq     uint64       `json:"contagem"`
-	Token   uint64       `json:"bastao"`
-	NoticeS *float64     `json:"avisoS"`
-	Tasks   []TaskReport `json:"pecas"`
+	Machine      string       `json:"maquina"`
+	Address      string       `json:"address"`
+	Type         string       `json:"porte"`
+	Zone         string       `json:"praca"`
+	Spot         bool         `json:"avulsas"`
+	Session      uint64       `json:"turno"`
+	Seq          uint64       `json:"contagem"`
+	FencingToken uint64       `json:"bastao"`
+	NoticeS      *float64     `json:"avisoS"`
+	Tasks        []TaskReport `json:"pecas"`
 }
 
 // TaskReport is one task in a report.
@@ -193,8 +193,8 @@
 
 // ReportAnswer is the 200 to a report.
 type ReportAnswer struct {
-	Token    uint64    `json:"bastao"`
-	Commands []Command `json:"ordens"`
+	FencingToken uint64    `json:"bastao"`
+	Commands     []Command `json:"ordens"`
 }
 
 // Redirect is the 421 to a report.
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -24,7 +24,7 @@
 	GroupPrefix   = "machines/"
 	MachinePrefix = "mach/" // of single machines, as earlier versions wrote them
 	RentPrefix    = "rent/"
-	ClearPrefix   = "clear/"
+	VotePrefix    = "clear/"
 	FlowKey       = "flow"
 	CatalogKey    = "catalog"
 	VersionPrefix = "version/"
@@ -85,9 +85,9 @@
 	Node string `json:"node,omitempty"`
 }
 
-// Clearance is what a node writes for a candidate that it can't reach: the highest
-// term that it has cleared.
-type Clearance struct {
+// VoteRecord is what a node writes for a candidate that it can't reach: the highest
+// term that it has voted for.
+type VoteRecord struct {
 	Term uint64 `json:"term"`
 }
 
