--- a/internal/coordination/chaos_test.go
+++ b/internal/coordination/chaos_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,7 +78,7 @@
 	c.machines(3)
 	troubles := []func(){c.crashSome, c.cutSome, c.halfCut, c.stateOutage, c.refuseOne, c.loseAnswers, c.lateTransaction,
 		c.deafen, c.hang, c.silence, c.reborn, c.quickReturn, c.peersRefuse, c.standStill, c.cutZone, c.lateWrites, c.answersLost, c.mute, c.cancelAndHang, c.cancelAtEnd,
-		c.refuseWithPeers, c.slowState, c.answersHeldUp, c.refusedThenOut}
+		c.refuseWithPeers, c.slowState, c.answersHeldUp, c.refusedThenOut, c.mistakes}
 	for i := range 14 {
 		c.userWork(i)
 		for range 1 + c.rng.IntN(2) {
@@ -165,18 +167,20 @@
 // them between a decision and what comes of it.
 func (c *chaos) standStill() {
 	for range 1 + c.rng.IntN(2) {
-		n := c.nodes[c.anyNode()]
-		if name := c.leader(); name != "" && c.rng.IntN(2) == 0 {
-			n = c.nodes[name]
+		name := c.anyNode()
+		if l := c.leader(); l != "" && c.rng.IntN(2) == 0 {
+			name = l
 		}
-		if n.down || n.frozen {
-			continue
-		}
-		d := time.Duration(c.rng.ExpFloat64() * float64(c.cfg.Workers.LeaseS) / 3 * float64(time.Second))
-		if c.rng.IntN(2) == 0 {
-			n.stall = d
-		} else {
-			c.freeze(n, d, func() {})
+		c.goSilent(name, time.Duration(c.rng.ExpFloat64()*float64(c.lease())/3))
+	}
+}
+
+// mistakes lets some jobs fail on every machine until their users cancel them.
+func (c *chaos) mistakes() {
+	for _, id := range slices.Sorted(maps.Keys(c.accepted)) {
+		if c.over[id] == "" && !c.mistake[id] && c.rng.IntN(4) == 0 {
+			c.mistake[id] = true
+			c.after(c.soon(), func() { c.cancelUntil(id) })
 		}
 	}
 }
--- a/internal/coordination/judge_test.go
+++ b/internal/coordination/judge_test.go
@@ -179,7 +179,7 @@
 func (w *world) checkWaiting(where map[string]string, cores map[string]float64) {
 	w.t.Helper()
 	for _, id := range slices.Sorted(maps.Keys(w.accepted)) {
-		if _, cancelled := w.cancelledAt(id); cancelled || w.over[id] != "" || w.mayBeCancelled(id) {
+		if _, cancelled := w.cancelledAt(id); cancelled || w.over[id] != "" || w.mayBeCancelled(id) || w.mistake[id] {
 			delete(w.waits, id)
 			continue
 		}
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -583,6 +583,78 @@
 		c.more(6, 10*time.Second, nil)
 		return 2 * c.lease()
 	},
+	"controllers go silent for a minute or more": func(c *crowd) time.Duration {
+		c.more(15, 40*time.Second, nil)
+		at := c.within(10 * time.Second)
+		c.after(at, func() {
+			all := c.rng.IntN(3) == 0
+			leader := c.leader()
+			for _, name := range c.names {
+				if all || name == leader {
+					c.goSilent(name, time.Minute+c.within(30*time.Second))
+				}
+			}
+		})
+		for range 3 {
+			c.after(max(0, at-time.Second)+c.within(3*time.Second), func() { c.cancelSome(4, time.Second) })
+		}
+		return at + 95*time.Second
+	},
+	"silent in an election, at a confirmation, in a write": func(c *crowd) time.Duration {
+		c.more(20, 60*time.Second, nil)
+		for i := range 4 {
+			at := time.Duration(i) * 20 * time.Second
+			c.after(at, c.newLeader)
+			for range 2 {
+				c.after(at+c.within(c.lease()/3), func() { c.goSilent(c.anyNode(), c.within(25*time.Second)) })
+			}
+			c.after(at+5*time.Second, func() {
+				c.cancelSome(4, 200*time.Millisecond)
+				if name := c.leader(); name != "" {
+					c.after(c.within(100*time.Millisecond), func() { c.goSilent(name, c.within(20*time.Second)) })
+				}
+			})
+		}
+		return 110 * time.Second
+	},
+	"a flood of questions, and a controller stands still": func(c *crowd) time.Duration {
+		c.more(15, 30*time.Second, nil)
+		for i := range 600 {
+			c.after(time.Duration(i)*50*time.Millisecond, c.poll)
+		}
+		for range 3 {
+			c.after(c.within(25*time.Second), func() { c.goSilent(c.anyNode(), c.within(9*time.Second)) })
+			c.after(c.within(30*time.Second), func() { c.cancelSome(5, time.Second) })
+		}
+		return 40 * time.Second
+	},
+	"jobs with a mistake beside a faulty machine, and a change of leader": func(c *crowd) time.Duration {
+		c.more(12, 20*time.Second, func(i int, j *protocol.Job) {
+			if i%4 == 0 {
+				c.mistake[j.UID] = true
+			}
+		})
+		c.after(5*time.Second, func() { c.someWorkers(6, func(x *worker) { x.faulty = true }) })
+		c.after(c.within(40*time.Second), c.newLeader)
+		c.after(80*time.Second, func() {
+			for id := range c.mistake {
+				c.cancelUntil(id)
+			}
+		})
+		return 85 * time.Second
+	},
+	"machines come up late or never": func(c *crowd) time.Duration {
+		c.cloud.bootOf = func() time.Duration {
+			if c.rng.IntN(4) == 0 {
+				return time.Hour
+			}
+			return time.Second + time.Duration(c.rng.ExpFloat64()*float64(20*time.Second))
+		}
+		c.more(30, 30*time.Second, nil)
+		c.after(c.within(40*time.Second), c.newLeader)
+		c.after(60*time.Second, func() { c.cloud.bootOf = nil })
+		return 70 * time.Second
+	},
 	"odd requests": func(c *crowd) time.Duration {
 		c.more(10, 20*time.Second, nil)
 		for range 40 {
@@ -593,6 +665,19 @@
 	},
 }
 
+// goSilent lets a controller stand still, and go on as if nothing had been; some of them
+// between a decision and what comes of it.
+func (c *crowd) goSilent(name string, d time.Duration) {
+	n := c.nodes[name]
+	switch {
+	case n.down || n.frozen:
+	case c.rng.IntN(2) == 0:
+		n.stall = d
+	default:
+		c.freeze(n, d, func() {})
+	}
+}
+
 // oddRequest repeats a submission in another form, cancels what is over, or sends a job
 // that fits no machine.
 func (c *crowd) oddRequest() {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -52,6 +52,7 @@
 	runTime func(task string, attempt int) time.Duration
 	copies  func(x *worker, rep *protocol.Report) // sees every report that is sent
 	starts  map[string]int                        // by task
+	mistake map[string]bool                       // jobs that fail on every machine
 	old     map[string]bool                       // nodes that start with level 0
 	judge
 }
@@ -110,7 +111,7 @@
 
 func newWorldOf(t *testing.T, nodes int, p proportions) *world {
 	w := &world{t: t, nodes: map[string]*simNode{}, workers: map[string]*worker{}, specs: map[string]protocol.Job{},
-		cut: map[[2]string]bool{}, far: map[string]bool{}, starts: map[string]int{}, old: map[string]bool{}, judge: newJudge(),
+		cut: map[[2]string]bool{}, far: map[string]bool{}, starts: map[string]int{}, mistake: map[string]bool{}, old: map[string]bool{}, judge: newJudge(),
 		runTime: func(string, int) time.Duration { return 5 * time.Second }}
 	c := &w.cfg
 	c.Count = nodes
@@ -829,6 +830,7 @@
 	capacity int // machines to be had in all; 0: any number
 	noReturn bool
 	boot     time.Duration
+	bootOf   func() time.Duration // of the next machine
 	types    []protocol.MachineType
 }
 
@@ -895,6 +897,9 @@
 	if boot == 0 {
 		boot = 2 * time.Second
 	}
+	if c.bootOf != nil {
+		boot = c.bootOf()
+	}
 	c.w.after(boot, func() {
 		if c.hosts[x.name] == x {
 			x.renewed, x.next = c.w.now, c.w.now
@@ -961,7 +966,7 @@
 	for _, t := range x.tasks {
 		if t.state == protocol.TaskRunning && w.now >= t.end {
 			t.state, t.why, x.changed = protocol.TaskExited, protocol.WhyDone, true
-			if x.faulty {
+			if x.faulty || w.mistake[jobOf(t.key)] {
 				t.why = protocol.WhyError
 			} else {
 				w.finished[t.key] = true
