Work beyond a guarantee gives room back to guaranteed work that waits for it

Change: tasks of teams beyond their guarantee that save are stopped, once each and not before their start counts, for guaranteed work that has waited for a quarter of its aim.

--- a/internal/coordination/chaos_test.go
+++ b/internal/coordination/chaos_test.go
@@ -39,6 +39,15 @@
 
 func runChaos(t *testing.T, seed uint64) {
 	c := &chaos{crowd: newCrowd(newWorldOf(t, 3+4*int(seed%3/2), deployments[seed/6%3]), seed)}
+	if seed%5 == 2 {
+		// One team has a guarantee, for which others give room back.
+		c.cfg.Teams[0].CPUs = 8
+		c.cfg.Objectives = []config.Objective{{Kind: "guarantee", WithinS: 10, Share: 0.9}}
+		c.cloud.capacity = 4
+		for _, name := range c.names {
+			c.start(name)
+		}
+	}
 	if seed%4 >= 2 {
 		c.limits = true
 		c.announce(1, 4, 30)
@@ -53,6 +62,9 @@
 	}
 	c.holds = seed%2 == 0
 	c.runTime = func(task string, _ int) time.Duration { return time.Duration(2+len(task)%9) * time.Second }
+	if seed%5 == 2 {
+		c.runTime = func(task string, n int) time.Duration { return max(5, time.Duration(90/n)) * time.Second }
+	}
 	for _, name := range c.names {
 		c.nodes[name].rate = 1 + (c.rng.Float64()-0.5)/1000
 	}
@@ -97,6 +109,9 @@
 	if c.rng.IntN(2) == 0 {
 		j.Team = "team"
 	}
+	if c.rng.IntN(2) == 0 {
+		j.CheckpointS, j.SaveS = 10, 1
+	}
 	for range c.rng.IntN(4) {
 		if id := fmt.Sprintf("j-%d", c.rng.IntN(i+1)); c.knows(id) && len(c.old) == 0 {
 			j.Needs = append(j.Needs, id)
--- /dev/null
+++ b/internal/coordination/guarantee_test.go
@@ -0,0 +1,60 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"hitchdoor/internal/config"
+)
+
+// A guest team without a guarantee uses what is left, and gives room back in time: of its
+// tasks that save, as many are stopped as guaranteed work needs, not before their start
+// counts, and each once. What does not save runs on.
+func TestGuestGivesRoomBack(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		checkpoint float64
+		ran        time.Duration
+		begins     time.Duration
+		within     bool
+	}{
+		{"tasks that save", 30, 40 * time.Second, 10 * time.Second, true},
+		{"tasks that have just started", 30, 10 * time.Second, 10 * time.Second, false},
+		{"tasks that save, later", 30, 10 * time.Second, 35 * time.Second, true},
+		{"tasks that don't save", 0, 40 * time.Second, 10 * time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			w.cfg.Teams = append(w.cfg.Teams, config.Team{Name: "owner", CPUs: 4})
+			w.cfg.Objectives = []config.Objective{{Kind: "guarantee", WithinS: 10, Share: 0.9}}
+			for _, name := range w.names {
+				w.start(name)
+			}
+			w.cloud.capacity = 2
+			w.runTime = func(string, int) time.Duration { return time.Hour }
+			l := w.waitLeader()
+			w.machines(2)
+			guest := spec("j-guest", 12)
+			guest.Priority, guest.EstimateS, guest.CheckpointS, guest.SaveS = "low", 3600, c.checkpoint, 1
+			w.submitAndStart(l.name, guest, 8)
+			w.run(c.ran)
+			owner := spec("j-owner", 3)
+			owner.Team, owner.EstimateS = "owner", 60
+			w.submit(l.name, owner)
+			if got := w.until(c.begins, func() bool { return w.onMachines("j-owner") == 3 }); got != c.within {
+				t.Fatalf("%d of 3 guaranteed tasks run after %v", w.onMachines("j-owner"), c.begins)
+			}
+			if c.within {
+				w.run(time.Minute)
+				if n := w.onMachines("j-guest"); n != 5 {
+					t.Errorf("%d of the guest's tasks run beside 3, not 5", n)
+				}
+			}
+			for task, n := range w.starts {
+				if n > 2 {
+					t.Errorf("%s was started %d times", task, n)
+				}
+			}
+		})
+	}
+}
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -60,12 +60,13 @@
 	heardWorker  Instant
 	early        []Request // reports that came while loading
 
-	looked    int // machines and jobs looked at for admission: what must not grow with a report
-	watchRev  uint64
-	watching  bool
-	scheduled Instant
-	timers    []timer
-	fleet     fleet
+	looked      int // machines and jobs looked at for admission: what must not grow with a report
+	watchRev    uint64
+	watching    bool
+	scheduled   Instant
+	preemptedAt Instant
+	timers      []timer
+	fleet       fleet
 }
 
 // usage is what a team's tasks hold, from command to confirmed end.
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -176,7 +176,8 @@
 		switch age := now - j.from; {
 		case age > beginsAfter && !j.begun():
 			r.rank, r.at = rankOverdue, j.from
-		case age > mustBegin && r.rank > rankPressing:
+		case age > mustBegin && r.rank > rankPressing && !(j.begun() && l.beyondGuarantee(j)):
+			// What has begun and borrows from others' guarantees does not pass ahead of them.
 			r.rank, r.at = rankPressing, j.from
 		}
 		if start := j.from + l.startWithin; l.startWithin > 0 && start > now && guaranteed[j] {
@@ -215,26 +216,6 @@
 	return jobs
 }
 
-// guaranteed finds the jobs that fit into their team's guarantee together with
-// the team's earlier unfinished jobs.
-func (l *leadership) guaranteed() map[*job]bool {
-	if l.startWithin == 0 {
-		return nil
-	}
-	used := map[string]usage{}
-	inside := map[*job]bool{}
-	for _, j := range l.byAge() {
-		u := used[j.spec.Team]
-		u.cores += float64(j.spec.Tasks) * j.spec.Cores
-		u.accelerators += float64(j.spec.Tasks) * j.spec.Accelerators
-		used[j.spec.Team] = u
-		if t := l.n.team(j.spec.Team); t != nil && u.cores <= t.CPUs+slack && u.accelerators <= t.GPUs+slack {
-			inside[j] = true
-		}
-	}
-	return inside
-}
-
 // workLeft is the core seconds that a job still needs.
 func (l *leadership) workLeft(j *job, p pull) float64 {
 	want := l.expected(j)
@@ -325,6 +306,7 @@
 		}
 	}
 	l.admitAll(p)
+	l.preempt()
 }
 
 // fill gives a machine that reports what waits for room, in the order of the last
