Questions wait behind reports, heartbeats, submissions and cancellations

Cause: a flood of questions shares one queue with all else. What does not fit is refused at once with Retry-After, also what another controller passed on.

--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -89,6 +89,19 @@
 	Msg  Message
 }
 
+// IsQuestion tells whether a request changes nothing and may wait behind all that does.
+func (r Request) IsQuestion() bool {
+	return r.Kind == ReqQuery || r.Kind == ReqStatus || r.Kind == ReqMetrics
+}
+
+// IsQuestion tells the same of a message that passes a request on.
+func (m PeerMessage) IsQuestion() bool { return m.Msg.Type == msgAsk && m.Msg.Kind == ReqQuery }
+
+// Refusal is the answer to a question that can't be taken now.
+func (m PeerMessage) Refusal() Send {
+	return Send{To: m.From, Msg: Message{Type: msgAnswer, ID: m.Msg.ID, Code: 503, Retry: 1}}
+}
+
 // Drain is the command to end: the node hands over what it leads, stands no more, and
 // sends workers and users elsewhere until its process ends.
 type Drain struct{}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,14 +22,19 @@
 const (
 	queueSize = 4096
 	batchSize = 256
+	// questionShare is the part of both, one in so many, that questions may fill.
+	questionShare = 4
 )
 
 type daemon struct {
-	start   time.Time
-	queue   chan any
-	node    *coordination.Node
-	clients map[coordination.Target]*transport.Client
-	peers   *transport.Peers
+	start time.Time
+	queue chan any
+	// questions wait apart: there may be many times as many as usual, and reports,
+	// heartbeats, renewals, submissions and cancellations must not wait behind them.
+	questions chan any
+	node      *coordination.Node
+	clients   map[coordination.Target]*transport.Client
+	peers     *transport.Peers
 
 	mu      sync.Mutex
 	tickets map[uint64]chan coordination.Reply
@@ -44,9 +49,10 @@
 	lease := config.Seconds(p.Cluster.Workers.LeaseS)
 	report := config.Seconds(p.Cluster.Workers.ReportS)
 	d := &daemon{
-		start:   time.Now(),
-		queue:   make(chan any, queueSize),
-		tickets: map[uint64]chan coordination.Reply{},
+		start:     time.Now(),
+		queue:     make(chan any, queueSize),
+		questions: make(chan any, queueSize/questionShare),
+		tickets:   map[uint64]chan coordination.Reply{},
 	}
 	d.node = coordination.New(coordination.Options{
 		Platform: p, Settings: set, Build: build, Log: log, Wall: d.start,
@@ -70,7 +76,7 @@
 	if err != nil {
 		return fmt.Errorf("peer_bind: %w", err)
 	}
-	d.peers = transport.NewPeers(p.Node, p.Known, lease/8, log, func(m coordination.PeerMessage) { d.queue <- m })
+	d.peers = transport.NewPeers(p.Node, p.Known, lease/8, log, d.fromPeer)
 	server := transport.NewServer(d, transport.ServerOptions{
 		Connections: conns.server, Idle: 2 * lease, Patience: lease / 4,
 	})
@@ -112,6 +118,8 @@
 		select {
 		case c := <-d.queue:
 			batch = append(batch, c)
+		case c := <-d.questions:
+			batch = append(batch, c)
 		case <-ticker.C:
 		case <-told:
 			told, over = nil, time.After(d.node.HandOver())
@@ -121,15 +129,40 @@
 		case err := <-failed:
 			return err
 		}
-		for len(batch) < batchSize && len(d.queue) > 0 {
-			batch = append(batch, <-d.queue)
-		}
+		batch = d.gather(batch)
 		for _, e := range d.node.Step(time.Since(d.start), batch) {
 			d.carryOut(e)
 		}
 	}
 }
 
+// gather fills a batch with what waits, questions last and not too many at once.
+func (d *daemon) gather(batch []any) []any {
+	for len(batch) < batchSize && len(d.queue) > 0 {
+		batch = append(batch, <-d.queue)
+	}
+	most := min(batchSize, len(batch)+batchSize/questionShare)
+	for len(batch) < most && len(d.questions) > 0 {
+		batch = append(batch, <-d.questions)
+	}
+	return batch
+}
+
+// fromPeer takes a message of another controller. A question that it passes on and that
+// can't be answered now is refused at once.
+func (d *daemon) fromPeer(m coordination.PeerMessage) {
+	if !m.IsQuestion() {
+		d.queue <- m
+		return
+	}
+	select {
+	case d.questions <- m:
+	default:
+		refusal := m.Refusal()
+		d.peers.Send(refusal.To, refusal.Msg)
+	}
+}
+
 func (d *daemon) carryOut(e any) {
 	switch e := e.(type) {
 	case coordination.Call:
@@ -159,8 +192,12 @@
 	d.tickets[ticket] = ch
 	d.mu.Unlock()
 	r.Origin = coordination.Origin{Ticket: ticket}
+	queue := d.queue
+	if r.IsQuestion() {
+		queue = d.questions
+	}
 	select {
-	case d.queue <- r:
+	case queue <- r:
 	default:
 		d.drop(ticket)
 		return busy
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"hitchdoor/internal/config"
+	"hitchdoor/internal/coordination"
 )
 
 // At the size of a large deployment a leader has a socket for each machine and for its
@@ -22,3 +23,38 @@
 		}
 	}
 }
+
+// A flood of questions, from users and passed on by another controller, keeps neither
+// reports nor heartbeats waiting; what does not fit is refused at once.
+func TestQuestionsWaitBehindTheRest(t *testing.T) {
+	d := &daemon{
+		queue: make(chan any, queueSize), questions: make(chan any, queueSize/questionShare),
+		tickets: map[uint64]chan coordination.Reply{},
+	}
+	answers := make(chan coordination.Reply, 2*queueSize)
+	for range 2 * cap(d.questions) {
+		go func() { answers <- d.Ask(coordination.Request{Kind: coordination.ReqQuery, ID: "j-1"}, 0) }()
+	}
+	for range 2 * cap(d.questions) {
+		if r := <-answers; r.Status != 503 || r.RetryAfter == 0 {
+			t.Fatalf("refused with %d, Retry-After %d", r.Status, r.RetryAfter)
+		}
+	}
+	if len(d.questions) != cap(d.questions) {
+		t.Fatalf("%d questions wait", len(d.questions))
+	}
+	d.fromPeer(coordination.PeerMessage{From: "n1", Msg: coordination.Message{Type: "beat"}})
+	for range 3 {
+		d.Ask(coordination.Request{Kind: coordination.ReqReport}, 0)
+	}
+	batch := d.gather(nil)
+	if len(batch) != 4+batchSize/questionShare {
+		t.Fatalf("a batch of %d", len(batch))
+	}
+	for i, c := range batch {
+		r, isRequest := c.(coordination.Request)
+		if question := isRequest && r.IsQuestion(); question != (i >= 4) {
+			t.Fatalf("at %d: %+v", i, c)
+		}
+	}
+}
