A job that fails on every machine is tried with one task at a time

Cause: each of its hundreds of tasks was tried once more per lease, beside work that runs; where no other work held machines, none was rented for it, so that it was never tried again (found by its test). Now one task at a time, after a lease, doubling to a quarter of the four minutes; the first success lets all go on.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -359,7 +359,7 @@
 	}
 	for _, r := range l.order {
 		j := r.j
-		if j.bad || j.gone || j.pending == 0 || len(fresh) >= maxFresh || f.served(j, kept, fresh) {
+		if (j.bad && n.now < j.probeAt) || j.gone || j.pending == 0 || len(fresh) >= maxFresh || f.served(j, kept, fresh) {
 			continue
 		}
 		if opt, k := f.choose(&j.spec, j.spec.Cores*float64(j.pending)); k != nil {
--- a/internal/coordination/health.go
+++ b/internal/coordination/health.go
@@ -23,6 +23,10 @@
 	sickMachineTasks = 2
 )
 
+// probeWithin is after what time, at most, a job that fails everywhere is tried again: a
+// job may not be left waiting for 90 s, and its mistake may lie in what it reads.
+const probeWithin = mustBegin / 4
+
 // failed counts a failure. The task is retried at once on another machine; if it
 // fails again it backs off, as an accepted job must run in the end.
 func (l *leadership) failed(m *machine, j *job, index int) {
@@ -31,6 +35,11 @@
 		// It fails everywhere: that is the job's own mistake, and no machine's.
 		if !j.bad {
 			l.n.log.Info("job fails on every machine", "job", j.spec.UID)
+			for _, r := range j.runs {
+				if r.phase == phaseAssigned {
+					l.release(r)
+				}
+			}
 		}
 		j.bad = true
 	}
@@ -41,7 +50,11 @@
 		t.after = l.n.now + min(l.n.report()<<min(t.failures-1, 10), 4*l.n.lease())
 	}
 	if j.bad {
-		t.after = max(t.after, l.n.now+l.n.lease())
+		// From now on one task at a time tells whether it still does. Each of hundreds of
+		// tasks was tried again and again, at the price of work that runs.
+		j.probes++
+		j.probeAt = l.n.now + min(l.n.lease()<<min(j.probes, 10)/2, probeWithin)
+		t.after = l.n.now
 		return
 	}
 	m.failures++
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -40,8 +40,10 @@
 	imageSeen Instant         // the pass for which it was looked whether
 	imageHeld bool            // some machine that is ready has the job's image
 	failedOn  map[string]bool // machines on which a task failed, none having completed
-	bad       bool
-	moved     map[int]bool // tasks that were moved off a slow machine
+	bad       bool            // it fails on every machine
+	probes    int             // failures since it was taken for bad
+	probeAt   Instant         // when one of its tasks is tried again
+	moved     map[int]bool    // tasks that were moved off a slow machine
 
 	tookSum, tookCount float64 // logarithms of its finished tasks' run times
 	usual              time.Duration
@@ -324,7 +326,7 @@
 	j.tasks[index] = taskDone
 	j.done++
 	delete(j.trouble, index)
-	j.bad = false
+	j.bad, j.probes = false, 0
 	p, at, bit := l.partOf(j, index)
 	p.bits[at] |= bit
 	l.dirty = true
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -923,3 +923,49 @@
 		t.Fatal("the room does not come back")
 	}
 }
+
+// A job that was submitted with a mistake fails on every machine until its user cancels
+// it: after its first tasks it is tried with one at a time, takes next to no room, stays
+// known, and runs as soon as the mistake is mended where it reads it. A faulty machine is
+// still found beside it.
+func TestJobWithAMistakeIsTriedWithOneTask(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(string, int) time.Duration { return 2 * time.Second }
+	l := w.waitLeader()
+	w.machines(6)
+	w.mistake["j-1"], w.mistake["j-2"] = true, true
+	w.submit(l.name, spec("j-1", 60))
+	w.submit(l.name, spec("j-2", 60))
+	w.run(20 * time.Second)
+	started := func() (n int) {
+		for task, times := range w.starts {
+			if w.mistake[jobOf(task)] {
+				n += times
+			}
+		}
+		return n
+	}
+	before := started()
+	w.run(2 * time.Minute)
+	if n := started() - before; n < 4 || n > 16 {
+		t.Errorf("%d starts of two jobs with mistakes in two minutes, after %d", n, before)
+	}
+	w.submitAndStart(l.name, spec("j-3", 30), 8)
+	faulty := w.inOrder()[0]
+	faulty.faulty = true
+	w.waitState("j-3", protocol.Done, time.Minute)
+	for name, m := range l.lead.machines {
+		if m.sick && name != faulty.name {
+			t.Errorf("%s is condemned", name)
+		}
+	}
+	delete(w.mistake, "j-2")
+	w.waitState("j-2", protocol.Done, 2*time.Minute)
+	if r := w.cancel(l.name, "j-1"); r.Status != 200 {
+		t.Fatalf("cancel: %d", r.Status)
+	}
+	w.run(time.Second)
+	if n := w.onMachines("j-1"); n > 0 {
+		t.Errorf("%d tasks run after the cancellation", n)
+	}
+}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -364,6 +364,12 @@
 	if !p.complete && j.version <= l.writer.LeaderVer && !j.fresh {
 		return waitUnknown
 	}
+	if j.bad {
+		if len(j.runs) > 0 || n.now < j.probeAt {
+			return waitBackoff
+		}
+		most = 1
+	}
 	team := n.team(j.spec.Team)
 	use := l.usage[j.spec.Team]
 	if team == nil || use == nil {
