A job that failed everywhere is tried where it has not failed; one failure counts per try

Cause: faulty machines are idle and hold the image, so the one task that tells whether a job still fails went to them first, and tasks that were started before the job was taken for bad each doubled its pause (found by TestSmallJobOnFaultyMachines).

--- a/internal/coordination/health.go
+++ b/internal/coordination/health.go
@@ -52,8 +52,10 @@
 	if j.bad {
 		// From now on one task at a time tells whether it still does. Each of hundreds of
 		// tasks was tried again and again, at the price of work that runs.
-		j.probes++
-		j.probeAt = l.n.now + min(l.n.lease()<<min(j.probes, 10)/2, probeWithin)
+		if l.n.now >= j.probeAt { // else it was started before that was known
+			j.probes++
+			j.probeAt = l.n.now + min(l.n.lease()<<min(j.probes, 10)/2, probeWithin)
+		}
 		t.after = l.n.now
 		return
 	}
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -969,3 +969,33 @@
 		t.Errorf("%d tasks run after the cancellation", n)
 	}
 }
+
+// A small job whose first tasks met faulty machines only is taken for one with a mistake,
+// and is tried on a machine that it has not failed on as soon as there is one, though the
+// faulty ones are idle and hold its image.
+func TestSmallJobOnFaultyMachines(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runTime = func(string, int) time.Duration { return 2 * time.Second }
+	l := w.waitLeader()
+	w.machines(4)
+	w.submit(l.name, spec("j-1", 4))
+	var j *job
+	bad := func() bool {
+		for _, x := range w.workers {
+			x.faulty = true
+		}
+		j = l.lead.jobs["j-1"]
+		return j != nil && j.bad
+	}
+	if !w.until(time.Minute, bad) {
+		t.Fatal("the job was not found bad")
+	}
+	for name, x := range w.workers {
+		x.faulty = j.failedOn[name]
+	}
+	w.cloud.rent("c4", "a", true)
+	if !w.until(config.Seconds(w.cfg.Workers.LeaseS)+12*time.Second, func() bool { return j.done > 0 }) {
+		t.Fatalf("nothing is done after %d more tries, failed on %v", j.probes, j.failedOn)
+	}
+	w.waitState("j-1", protocol.Done, 2*time.Minute)
+}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -492,8 +492,13 @@
 		quick = l.quickFetch(j)
 		c.quick = !math.IsInf(quick, 1)
 	}
+	// Faulty machines are idle, so they would be tried first again and again.
+	elsewhere := j.bad && l.n.now < j.probeAt+3*l.n.report()
 	for _, m := range machines {
 		l.looked++
+		if elsewhere && j.failedOn[m.name] {
+			continue
+		}
 		if m.room(&j.spec) && m.ready() && allowed(&j.spec, m) &&
 			(m.hasImage(j.spec.Image) || (fetch && j.spec.ImageGB/m.kind.PullGBPerS <= quick)) {
 			c.list = append(c.list, c.rate(m))
