--- /dev/null
+++ b/internal/coordination/gap_test.go
@@ -0,0 +1,149 @@
+package coordination
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hitchdoor/internal/protocol"
+)
+
+// gapWays are the ways in which an end comes to be told while the old leader doesn't know
+// of it, or in which that leader may come to keep its workers.
+var gapWays = map[string]func(c *crowd, old string){
+	"plain": func(*crowd, string) {},
+	"answers lost": func(c *crowd, _ string) {
+		c.state.late = func() (time.Duration, bool) { return 0, c.rng.IntN(2) == 0 }
+		c.after(c.lease(), func() { c.state.late = nil })
+	},
+	"writes late": func(c *crowd, _ string) {
+		c.state.late = func() (time.Duration, bool) {
+			return 2*time.Second + time.Duration(c.rng.IntN(10_000))*time.Millisecond, c.rng.IntN(3) == 0
+		}
+		c.after(c.lease(), func() { c.state.late = nil })
+	},
+	"the successor ends": func(c *crowd, old string) {
+		c.whenLed(old, func(name string) {
+			c.after(time.Duration(c.rng.IntN(2000))*time.Millisecond, func() { c.back(name, c.cancelSpan()) })
+		})
+	},
+	"the successor is back at once": func(c *crowd, old string) {
+		c.whenLed(old, func(name string) {
+			c.after(time.Duration(c.rng.IntN(2000))*time.Millisecond, func() { c.back(name, 100*time.Millisecond) })
+		})
+	},
+	"the successor is not heard": func(c *crowd, old string) {
+		c.whenLed(old, func(name string) {
+			c.after(time.Duration(c.rng.IntN(2000))*time.Millisecond, func() { c.cutOff(name) })
+		})
+	},
+	"the others forget": func(c *crowd, old string) {
+		c.whenLed(old, func(string) {
+			c.after(time.Duration(c.rng.IntN(2000))*time.Millisecond, func() {
+				for _, name := range c.names {
+					if name != old {
+						c.back(name, time.Duration(50+c.rng.IntN(400))*time.Millisecond)
+					}
+				}
+			})
+		})
+	},
+	"the old leader hears nobody": func(c *crowd, old string) {
+		c.cutOff(old)
+		c.after(c.lease()/4, c.mend)
+	},
+	"the old leader stands still": func(c *crowd, old string) {
+		c.freeze(c.nodes[old], time.Duration(c.rng.IntN(int(c.lease()/3))), func() {})
+	},
+	"the election is in full swing": func(c *crowd, old string) {
+		for i := range 4 {
+			c.after(time.Duration(i)*c.lease()/12, func() {
+				if name := c.anyNode(); name != old && !c.nodes[name].down {
+					c.back(name, time.Duration(50+c.rng.IntN(400))*time.Millisecond)
+				}
+			})
+		}
+	},
+}
+
+// The first meeting: the state service refuses the leader alone, another controller
+// confirms cancellations, and then the state service is out for all for longer than
+// cancel_s, while workers go on reporting to the old leader. The refusal begins up to three
+// terms before the outage; users cancel all along.
+func TestCancelledBetweenRefusalAndOutage(t *testing.T) {
+	t.Cleanup(func() {
+		if !t.Failed() && confirmedElsewhere.Load() == 0 {
+			t.Error("no cancellation was confirmed by a successor before an outage: the meeting was not brought about")
+		}
+	})
+	offsets := 12 // a third of a heartbeat apart, if all are swept
+	if sweepAll() {
+		offsets = 320
+	}
+	for way, prepare := range gapWays {
+		t.Run(way, func(t *testing.T) {
+			for i := range offsets {
+				for k, p := range deployments {
+					for m, nodes := range []int{3, 7} {
+						if !sweepAll() && (i+len(way))%6 != k*2+m {
+							continue
+						}
+						t.Run(fmt.Sprintf("%d nodes, lease %v, offset %d", nodes, p.lease, i), func(t *testing.T) {
+							t.Parallel()
+							gap(t, nodes, p, uint64(i), time.Duration(float64(i)/float64(offsets)*gapTerms/termsPerLease*p.lease*1e9), prepare)
+						})
+					}
+				}
+			}
+		})
+	}
+}
+
+// gapTerms is how many spans of a leader's lease the refusal begins before the outage, at
+// most: a successor is elected after one or two.
+const gapTerms = 3.2
+
+var confirmedElsewhere atomic.Int64
+
+func gap(t *testing.T, nodes int, p proportions, seed uint64, outageAfter time.Duration, prepare func(*crowd, string)) {
+	const jobs = 8
+	c, l := newMeeting(t, nodes, p, seed, jobs, 2)
+	outageAfter += time.Duration(c.rng.Float64() * float64(c.lease()) / 32)
+	// Half of the machines reach nobody but the old leader.
+	c.reach = func(x *worker, node string) bool { return node == l.name || x.name[len(x.name)-1]%2 == 0 }
+	prepare(c, l.name)
+	c.state.refuse[l.name] = true
+	c.after(c.lease()/2, func() { delete(c.state.refuse, l.name) })
+	for i := range jobs - 1 {
+		at := time.Duration(c.rng.Int64N(int64(outageAfter + c.lease()/8)))
+		c.after(at, func() { c.cancelUntil(fmt.Sprintf("j-%d", i)) })
+	}
+	c.after(outageAfter, func() {
+		c.state.setDown(true)
+		if len(c.overAt) > 0 && c.leader() != l.name {
+			confirmedElsewhere.Add(1)
+		}
+	})
+	c.after(outageAfter+c.cancelSpan()*5/4, func() { c.state.setDown(false); c.reach = nil; c.mend() })
+	c.run(outageAfter + c.cancelSpan()*5/4 + c.lease())
+	c.runTime = func(string, int) time.Duration { return time.Second }
+	c.settleCancelled(jobs - 1)
+}
+
+// settleCancelled checks that the first few jobs are cancelled for good.
+func (c *crowd) settleCancelled(jobs int) {
+	c.t.Helper()
+	if !c.until(time.Minute, func() bool {
+		for i := range jobs {
+			if c.final(fmt.Sprintf("j-%d", i)) != protocol.Withdrawn {
+				return false
+			}
+		}
+		return true
+	}) {
+		c.t.Fatalf("at %v: not all cancellations were confirmed", c.now)
+	}
+	c.poll()
+	c.run(c.cancelSpan())
+}
--- /dev/null
+++ b/internal/coordination/machines_test.go
@@ -0,0 +1,272 @@
+package coordination
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/config"
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+// fakeCloud is the cloud.
+type fakeCloud struct {
+	w        *world
+	requests map[string][]string
+	hosts    map[string]*worker
+	last     int
+	down     bool
+	noSpot   bool
+	capacity int // machines to be had in all; 0: any number
+	noReturn bool
+	boot     time.Duration
+	bootOf   func() time.Duration // of the next machine
+	types    []protocol.MachineType
+}
+
+func (c *fakeCloud) serve(call Call, back func(int, any)) {
+	if c.down {
+		back(503, map[string]string{"error": "trouble"})
+		return
+	}
+	switch {
+	case call.Path == "/catalog":
+		types := c.types
+		if types == nil {
+			types = []protocol.MachineType{{Name: "c4", Cores: 4, RAM: 16, CacheGB: 40, PullGBPerS: 1, Rate: 0.3, SpotRate: 0.1, ReadyS: 5, Zones: []string{"a", "b"}}}
+		}
+		back(200, protocol.Catalog{Types: types})
+	case call.Path == "/hosts":
+		var r protocol.Rental
+		if err := json.Unmarshal(call.Body, &r); err != nil {
+			c.w.t.Fatal(err)
+		}
+		if _, stored := c.w.state.keys[storage.RentPrefix+r.Request]; !stored && c.requests[r.Request] == nil {
+			c.w.t.Fatalf("rental %s is not stored", r.Request) // nor has it been answered before
+		}
+		if (c.noSpot && r.Spot) || (c.capacity > 0 && len(c.hosts)+r.Count > c.capacity) {
+			back(503, map[string]string{"error": "no capacity"})
+			return
+		}
+		names, again := c.requests[r.Request]
+		if !again {
+			for range r.Count {
+				names = append(names, c.rent(r.Type, r.Zone, r.Spot).name)
+			}
+			c.requests[r.Request] = names
+		}
+		back(200, protocol.MachineNames{Machines: names})
+	case call.Path == "/hosts/return" && c.noReturn:
+		back(503, map[string]string{"error": "trouble"})
+	case call.Path == "/hosts/return":
+		var m protocol.MachineNames
+		json.Unmarshal(call.Body, &m)
+		for _, name := range m.Machines {
+			delete(c.w.workers, name)
+			delete(c.hosts, name)
+		}
+		back(200, nil)
+	case strings.HasPrefix(call.Path, "/hosts?"):
+		var list protocol.HostList
+		for _, x := range c.hosts {
+			list.Machines = append(list.Machines, protocol.Host{UID: x.name, Type: x.typ, Zone: x.zone, Spot: x.spot, State: "running"})
+		}
+		sort.Slice(list.Machines, func(i, j int) bool { return list.Machines[i].UID < list.Machines[j].UID })
+		back(200, list)
+	default:
+		c.w.t.Fatalf("cloud: %s", call.Path)
+	}
+}
+
+func (c *fakeCloud) rent(typ, zone string, spot bool) *worker {
+	c.last++
+	x := &worker{w: c.w, name: fmt.Sprintf("m-%06d", c.last), typ: typ, zone: zone, spot: spot, session: 1,
+		node: c.w.names[c.last%len(c.w.names)]}
+	c.hosts[x.name] = x
+	boot := c.boot
+	if boot == 0 {
+		boot = 2 * time.Second
+	}
+	if c.bootOf != nil {
+		boot = c.bootOf()
+	}
+	c.w.after(boot, func() {
+		if c.hosts[x.name] == x {
+			x.renewed, x.next = c.w.now, c.w.now
+			c.w.workers[x.name] = x
+		}
+	})
+	return x
+}
+
+// worker is a machine's worker.
+type worker struct {
+	w                *world
+	name, typ, zone  string
+	spot             bool
+	session, seq     uint64
+	token            uint64
+	node             string
+	tasks            []*simTask
+	renewed          Instant // when the last answered report was sent
+	next             Instant
+	busy             bool
+	changed          bool
+	notice           *float64
+	silent           bool // no report leaves, no answer arrives
+	hanging          bool
+	faulty           bool
+	dropAnswers      bool
+	lag              time.Duration // by how much answers to it are held up
+	grace            []float64     // of the stops it was given
+	forgotten        []string
+	answers, refused int
+}
+
+type simTask struct {
+	key     string
+	attempt uint64
+	state   string
+	why     string
+	saved   bool
+	end     Instant
+}
+
+func (x *worker) report() *protocol.Report {
+	x.seq++
+	r := &protocol.Report{Machine: x.name, Type: x.typ, Zone: x.zone, Spot: x.spot, Session: x.session, Seq: x.seq,
+		FencingToken: x.token, NoticeS: x.notice}
+	for _, t := range x.tasks {
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: t.key, Attempt: t.attempt, State: t.state, Why: t.why, Saved: t.saved})
+	}
+	return r
+}
+
+func (x *worker) tick() {
+	w := x.w
+	lease := config.Seconds(w.cfg.Workers.LeaseS)
+	if w.now-x.renewed > lease {
+		// A machine that hangs goes on within its lease or not at all.
+		x.session++
+		x.tasks, x.renewed, x.changed = nil, w.now, true
+	}
+	if x.hanging {
+		return
+	}
+	for _, t := range x.tasks {
+		if t.state == protocol.TaskRunning && w.now >= t.end {
+			t.state, t.why, x.changed = protocol.TaskExited, protocol.WhyDone, true
+			if x.faulty || w.mistake[jobOf(t.key)] {
+				t.why = protocol.WhyError
+			} else {
+				w.finished[t.key] = true
+			}
+		}
+	}
+	if x.silent || x.busy || (w.now < x.next && !(x.changed && w.now > x.next-time.Second)) {
+		return
+	}
+	x.send(x.report())
+}
+
+// send sends a report to the worker's node and deals with the answer.
+func (x *worker) send(rep *protocol.Report) {
+	w := x.w
+	if w.copies != nil {
+		w.copies(x, rep)
+	}
+	x.busy, x.changed = true, false
+	sent, session := w.now, x.session
+	x.next = w.now + config.Seconds(w.cfg.Workers.ReportS)
+	done := false
+	finish := func(r Reply) {
+		if done {
+			return
+		}
+		done, x.busy = true, false
+		x.answer(r, sent, session)
+	}
+	w.after(4*time.Second, func() { finish(Reply{}) })
+	if w.far[x.node] || (w.reach != nil && !w.reach(x, x.node)) {
+		return // packets vanish
+	}
+	w.ask(x.node, Request{Kind: ReqReport, Report: rep}, func(r Reply) {
+		if !x.silent && !x.dropAnswers {
+			w.after(x.lag, func() { finish(r) })
+		}
+	})
+}
+
+func (x *worker) answer(r Reply, sent Instant, session uint64) {
+	w := x.w
+	other := func() {
+		i := slices.Index(w.names, x.node)
+		x.node = w.names[(i+1)%len(w.names)]
+		x.next = w.now + time.Second
+	}
+	switch r.Status {
+	case 200:
+		x.answers++
+		var a protocol.ReportAnswer
+		if err := json.Unmarshal(r.Body, &a); err != nil {
+			w.t.Fatal(err)
+		}
+		if a.FencingToken < x.token || session != x.session {
+			return
+		}
+		if a.FencingToken > x.token {
+			x.token, x.changed = a.FencingToken, true
+		}
+		x.renewed = sent
+		for _, c := range a.Commands {
+			x.execute(c)
+		}
+	case 421:
+		var to protocol.Redirect
+		json.Unmarshal(r.Body, &to)
+		if to.ReportTo == "" || to.ReportTo == x.node {
+			other()
+			return
+		}
+		x.node, x.next = to.ReportTo, w.now
+	default:
+		x.refused++
+		other()
+	}
+}
+
+func (x *worker) execute(c protocol.Command) {
+	i := slices.IndexFunc(x.tasks, func(t *simTask) bool { return t.key == c.Task && t.attempt == c.Attempt })
+	x.changed = true
+	switch c.Op {
+	case protocol.OpStart:
+		if i >= 0 {
+			return
+		}
+		x.w.starts[c.Task]++
+		x.w.checkStart(x, c.Task)
+		end := x.w.now
+		if !x.w.finished[c.Task] { // else its result was kept
+			end += x.w.runTime(c.Task, x.w.starts[c.Task])
+		}
+		x.tasks = append(x.tasks, &simTask{key: c.Task, attempt: c.Attempt, state: protocol.TaskRunning, end: end})
+	case protocol.OpStop:
+		if i >= 0 && x.tasks[i].state != protocol.TaskExited {
+			x.grace = append(x.grace, *c.GraceS)
+			t := x.tasks[i]
+			t.state, t.why = protocol.TaskExited, protocol.WhyHalted
+			j := x.w.specs[jobOf(c.Task)]
+			t.saved = j.CheckpointS > 0 && *c.GraceS >= j.SaveS
+		}
+	case protocol.OpForget:
+		if i >= 0 {
+			x.forgotten = append(x.forgotten, c.Task)
+			x.tasks = slices.Delete(x.tasks, i, i+1)
+		}
+	}
+}
