--- a/internal/coordination/chaos_test.go
+++ b/internal/coordination/chaos_test.go
@@ -38,7 +38,7 @@
 }
 
 func runChaos(t *testing.T, seed uint64) {
-	c := &chaos{crowd: newCrowd(newWorldOf(t, 3+4*int(seed%3/2), deployments[seed/6%3]), seed)}
+	c := &chaos{crowd: newCrowd(newWorldOf(t, 3+4*int(seed%3/2), deployments[seed/6%uint64(len(deployments))]), seed)}
 	if seed%5 == 2 {
 		// One team has a guarantee, for which others give room back.
 		c.cfg.Teams[0].CPUs = 8
--- a/internal/coordination/election_test.go
+++ b/internal/coordination/election_test.go
@@ -281,7 +281,7 @@
 	for seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			c := newCrowd(newWorldOf(t, []int{3, 5, 7}[seed%3], deployments[seed/3%3]), seed)
+			c := newCrowd(newWorldOf(t, []int{3, 5, 7}[seed%3], deployments[seed/3%uint64(len(deployments))]), seed)
 			span := c.lease() / termsPerLease
 			soon := func() time.Duration { return time.Duration(c.rng.ExpFloat64() * float64(span) * 0.7) }
 			for _, name := range c.names {
--- a/internal/coordination/gap_test.go
+++ b/internal/coordination/gap_test.go
@@ -86,7 +86,7 @@
 			for i := range offsets {
 				for k, p := range deployments {
 					for m, nodes := range []int{3, 7} {
-						if !sweepAll() && (i+len(way))%6 != k*2+m {
+						if !sweepAll() && (i+len(way))%(2*len(deployments)) != 2*k+m {
 							continue
 						}
 						t.Run(fmt.Sprintf("%d nodes, lease %v, offset %d", nodes, p.lease, i), func(t *testing.T) {
--- a/internal/coordination/judge_test.go
+++ b/internal/coordination/judge_test.go
@@ -378,6 +378,22 @@
 			}
 			w.check()
 		},
+		"forgotten  ": func(w *world) {
+			for _, n := range w.nodes {
+				n.down = true
+			}
+			w.run(time.Second)
+			(newCrowd(w, 1)).calmDown()
+			w.run(76 * time.Second)
+		},
+		"waits ": func(w *world) {
+			w.cloud.noSpot = true
+			w.accepted["j-2"], w.specs["j-2"], w.calm = w.now, after("j-2", 1), w.now
+			for i := range 8 {
+				put(w, fmt.Sprintf("m-%06d", i%2+1), fmt.Sprintf("j-1/%d", i+1), 1) // no room
+			}
+			w.run(4*time.Minute + 2*time.Second)
+		},
 		"waits": func(w *world) {
 			for _, n := range w.nodes {
 				n.down = true
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -570,7 +570,7 @@
 // of each deployment, at random offsets; under close looks all along. Whatever met, in the
 // end every job is done or cancelled, nothing waits beside room, and nothing is forgotten.
 func TestMeetings(t *testing.T) {
-	seeds := uint64(6)
+	seeds := uint64(8)
 	if sweepAll() {
 		seeds = 60
 	}
@@ -579,7 +579,7 @@
 			for seed := range seeds {
 				t.Run(fmt.Sprint(seed), func(t *testing.T) {
 					t.Parallel()
-					w := newWorldOf(t, []int{3, 7}[seed%2], deployments[seed/2%3])
+					w := newWorldOf(t, []int{3, 7}[seed%2], deployments[seed/2%uint64(len(deployments))])
 					w.cfg.Teams = append(w.cfg.Teams, config.Team{Name: "small", CPUsMax: 8})
 					c := newCrowd(w, seed*31+uint64(len(name)))
 					for _, node := range c.names {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -102,7 +102,7 @@
 // proportions are the workers' settings of a deployment.
 type proportions struct{ report, lease, cancel float64 }
 
-var deployments = []proportions{{1.5, 14, 34}, {3, 18, 38}, {5, 26.5, 46.5}}
+var deployments = []proportions{{1.5, 14, 34}, {3, 18, 38}, {4, 22, 42}, {5, 26.5, 46.5}}
 
 func newWorld(t *testing.T, nodes int) *world { return newWorldOf(t, nodes, deployments[0]) }
 
