--- a/internal/coordination/chaos_test.go
+++ b/internal/coordination/chaos_test.go
@@ -65,9 +65,7 @@
 	if seed%5 == 2 {
 		c.runTime = func(task string, n int) time.Duration { return max(5, time.Duration(45/n)) * time.Second }
 	}
-	for _, name := range c.names {
-		c.nodes[name].rate = 1 + (c.rng.Float64()-0.5)/1000
-	}
+	c.driftClocks()
 	if seed%2 == 1 {
 		c.lookClosely()
 	}
@@ -263,8 +261,7 @@
 // reborn brings machines back at once in a new session, with nothing on them.
 func (c *chaos) reborn() {
 	c.anyWorkers(func(x *worker) {
-		x.session++
-		x.tasks, x.renewed, x.changed, x.busy = nil, c.now, true, false
+		x.reborn()
 	})
 }
 
--- a/internal/coordination/copies_test.go
+++ b/internal/coordination/copies_test.go
@@ -230,8 +230,7 @@
 	w.submitAndStart(l.name, spec("j-1", 4), 4)
 	w.run(10 * time.Second)
 	x := w.workers["m-000001"]
-	x.session++
-	x.tasks, x.renewed, x.changed, x.busy = nil, w.now, true, false
+	x.reborn()
 	if !w.until(3*time.Second, func() bool { return w.onMachines("j-1") == 4 }) {
 		t.Fatalf("%d of 4 tasks run again", w.onMachines("j-1"))
 	}
@@ -323,11 +322,7 @@
 					t.Fatal("the tasks don't run elsewhere")
 				}
 				w.run(5 * time.Second)
-				before := len(w.starts)
-				total := 0
-				for _, n := range w.starts {
-					total += n
-				}
+				before, total := len(w.starts), w.allStarts()
 				w.back(w.leader(), 300*time.Millisecond)
 				send := func() {
 					for _, rep := range kept {
@@ -342,11 +337,7 @@
 					w.after(time.Duration(offset*i)*10*time.Millisecond, send)
 				}
 				w.run(20 * time.Second)
-				now := 0
-				for _, n := range w.starts {
-					now += n
-				}
-				if len(w.starts) != before || now != total || w.onMachines("j-1") != 4 {
+				if now := w.allStarts(); len(w.starts) != before || now != total || w.onMachines("j-1") != 4 {
 					t.Errorf("%d of 4 tasks run, %d starts after %d", w.onMachines("j-1"), now, total)
 				}
 				w.cloud.noReturn = false
--- a/internal/coordination/crowd_test.go
+++ b/internal/coordination/crowd_test.go
@@ -23,6 +23,13 @@
 	return &crowd{world: w, rng: rand.New(rand.NewPCG(seed, 7))}
 }
 
+// driftClocks lets the nodes' steady clocks run by as much as they may.
+func (c *crowd) driftClocks() {
+	for _, name := range c.names {
+		c.nodes[name].rate = 1 + (c.rng.Float64()-0.5)/1000
+	}
+}
+
 func (c *crowd) anyNode() string { return c.names[c.rng.IntN(len(c.names))] }
 
 // knows tells whether some user was told that a job is accepted.
--- a/internal/coordination/election_test.go
+++ b/internal/coordination/election_test.go
@@ -284,9 +284,7 @@
 			c := newCrowd(newWorldOf(t, []int{3, 5, 7}[seed%3], deployments[seed/3%uint64(len(deployments))]), seed)
 			span := c.lease() / termsPerLease
 			soon := func() time.Duration { return time.Duration(c.rng.ExpFloat64() * float64(span) * 0.7) }
-			for _, name := range c.names {
-				c.nodes[name].rate = 1 + (c.rng.Float64()-0.5)/1000
-			}
+			c.driftClocks()
 			c.holds = seed%2 == 0
 			if seed%4 == 1 {
 				c.state.late = func() (time.Duration, bool) {
--- a/internal/coordination/gap_test.go
+++ b/internal/coordination/gap_test.go
@@ -77,9 +77,9 @@
 			t.Error("no cancellation was confirmed by a successor before an outage: the meeting was not brought about")
 		}
 	})
-	offsets := 12 // a third of a heartbeat apart, if all are swept
+	offsets := 12 // each run is put off by up to a heartbeat more
 	if sweepAll() {
-		offsets = 320
+		offsets = 320 // a twentieth of a heartbeat apart
 	}
 	for way, prepare := range gapWays {
 		t.Run(way, func(t *testing.T) {
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -147,6 +147,12 @@
 	return r
 }
 
+// reborn is a machine that is back at once after an end, in a new session.
+func (x *worker) reborn() {
+	x.session++
+	x.tasks, x.renewed, x.changed, x.busy = nil, x.w.now, true, false
+}
+
 func (x *worker) tick() {
 	w := x.w
 	lease := config.Seconds(w.cfg.Workers.LeaseS)
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -17,15 +17,13 @@
 // combinations instead of every few.
 func sweepAll() bool { return os.Getenv("HITCHDOOR_SWEEP") != "" }
 
-// meeting is a crowd in a world of the given proportions, with a leader, machines, and
+// newMeeting is a crowd in a world of the given proportions, with a leader, machines, and
 // jobs whose tasks run for very long.
 func newMeeting(t *testing.T, nodes int, p proportions, seed uint64, jobs, tasks int) (*crowd, *simNode) {
 	t.Helper()
 	c := newCrowd(newWorldOf(t, nodes, p), seed)
 	c.runTime = func(string, int) time.Duration { return time.Hour }
-	for _, name := range c.names {
-		c.nodes[name].rate = 1 + (c.rng.Float64()-0.5)/1000
-	}
+	c.driftClocks()
 	c.waitLeader()
 	c.machines((jobs*tasks + 3) / 4)
 	for i := range jobs {
@@ -369,8 +367,7 @@
 		}
 		c.someWorkers(3, func(x *worker) {
 			c.after(c.within(20*time.Second), func() {
-				x.session++
-				x.tasks, x.renewed, x.changed, x.busy = nil, c.now, true, false
+				x.reborn()
 			})
 		})
 		c.more(15, 30*time.Second, nil)
@@ -584,8 +581,8 @@
 					c := newCrowd(w, seed*31+uint64(len(name)))
 					for _, node := range c.names {
 						c.start(node)
-						c.nodes[node].rate = 1 + (c.rng.Float64()-0.5)/1000
 					}
+					c.driftClocks()
 					times := map[string]time.Duration{}
 					c.runTime = func(task string, _ int) time.Duration {
 						if times[task] == 0 {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -520,6 +520,15 @@
 	w.t.Fatalf("job %s is %q, not %q, after %v", id, last.State, state, d)
 }
 
+// allStarts counts how often tasks were started, all together.
+func (w *world) allStarts() int {
+	all := 0
+	for _, n := range w.starts {
+		all += n
+	}
+	return all
+}
+
 // startedOnce checks that no task was started a second time.
 func (w *world) startedOnce() {
 	w.t.Helper()
