Room is reserved on a machine for an overdue job whose tasks find none

Cause: being first in the order gives a job no room where its tasks are large: small tasks take each core as it becomes free.

Ruled out: the order (they were first from 90 s), the quotas, the election (takeovers took 6 s), boots (no cheap capacity, so nothing to rent).

Change: a job that is overdue, or older than four minutes, reserves on one machine what its next task needs.

--- /dev/null
+++ b/internal/coordination/begin_test.go
@@ -0,0 +1,74 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hitchdoor/internal/protocol"
+)
+
+// Small tasks that keep coming take each core as it becomes free, so that a task as large
+// as a whole machine would never find room: a machine is reserved for a job that is
+// overdue, and the job begins within four minutes and, oldest first, is done in the end. Jobs that are bound to one machine type
+// or one zone, several at once, and a change of leader meanwhile are no exception.
+func TestJobWithLargeTasksBeginsOnAFullFleet(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		jobs     int
+		cores    float64
+		sameZone bool
+		crash    bool
+	}{
+		{name: "a task of a whole machine", jobs: 1, cores: 4},
+		{name: "three quarters of a machine", jobs: 1, cores: 3},
+		{name: "bound to one zone", jobs: 1, cores: 4, sameZone: true},
+		{name: "six at once", jobs: 6, cores: 4},
+		{name: "a change of leader", jobs: 2, cores: 4, crash: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 3)
+			w.cloud.capacity = 6
+			crowd := newCrowd(w, 1)
+			w.runTime = func(string, int) time.Duration { return 15*time.Second + crowd.within(45*time.Second) }
+			w.waitLeader()
+			w.machines(6)
+			submitted := w.now + 30*time.Second
+			w.after(30*time.Second, func() {
+				for i := range c.jobs {
+					wide := spec(fmt.Sprintf("j-wide-%d", i), 8)
+					wide.Priority, wide.Cores, wide.SameZone, wide.EstimateS = "low", c.cores, c.sameZone, 30
+					if i%2 == 1 {
+						wide.Zone = "b"
+					}
+					crowd.submitUntil(wide)
+				}
+			})
+			if c.crash {
+				w.after(120*time.Second, crowd.newLeader)
+			}
+			small := 0
+			fillUntil := func(end Instant) { // with more small work than the machines can do
+				for ; w.now < end; small++ {
+					j := spec(fmt.Sprintf("j-small-%d", small), 3)
+					j.EstimateS = 30
+					crowd.submitUntil(j)
+					w.run(2 * time.Second)
+				}
+			}
+			fillUntil(submitted + mustBegin)
+			for i := range c.jobs {
+				if id := fmt.Sprintf("j-wide-%d", i); w.begun[id] == 0 {
+					t.Errorf("%s has not begun after four minutes: %s", id, w.why(id))
+				}
+			}
+			fillUntil(submitted + 3*mustBegin)
+			// Six of them are more than half of the machines can do in this time; the
+			// oldest is served first.
+			if id := "j-wide-0"; w.final(id) != protocol.Done {
+				t.Errorf("%s is not done after %v: %s", id, 3*mustBegin, w.why(id))
+			}
+		})
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -459,7 +459,7 @@
 	})
 	for _, m := range kept {
 		// A quarter of a machine is no reason to hold a whole one.
-		if held-m.kind.Cores < worth(m.perCore())-m.kind.Cores/4 || !m.up {
+		if held-m.kind.Cores < worth(m.perCore())-m.kind.Cores/4 || !m.up || m.reservedFor != nil {
 			m.spareSince = n.now
 			continue
 		}
--- a/internal/coordination/guarantee.go
+++ b/internal/coordination/guarantee.go
@@ -50,7 +50,7 @@
 	}
 	l.preemptedAt = n.now
 	need := map[*job]float64{}
-	inside := l.guaranteed()
+	inside := l.guaranteedJobs
 	for _, r := range l.order {
 		j := r.j
 		if inside[j] && !j.gone && !j.bad && j.pending > 0 && (j.waits == waitRoom || j.waits == waitImage) &&
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -34,16 +34,17 @@
 	first   int // no task below it is pending
 	done    int
 
-	parts     []*partState // bitmap parts
-	partTasks int          // that each covers
-	trouble   map[int]*trouble
-	imageSeen Instant         // the pass for which it was looked whether
-	imageHeld bool            // some machine that is ready has the job's image
-	failedOn  map[string]bool // machines on which a task failed, none having completed
-	bad       bool            // it fails on every machine
-	probes    int             // failures since it was taken for bad
-	probeAt   Instant         // when one of its tasks is tried again
-	moved     map[int]bool    // tasks that were moved off a slow machine
+	parts       []*partState // bitmap parts
+	partTasks   int          // that each covers
+	trouble     map[int]*trouble
+	imageSeen   Instant         // the pass for which it was looked whether
+	imageHeld   bool            // some machine that is ready has the job's image
+	failedOn    map[string]bool // machines on which a task failed, none having completed
+	bad         bool            // it fails on every machine
+	probes      int             // failures since it was taken for bad
+	probeAt     Instant         // when one of its tasks is tried again
+	reservation reservation
+	moved       map[int]bool // tasks that were moved off a slow machine
 
 	tookSum, tookCount float64 // logarithms of its finished tasks' run times
 	usual              time.Duration
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -44,21 +44,22 @@
 	startWithin  time.Duration      // aim on starting guaranteed work; 0: none
 	usage        map[string]*usage  // by team
 
-	machines     map[string]*machine
-	catalogShape string     // of the machine types last stored, without prices
-	groups       []*group   // that record them
-	groupBytes   int        // how large their records may grow
-	groupsFrom   int        // the least number that a new one gets
-	sorted       []*machine // by name; nil: to be made anew
-	checkedAt    Instant    // when all were looked at
-	census       census     // of them, as of the last change
-	censusOK     bool
-	order        []ranked           // jobs that wait, as of the last full pass
-	pressed      bool               // pressing work had waited for too long then
-	active       [2]int             // tasks on machines, by class: batch, pressing
-	gone         map[string]Instant // returned or taken, and when
-	heardWorker  Instant
-	early        []Request // reports that came while loading
+	machines       map[string]*machine
+	catalogShape   string     // of the machine types last stored, without prices
+	groups         []*group   // that record them
+	groupBytes     int        // how large their records may grow
+	groupsFrom     int        // the least number that a new one gets
+	sorted         []*machine // by name; nil: to be made anew
+	checkedAt      Instant    // when all were looked at
+	census         census     // of them, as of the last change
+	censusOK       bool
+	order          []ranked           // jobs that wait, as of the last full pass
+	guaranteedJobs map[*job]bool      // those that fit into their team's guarantee, as of then
+	pressed        bool               // pressing work had waited for too long then
+	active         [2]int             // tasks on machines, by class: batch, pressing
+	gone           map[string]Instant // returned or taken, and when
+	heardWorker    Instant
+	early          []Request // reports that came while loading
 
 	looked      int // machines and jobs looked at for admission: what must not grow with a report
 	watchRev    uint64
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -40,6 +40,7 @@
 	cores, ram    float64
 	accelerators  float64
 	images        []image // most recently used last
+	reservedFor   *job    // whose next task finds room here first
 	spareSince    Instant // since when it has been more than is needed
 	failures      int     // in a row
 	failedJobs    map[string]bool
@@ -264,6 +265,9 @@
 	for _, r := range m.list {
 		l.release(r)
 	}
+	if m.reservedFor != nil {
+		l.unreserve(m.reservedFor)
+	}
 	delete(l.machines, m.name)
 	l.machinesChanged()
 	l.gone[m.name] = l.n.now
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -293,6 +293,8 @@
 			r.job.lastStart = l.n.now
 			if r.job.firstStart == 0 {
 				r.job.firstStart = l.n.now
+				l.n.log.Debug("job's first task runs", "job", r.job.spec.UID, "class", r.job.spec.Class, "tasks", r.job.spec.Tasks,
+					"after", l.n.now-r.job.from)
 			}
 			m.touch(r.job.spec.Image, r.job.spec.ImageGB)
 		}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -51,11 +51,6 @@
 
 const slack = 1e-6 // of sums of decimal amounts
 
-func (m *machine) room(j *protocol.Job) bool {
-	k := m.kind
-	return m.cores+j.Cores <= k.Cores+slack && m.ram+j.RAM <= k.RAM+slack && m.accelerators+j.Accelerators <= k.Accelerators+slack
-}
-
 // slots counts the scheduler slots: of all machines up, and those taken, by
 // class. The second class is the pressing work (prod and urgent).
 type slots struct {
@@ -132,6 +127,8 @@
 	at   Instant // latest start in time
 	due  Instant
 	work float64 // core seconds left
+
+	mayReserve bool // it has waited for so long that room is reserved for it
 }
 
 // Ranks: first the first tasks of what has waited too long, then the pressing jobs
@@ -163,7 +160,8 @@
 func (l *leadership) waitingJobs() []ranked {
 	now := l.n.now
 	var all []*ranked
-	guaranteed, pull := l.guaranteed(), l.pull()
+	l.guaranteedJobs = l.guaranteed()
+	pull := l.pull()
 	for _, j := range l.runnable {
 		if j.gone {
 			continue
@@ -175,12 +173,12 @@
 		}
 		switch age := now - j.from; {
 		case age > beginsAfter && !j.begun():
-			r.rank, r.at = rankOverdue, j.from
+			r.rank, r.at, r.mayReserve = rankOverdue, j.from, true
 		case age > mustBegin && r.rank > rankPressing && !(j.begun() && l.beyondGuarantee(j)):
 			// What has begun and borrows from others' guarantees does not pass ahead of them.
-			r.rank, r.at = rankPressing, j.from
+			r.rank, r.at, r.mayReserve = rankPressing, j.from, true
 		}
-		if start := j.from + l.startWithin; l.startWithin > 0 && start > now && guaranteed[j] {
+		if start := j.from + l.startWithin; l.startWithin > 0 && start > now && l.guaranteedJobs[j] {
 			// Guaranteed work has an aim on starting, too.
 			r.at = min(r.at, start)
 		}
@@ -306,6 +304,7 @@
 		}
 	}
 	l.admitAll(p)
+	l.renewReservations()
 	l.preempt()
 }
 
@@ -499,7 +498,7 @@
 		if elsewhere && j.failedOn[m.name] {
 			continue
 		}
-		if m.room(&j.spec) && m.ready() && allowed(&j.spec, m) &&
+		if m.ready() && l.mayPlace(j, m) && allowed(&j.spec, m) &&
 			(m.hasImage(j.spec.Image) || (fetch && j.spec.ImageGB/m.kind.PullGBPerS <= quick)) {
 			c.list = append(c.list, c.rate(m))
 		}
@@ -598,7 +597,7 @@
 // placed ranks a machine anew that has got a task.
 func (c *candidates) placed(m *machine) {
 	at := slices.IndexFunc(c.list, func(x candidate) bool { return x.m == m })
-	if m.room(&c.job.spec) {
+	if c.l.mayPlace(c.job, m) {
 		c.list[at] = c.rate(m)
 		heap.Fix(c, at)
 	} else {
