--- a/internal/coordination/crowd_test.go
+++ b/internal/coordination/crowd_test.go
@@ -147,12 +147,12 @@
 }
 
 // why tells what a job that is not done waits for.
-func (c *world) why(id string) string {
-	name := c.leader()
+func (w *world) why(id string) string {
+	name := w.leader()
 	if name == "" {
-		return "nobody leads: " + c.noLeader()
+		return "nobody leads: " + w.noLeader()
 	}
-	l := c.nodes[name].lead
+	l := w.nodes[name].lead
 	j := l.jobs[id]
 	if j == nil {
 		return "the leader does not know it"
@@ -161,7 +161,7 @@
 	for _, r := range j.runs {
 		out += fmt.Sprintf("; %s in phase %d on %s (up %v, shown %v, %s)", r.key(), r.phase, r.m.name, r.m.up, r.m.shown, r.m.why)
 	}
-	for name, x := range c.workers {
+	for name, x := range w.workers {
 		for _, t := range x.tasks {
 			if strings.HasPrefix(t.key, id+"/") {
 				out += fmt.Sprintf("; %s reports %+v to %s, hanging %v, deaf %v, silent %v, session %d", name, *t, x.node, x.hanging, x.dropAnswers, x.silent, x.session)
@@ -172,10 +172,10 @@
 }
 
 // noLeader tells what each node does about it.
-func (c *world) noLeader() string {
-	out := fmt.Sprintf("state down %v, refuses %v, lost %v, leader key %q", c.state.down, c.state.refuse, c.state.lost, c.state.keys[storage.LeaderKey].Value)
-	for _, name := range c.names {
-		n := c.nodes[name]
+func (w *world) noLeader() string {
+	out := fmt.Sprintf("state down %v, refuses %v, lost %v, leader key %q", w.state.down, w.state.refuse, w.state.lost, w.state.keys[storage.LeaderKey].Value)
+	for _, name := range w.names {
+		n := w.nodes[name]
 		e := &n.elect
 		out += fmt.Sprintf("; %s: down %v, frozen %v, draining %v, leads %v, stands %v, state down %v, abstains %v, heard %d", name, n.down, n.frozen, n.draining,
 			n.lead != nil, e.candidate != nil, e.stateDown(), e.abstain, n.peersHeard(n.termSpan()))
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -31,7 +31,7 @@
 		MaxConns:                      opt.Connections,
 		MaxIdleConnDuration:           opt.Idle,
 		MaxIdemponentCallAttempts:     1,
-		RetryIf:                       func(*fasthttp.Request) bool { return false },
+		RetryIfErr:                    neverRetry,
 		MaxResponseBodySize:           opt.MaxBody,
 		NoDefaultUserAgentHeader:      true,
 		DisablePathNormalizing:        true,
@@ -40,6 +40,9 @@
 	}}
 }
 
+// neverRetry keeps the library from repeating a call.
+func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+
 // Do carries out a call. Without an answer the status is 0.
 func (c *Client) Do(call coordination.Call) coordination.Result {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
