A flood of large jobs fits the memory: states of tasks follow from bitmap and runs

Cause: a byte for each task of each open job. Two thousand jobs of 100,000 tasks took 120 KB each (TestFloodOfLargeJobsFitsTheMemory, red before); at the accepted rate of submissions a few hundred of them end a leader of 98 MB, and its successors in turn. And setting aside jobs that can't all be in time walked all jobs for each one that gives way.

Change: a task is done by its bit, active by its run, and pending otherwise; bitmaps come with their first bit; the largest job comes from a heap, checked against the plain rule. A run that ends no longer takes away another one's entry. Ruled out: the queue of submissions (bounded by the connections), answers (the status page alone grows).

Conclusion: memory bounded.

--- /dev/null
+++ b/internal/coordination/flood_test.go
@@ -0,0 +1,123 @@
+package coordination
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+// One team submits hundreds of the largest jobs. Accepted, they have to be known, but what
+// waits takes next to no memory: a byte for each task, two thousand of them were twice what
+// a controller has, and each leader would have ended by it in turn.
+func TestFloodOfLargeJobsFitsTheMemory(t *testing.T) {
+	const jobs, perJob = 2000, 8 << 10
+	w := newWorld(t, 1)
+	l := w.waitLeader()
+	before := heapInUse()
+	for i := range jobs {
+		rec := storage.JobRecord{Spec: spec(fmt.Sprintf("j-%d", i), protocol.MaxTasks), AtMS: l.wallMS()}
+		w.specs[rec.Spec.UID] = rec.Spec
+		l.lead.addJob(rec, uint64(i+1))
+	}
+	if grown := int64(heapInUse()) - int64(before); grown > jobs*perJob {
+		t.Errorf("%d jobs that wait take %d bytes each", jobs, grown/jobs)
+	}
+	runtime.KeepAlive(l)
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// Another team's job begins in time beside a flood, and questions, cancellations and the
+// other jobs of the flood are answered.
+func TestFloodOfOneTeamLeavesOthersServed(t *testing.T) {
+	w := newWorld(t, 3)
+	w.cloud.capacity = 4
+	w.runTime = func(string, int) time.Duration { return 10 * time.Second }
+	w.waitLeader()
+	w.machines(4)
+	c := newCrowd(w, 1)
+	for i := range 300 {
+		j := spec(fmt.Sprintf("j-flood-%d", i), 200)
+		j.Class = "flood"
+		w.after(c.within(20*time.Second), func() { c.submitUntil(j) })
+	}
+	w.run(20 * time.Second)
+	other := spec("j-other", 4)
+	other.Team, other.Class = "team", "other"
+	c.submitUntil(other)
+	if !w.until(mustBegin, func() bool { return w.begun["j-other"] != 0 }) {
+		t.Fatalf("not begun after four minutes: %s", w.why("j-other"))
+	}
+	c.cancelUntil("j-flood-7")
+	if !w.until(5*time.Second, func() bool { return w.over["j-flood-7"] == protocol.Withdrawn }) {
+		t.Error("a cancellation is not confirmed within 5 s")
+	}
+}
+
+// sacrifice sets aside the same jobs as a plain walk over all of them does.
+func TestSacrificeIsMooresRule(t *testing.T) {
+	_, l := running(t, 1, time.Hour, 2, 8)
+	cores := l.lead.coresToStay()
+	if cores == 0 {
+		t.Fatal("no machine stays")
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for round := range 300 {
+		var all, plain []*ranked
+		for i := range 1 + rng.IntN(30) {
+			j := &job{spec: spec(fmt.Sprintf("j-%d", i), 1), pending: rng.IntN(3)}
+			r := ranked{j: j, rank: []int{rankPressing, rankInTime, rankLate}[rng.IntN(3)],
+				due: l.now + time.Duration(rng.IntN(200))*time.Second, work: float64(rng.IntN(20) * 10)}
+			again := r
+			all, plain = append(all, &r), append(plain, &again)
+		}
+		byDue := func(a, b *ranked) int { return int(a.due - b.due) }
+		slices.SortStableFunc(all, byDue)
+		slices.SortStableFunc(plain, byDue)
+		l.lead.sacrifice(all)
+		plainSacrifice(plain, cores*packing, l.now)
+		for i := range all {
+			if all[i].rank != plain[i].rank {
+				t.Fatalf("round %d: job %d has rank %d, not %d", round, i, all[i].rank, plain[i].rank)
+			}
+		}
+	}
+}
+
+// plainSacrifice is Moore's rule for the fewest late jobs, written down as it is defined.
+func plainSacrifice(all []*ranked, cores float64, now Instant) {
+	sum := 0.0
+	var kept []*ranked
+	for _, r := range all {
+		if r.rank != rankInTime && r.j.rank() > rankPressing {
+			continue
+		}
+		sum += r.work
+		kept = append(kept, r)
+		for sum/cores > (r.due - now).Seconds() {
+			worst := -1
+			for i, k := range kept {
+				if k.rank == rankInTime && k.j.pending > 0 && (worst < 0 || k.work > kept[worst].work) {
+					worst = i
+				}
+			}
+			if worst < 0 {
+				break
+			}
+			sum -= kept[worst].work
+			kept[worst].rank = rankLate
+			kept = slices.Delete(kept, worst, worst+1)
+		}
+	}
+}
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -12,6 +12,9 @@
 	"hitchdoor/internal/storage"
 )
 
+// taskState is how far a task of an open job is. It is not kept, but follows from the job's
+// bitmap of finished tasks and its runs: a byte for each task, of jobs of up to 100,000 that
+// come by the hundred, was more than a controller's memory.
 type taskState uint8
 
 const (
@@ -20,6 +23,19 @@
 	taskDone
 )
 
+// taskState tells how far a task is.
+func (j *job) taskState(index int) taskState {
+	part, at, bit := j.partOf(index)
+	switch {
+	case at < len(part.bits) && part.bits[at]&bit != 0:
+		return taskDone
+	case j.runs[index] != nil:
+		return taskActive
+	default:
+		return taskPending
+	}
+}
+
 // job is an open job as its leader knows it.
 type job struct {
 	spec    protocol.Job
@@ -28,7 +44,6 @@
 	version uint64  // revision of the record
 	chain
 
-	tasks   []taskState
 	runs    map[int]*run
 	pending int
 	first   int // no task below it is pending
@@ -69,7 +84,8 @@
 // partState is one part of the bitmap of finished tasks.
 type partState struct {
 	key     string
-	bits    []byte
+	size    int    // of the bits, in bytes
+	bits    []byte // nil until one is set
 	stored  []byte // what is durable
 	queued  bool
 	retired bool // another layout has replaced it
@@ -237,7 +253,7 @@
 	at := min(l.n.instantOf(rec.AtMS), l.n.now)
 	j := &job{
 		spec: rec.Spec, at: at, from: at, version: version,
-		tasks: make([]taskState, rec.Spec.Tasks), runs: map[int]*run{}, pending: rec.Spec.Tasks,
+		runs: map[int]*run{}, pending: rec.Spec.Tasks,
 		trouble: map[int]*trouble{}, failedOn: map[string]bool{},
 		waiting: l.n.now, imageSeen: never, chain: newChain(),
 	}
@@ -275,7 +291,7 @@
 	j.partTasks, j.parts = size, nil
 	for from := 0; from < j.spec.Tasks; from += size {
 		j.parts = append(j.parts, &partState{
-			key: key(len(j.parts)), bits: make([]byte, (min(size, j.spec.Tasks-from)+7)/8)})
+			key: key(len(j.parts)), size: (min(size, j.spec.Tasks-from) + 7) / 8})
 	}
 }
 
@@ -284,17 +300,20 @@
 func (l *leadership) levelRaised() {
 	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
 		j := l.jobs[id]
-		old := j.parts
 		if j.spec.Tasks <= l.partTasks || j.gone {
 			continue
 		}
-		l.layOut(j)
-		for index, state := range j.tasks {
-			if state == taskDone {
-				p, at, bit := l.partOf(j, index)
-				p.bits[at] |= bit
+		old := j.parts
+		var done []int
+		for index := range j.spec.Tasks {
+			if j.taskState(index) == taskDone {
+				done = append(done, index)
 			}
 		}
+		l.layOut(j)
+		for _, index := range done {
+			j.setBit(index)
+		}
 		for _, p := range j.parts {
 			l.storeBits(j, p)
 		}
@@ -305,31 +324,40 @@
 	}
 }
 
-func (l *leadership) partOf(j *job, index int) (*partState, int, byte) {
+// partOf finds a task's bit: its part, and the byte and the bit in it.
+func (j *job) partOf(index int) (part *partState, at int, bit byte) {
 	in := index % j.partTasks
 	return j.parts[index/j.partTasks], in / 8, 1 << (in % 8)
 }
 
+// setBit notes in the bitmap that a task is finished.
+func (j *job) setBit(index int) *partState {
+	part, at, bit := j.partOf(index)
+	if part.bits == nil {
+		part.bits = make([]byte, part.size)
+	}
+	part.bits[at] |= bit
+	return part
+}
+
 // durable tells whether a finished task's bit is in the state service.
 func (l *leadership) durable(j *job, index int) bool {
-	p, at, bit := l.partOf(j, index)
+	p, at, bit := j.partOf(index)
 	return at < len(p.stored) && p.stored[at]&bit != 0
 }
 
 // setDone counts a task as finished.
 func (l *leadership) setDone(j *job, index int) {
-	if j.tasks[index] == taskDone {
+	switch j.taskState(index) {
+	case taskDone:
 		return
-	}
-	if j.tasks[index] == taskPending {
+	case taskPending:
 		j.pending--
 	}
-	j.tasks[index] = taskDone
+	p := j.setBit(index)
 	j.done++
 	delete(j.trouble, index)
 	j.bad, j.probes = false, 0
-	p, at, bit := l.partOf(j, index)
-	p.bits[at] |= bit
 	l.dirty = true
 	if j.gone {
 		return
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -301,10 +301,9 @@
 // place books a run on its machine and with its team.
 func (l *leadership) place(r *run) {
 	j, m := r.job, r.m
-	if j.tasks[r.index] == taskPending {
+	if j.taskState(r.index) == taskPending {
 		j.pending--
 	}
-	j.tasks[r.index] = taskActive
 	j.runs[r.index] = r
 	m.addRun(r)
 	l.count(j, 1)
@@ -326,7 +325,9 @@
 	}
 	m.dropRun(r)
 	l.count(j, -1)
-	delete(j.runs, r.index)
+	if j.runs[r.index] == r {
+		delete(j.runs, r.index)
+	}
 	m.cores -= j.spec.Cores
 	m.ram -= j.spec.RAM
 	m.accelerators -= j.spec.Accelerators
@@ -337,8 +338,7 @@
 	if len(m.runs) == 0 {
 		m.cores, m.ram, m.accelerators = 0, 0, 0
 	}
-	if j.tasks[r.index] == taskActive {
-		j.tasks[r.index] = taskPending
+	if j.taskState(r.index) == taskPending {
 		j.pending++
 		j.first = min(j.first, r.index)
 		if j.pending == 1 {
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -258,7 +258,7 @@
 			m.strays++
 			continue
 		}
-		if r == nil && j != nil && j.tasks[index] == taskPending && !j.gone {
+		if r == nil && j != nil && j.taskState(index) == taskPending && !j.gone {
 			r = &run{job: j, index: index, attempt: t.Attempt, m: m, phase: phaseSent, since: now}
 			l.place(r)
 			r.shown = true
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -229,38 +229,60 @@
 // order of their due times, the largest is set aside whenever the next would be
 // late. (Moore's rule for the fewest late jobs.)
 func (l *leadership) sacrifice(all []*ranked) {
-	cores := 0.0
-	for _, m := range l.machines {
-		if m.kind != nil && m.up && !m.emptying {
-			cores += m.kind.Cores
-		}
-	}
+	cores := l.coresToStay()
 	if cores == 0 {
 		return
 	}
 	sum := 0.0
-	var kept []*ranked
-	for _, r := range all {
+	largest := &byWork{}
+	for order, r := range all {
 		if r.rank != rankInTime && r.j.rank() > rankPressing {
 			continue
 		}
 		sum += r.work
-		kept = append(kept, r)
-		for sum/(cores*packing) > (r.due - l.n.now).Seconds() {
-			worst := -1
-			for i, k := range kept {
-				if k.rank == rankInTime && k.j.pending > 0 && (worst < 0 || k.work > kept[worst].work) {
-					worst = i
-				}
-			}
-			if worst < 0 {
-				break
-			}
-			sum -= kept[worst].work
-			kept[worst].rank = rankLate
-			kept = slices.Delete(kept, worst, worst+1)
+		if r.rank == rankInTime && r.j.pending > 0 {
+			heap.Push(largest, workItem{job: r, order: order})
+		}
+		for sum/(cores*packing) > (r.due-l.n.now).Seconds() && largest.Len() > 0 {
+			late := heap.Pop(largest).(workItem).job
+			sum -= late.work
+			late.rank = rankLate
+		}
+	}
+}
+
+// coresToStay counts the cores of the machines that are up and are not to be returned.
+func (l *leadership) coresToStay() float64 {
+	cores := 0.0
+	for _, m := range l.machines {
+		if m.kind != nil && m.up && !m.emptying {
+			cores += m.kind.Cores
 		}
 	}
+	return cores
+}
+
+// byWork is a heap of jobs, the largest first. A walk over all of them for each that gives
+// way would cost jobs x jobs, in a flood of small ones.
+type byWork []workItem
+
+type workItem struct {
+	job   *ranked
+	order int
+}
+
+func (h byWork) Len() int      { return len(h) }
+func (h byWork) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *byWork) Push(x any)   { *h = append(*h, x.(workItem)) }
+func (h byWork) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(h[j].job.work, h[i].job.work), cmp.Compare(h[i].order, h[j].order)) < 0
+}
+
+// Pop takes the last element, as the heap package asks for.
+func (h *byWork) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
 }
 
 // packing is how much of the machines' time tasks fill when there is enough work.
@@ -377,11 +399,11 @@
 	var at *candidates
 	stopped := ""
 	leading := true // nothing pending has been passed over yet
-	for index := j.first; index < len(j.tasks); index++ {
+	for index := j.first; index < j.spec.Tasks; index++ {
 		if j.pending == 0 || most <= 0 {
 			return stopped
 		}
-		if j.tasks[index] != taskPending {
+		if j.taskState(index) != taskPending {
 			if leading {
 				j.first = index + 1 // a job may have 100,000 tasks
 			}
--- a/internal/coordination/versions_test.go
+++ b/internal/coordination/versions_test.go
@@ -210,8 +210,8 @@
 		t.Errorf("with new nodes there are %d numbered parts, %d by task", numbered, byTask)
 	}
 	j := l.lead.jobs["j-l"]
-	if j.done < done || j.tasks[doneTask] != taskDone {
-		t.Errorf("%d tasks are done, %d were; the first: %v", j.done, done, j.tasks[doneTask])
+	if j.done < done || j.taskState(doneTask) != taskDone {
+		t.Errorf("%d tasks are done, %d were; the first: %v", j.done, done, j.taskState(doneTask))
 	}
 	w.run(5 * time.Second)
 	if len(w.state.refused) > 0 {
