The guards of lease grants: two have the schedules that need them, one goes

Now, each by a test that was seen red without it: a peer that the state service serves grants nothing (TestLeaderRefusedAloneIsReplacedByAnyNumber: a leader refused alone is else not replaced within a lease, 3 to 7 nodes), and a restarted node grants nothing for one span (TestForgottenVoteGrantsNothing: else two leaders, with five nodes).

That a candidate does not grant is not needed for one leader at a time: before it takes the key, its own grant makes it wait, and when it takes it, its own term counts as voted for.

--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -502,7 +502,7 @@
 // otherwise the leader alone is refused, and is better replaced.
 func (n *Node) grantLease(p *peer, m Message) {
 	e := &n.elect
-	if n.lead != nil || e.candidate != nil || !e.stateDown() || m.Term < e.votedTerm ||
+	if n.lead != nil || !e.stateDown() || m.Term < e.votedTerm ||
 		m.Term < e.grantedTerm || n.now < drift(n.termSpan()) {
 		return
 	}
--- a/internal/coordination/election_test.go
+++ b/internal/coordination/election_test.go
@@ -334,3 +334,62 @@
 		})
 	}
 }
+
+// A leader that the state service alone refuses is replaced within a worker lease, with any
+// number of nodes and whenever it begins: a peer that the state service serves grants it no
+// lease. Granted, its peers would be bound for as long as it asks.
+func TestLeaderRefusedAloneIsReplacedByAnyNumber(t *testing.T) {
+	for _, nodes := range []int{3, 5, 7} {
+		for offset := range 12 {
+			t.Run(fmt.Sprintf("%d nodes/%d", nodes, offset), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(t, nodes)
+				first := w.waitLeader()
+				w.run(time.Duration(offset) * first.termSpan() / 7)
+				w.state.refuse[first.name] = true
+				if !w.until(first.lease(), func() bool { l := w.leader(); return l != "" && l != first.name }) {
+					t.Fatalf("not replaced within %v", first.lease())
+				}
+			})
+		}
+	}
+}
+
+// A node that has voted for a candidate, and is back at once with its vote forgotten, may
+// not grant a lease to the old leader: the candidate counts on the vote. Here the old leader
+// lives by grants of two of five nodes. One of them is served by the state service again, so
+// that its grant ends and it votes for the candidate, too; the other and the node that is
+// back would be the majority by which the old leader stays, beside the new one.
+func TestForgottenVoteGrantsNothing(t *testing.T) {
+	changed := 0
+	for offset := range 60 {
+		w := newWorld(t, 5)
+		old := w.waitLeader()
+		others := w.followers()
+		candidate, voter, returning, faithful := others[0], others[1], others[2], others[3]
+		for _, name := range []string{old.name, voter, returning, faithful} {
+			w.state.refuse[name] = true
+		}
+		w.cut[[2]string{old.name, returning}] = true
+		w.run(2*old.termSpan() + time.Duration(offset)*20*time.Millisecond)
+		delete(w.state.refuse, voter) // its grant is the last one
+		asks := func() bool {
+			c := w.nodes[candidate].elect.candidate
+			return c != nil && c.votes[returning]
+		}
+		if w.until(old.termSpan(), asks) {
+			w.back(returning, 20*time.Millisecond)
+			w.after(50*time.Millisecond, func() {
+				w.mend()
+				w.state.refuse[returning] = true
+			})
+		}
+		w.run(2 * old.termSpan()) // the world sees two leaders, if there are
+		if w.leader() == candidate {
+			changed++
+		}
+	}
+	if changed == 0 {
+		t.Error("the candidate never led: the schedule was not brought about")
+	}
+}
