A healthy job that met faulty machines first goes on when one of its tasks runs on

Cause: a job that failed on three machines and succeeded on none is tried with one task at a time, and only the end of that task told that the job is healthy: a pause of a whole run. Now a task that has run for twice as long as any other did before it failed tells so (TestHealthyJobDoesNotPauseForAWholeRun, 2 minutes a run, red before). A job with a mistake is taken for one again at its next failure.

New stand-ins without a fault of ours: wall clocks minutes apart, no capacity in any zone.

--- a/internal/coordination/health.go
+++ b/internal/coordination/health.go
@@ -27,10 +27,11 @@
 // job may not be left waiting for 90 s, and its mistake may lie in what it reads.
 const probeWithin = mustBegin / 4
 
-// failed counts a failure. The task is retried at once on another machine; if it
-// fails again it backs off, as an accepted job must run in the end.
-func (l *leadership) failed(m *machine, j *job, index int) {
+// failed counts a failure of a task that ran for a time. The task is retried at once on
+// another machine; if it fails again it backs off, as an accepted job must run in the end.
+func (l *leadership) failed(m *machine, j *job, index int, ran time.Duration) {
 	j.failedOn[m.name] = true
+	j.failedAfter = max(j.failedAfter, ran)
 	if len(j.failedOn) >= badJobMachines && j.done == 0 {
 		// It fails everywhere: that is the job's own mistake, and no machine's.
 		if !j.bad {
@@ -67,6 +68,18 @@
 	}
 }
 
+// outlives tells whether a task of a job that is taken for bad has been running for so much
+// longer than any other did before it failed, that the machines were at fault. Waiting for
+// its end would cost a healthy job, whose first tasks all met faulty machines, a whole run.
+func (l *leadership) outlives(j *job) bool {
+	for _, r := range j.runs {
+		if r.phase == phaseRunning && l.n.now-r.started > 2*(j.failedAfter+l.n.report()) {
+			return true
+		}
+	}
+	return false
+}
+
 // Slow machines: how many of the last tasks are looked at, how many at least,
 // and how many times the expected time they must take on the mean. Run times
 // differ by a factor of two anyway.
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -55,6 +55,7 @@
 	imageSeen   Instant         // the pass for which it was looked whether
 	imageHeld   bool            // some machine that is ready has the job's image
 	failedOn    map[string]bool // machines on which a task failed, none having completed
+	failedAfter time.Duration   // the longest that a task ran before it failed
 	bad         bool            // it fails on every machine
 	probes      int             // failures since it was taken for bad
 	probeAt     Instant         // when one of its tasks is tried again
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -121,6 +121,7 @@
 	silent           bool // no report leaves, no answer arrives
 	hanging          bool
 	faulty           bool
+	failsAfter       time.Duration // how long a faulty machine's tasks run; 0: to their end
 	dropAnswers      bool
 	lag              time.Duration // by how much answers to it are held up
 	grace            []float64     // of the stops it was given
@@ -258,7 +259,11 @@
 		x.w.checkStart(x, c.Task)
 		end := x.w.now
 		if !x.w.finished[c.Task] { // else its result was kept
-			end += x.w.runTime(c.Task, x.w.starts[c.Task])
+			takes := x.w.runTime(c.Task, x.w.starts[c.Task])
+			if x.faulty && x.failsAfter > 0 {
+				takes = x.failsAfter
+			}
+			end += takes
 		}
 		x.tasks = append(x.tasks, &simTask{key: c.Task, attempt: c.Attempt, state: protocol.TaskRunning, end: end})
 	case protocol.OpStop:
--- a/internal/coordination/outside_faults_test.go
+++ b/internal/coordination/outside_faults_test.go
@@ -390,3 +390,56 @@
 		})
 	}
 }
+
+// Wall clocks that differ by minutes order nothing that matters: rules hold through changes
+// of leader either way, and every job begins in time and is done.
+func TestWallClocksMinutesApart(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			c := newCrowd(newWorldOf(t, 3, deployments[seed]), seed)
+			c.wallOff = map[string]time.Duration{"n0": 5 * time.Minute, "n2": -7 * time.Minute}
+			for _, name := range c.names {
+				c.start(name)
+			}
+			c.runTime = func(string, int) time.Duration { return time.Second + c.within(20*time.Second) }
+			c.waitLeader()
+			c.machines(4)
+			c.lookClosely()
+			c.more(20, 60*time.Second, nil)
+			for i := range 4 {
+				c.after(time.Duration(i)*15*time.Second+c.within(10*time.Second), c.newLeader)
+				c.after(time.Duration(i)*15*time.Second+c.within(10*time.Second), func() { c.cancelSome(5, time.Second) })
+			}
+			c.run(70 * time.Second)
+			c.settle(5 * time.Minute)
+		})
+	}
+}
+
+// While no zone has capacity left, rentals are asked for at a bounded rate, work goes on on
+// the machines there are, and the rest follows once there is capacity again.
+func TestNoCapacityAnywhere(t *testing.T) {
+	w := newWorld(t, 3)
+	w.runTime = func(string, int) time.Duration { return 20 * time.Second }
+	w.waitLeader()
+	w.machines(2)
+	w.cloud.capacity = 2
+	c := newCrowd(w, 1)
+	c.more(10, 5*time.Second, func(_ int, j *protocol.Job) { j.Tasks, j.Team = 8, "free" })
+	w.run(10 * time.Second)
+	asked := 0
+	w.mangle = func(_ string, call Call, r Result) Result {
+		if call.Path == "/hosts" {
+			asked++
+		}
+		return r
+	}
+	w.run(time.Minute)
+	if most := int(60 * w.cfg.Cloud.RPS / 4); asked > most {
+		t.Errorf("%d rentals were asked for in a minute", asked)
+	}
+	w.cloud.capacity = 0
+	w.cloud.boot = 5 * time.Second
+	c.settle(5 * time.Minute)
+}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"hitchdoor/internal/protocol"
 )
@@ -368,13 +369,17 @@
 	if !mine {
 		return true
 	}
+	ran := time.Duration(0)
+	if r.phase == phaseRunning {
+		ran = now - r.started
+	}
 	l.release(r)
 	if j.gone {
 		return true
 	}
 	switch t.Why {
 	case protocol.WhyError:
-		l.failed(m, j, index)
+		l.failed(m, j, index, ran)
 	case protocol.WhyHalted:
 	default: // refused: our picture of the machine was behind
 		l.delay(j, index, m, l.n.report())
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -1004,3 +1004,37 @@
 	}
 	w.waitState("j-1", protocol.Done, 2*time.Minute)
 }
+
+// A healthy job whose first tasks all met faulty machines is taken for one with a mistake.
+// The first task that runs for longer than those did before they failed shows that it is
+// not, and the others follow it at once rather than after its whole run.
+func TestHealthyJobDoesNotPauseForAWholeRun(t *testing.T) {
+	const takes = 2 * time.Minute
+	w := newWorld(t, 1)
+	w.cloud.capacity = 8
+	w.runTime = func(string, int) time.Duration { return takes }
+	l := w.waitLeader()
+	w.machines(4)
+	for _, x := range w.workers {
+		x.faulty, x.failsAfter = true, time.Second
+	}
+	w.submit(l.name, spec("j-1", 12))
+	if !w.until(time.Minute, func() bool { j := l.lead.jobs["j-1"]; return j != nil && j.bad }) {
+		t.Fatal("the job was not found bad")
+	}
+	for range 4 {
+		w.cloud.rent("c4", "a", true) // these are not faulty
+	}
+	first := Instant(0)
+	if !w.until(2*time.Minute, func() bool {
+		if n := w.onMachines("j-1"); n > 0 && first == 0 {
+			first = w.now
+		}
+		return w.onMachines("j-1") >= 8
+	}) {
+		t.Fatalf("%d tasks run: %s", w.onMachines("j-1"), w.why("j-1"))
+	}
+	if waited := w.now - first; waited > takes/4 {
+		t.Errorf("the others began %v after the first", waited)
+	}
+}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -385,6 +385,10 @@
 	if !p.complete && j.version <= l.writer.LeaderVer && !j.fresh {
 		return waitUnknown
 	}
+	if j.bad && l.outlives(j) {
+		j.bad, j.probes = false, 0
+		n.log.Info("job runs after all", "job", j.spec.UID)
+	}
 	if j.bad {
 		if len(j.runs) > 0 || n.now < j.probeAt {
 			return waitBackoff
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -53,6 +53,7 @@
 	starts  map[string]int                                // by task
 	mistake map[string]bool                               // jobs that fail on every machine
 	old     map[string]bool                               // nodes that start with level 0
+	wallOff map[string]time.Duration                      // by how much nodes' times of day are wrong
 	judge
 }
 
@@ -157,7 +158,7 @@
 	set.IdleKeep = 4 // so that machines stay for the races
 	w.nodes[name] = &simNode{
 		Node: New(Options{Platform: p, Settings: set, Log: testLog().With("node", name),
-			Rand: rand.New(rand.NewPCG(uint64(len(name)), uint64(name[1]))), Wall: time.Unix(1_000_000, 0).Add(w.now)}),
+			Rand: rand.New(rand.NewPCG(uint64(len(name)), uint64(name[1]))), Wall: time.Unix(1_000_000, 0).Add(w.now + w.wallOff[name])}),
 		name: name, boot: w.now, epoch: epoch, asks: map[uint64]func(Reply){}, old: w.old[name],
 	}
 }
