Standard names for the leader's books; admission and reports in named steps

Renamed: machine totals (census), unknown tasks (strays), missed answers (unheard), restarted (reborn), failure history and failed calls (trouble), early reports, and the rule that sets aside the largest jobs. The three admission checks stand in checkLimits, reasons to wait are typed, and a report is handled in steps: whose it is, whether it is outdated, whether it begins a session. No behaviour is meant to change.

--- a/internal/coordination/chaos_test.go
+++ b/internal/coordination/chaos_test.go
@@ -87,7 +87,7 @@
 	c.waitLeader()
 	c.machines(3)
 	troubles := []func(){c.crashSome, c.cutSome, c.halfCut, c.stateOutage, c.refuseOne, c.loseAnswers, c.lateTransaction,
-		c.deafen, c.hang, c.silence, c.reborn, c.quickReturn, c.peersRefuse, c.standStill, c.cutZone, c.lateWrites, c.answersLost, c.mute, c.cancelAndHang, c.cancelAtEnd,
+		c.deafen, c.hang, c.silence, c.restarted, c.quickReturn, c.peersRefuse, c.standStill, c.cutZone, c.lateWrites, c.answersLost, c.mute, c.cancelAndHang, c.cancelAtEnd,
 		c.refuseWithPeers, c.slowState, c.answersHeldUp, c.refusedThenOut, c.mistakes}
 	for i := range 14 {
 		c.userWork(i)
@@ -258,10 +258,10 @@
 	})
 }
 
-// reborn brings machines back at once in a new session, with nothing on them.
-func (c *chaos) reborn() {
+// restarted brings machines back at once in a new session, with nothing on them.
+func (c *chaos) restarted() {
 	c.anyWorkers(func(x *worker) {
-		x.reborn()
+		x.restarted()
 	})
 }
 
--- a/internal/coordination/copies_test.go
+++ b/internal/coordination/copies_test.go
@@ -141,7 +141,7 @@
 	look := func(when string) {
 		t.Helper()
 		l := w.nodes[w.leader()].lead
-		if c := l.takeCensus(); c.slots != 0 || c.unknown.cores != 0 || !c.complete {
+		if c := l.currentTotals(); c.slots != 0 || c.unknown.cores != 0 || !c.complete {
 			t.Fatalf("%s: late copies count: %+v", when, c)
 		}
 		if u := l.usage["team"]; u.cores != 0 {
@@ -230,7 +230,7 @@
 	w.submitAndStart(l.name, spec("j-1", 4), 4)
 	w.run(10 * time.Second)
 	x := w.workers["m-000001"]
-	x.reborn()
+	x.restarted()
 	if !w.until(3*time.Second, func() bool { return w.onMachines("j-1") == 4 }) {
 		t.Fatalf("%d of 4 tasks run again", w.onMachines("j-1"))
 	}
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -204,20 +204,20 @@
 	return jobs
 }
 
-// ebb is how much of what usually comes is still believed. Sums that decay go on for
+// believed is how much of what usually comes is still believed. Sums that decay go on for
 // minutes after the last job, and machines were held, and even rented anew, for work
 // that nobody brought; that so many jobs in a row stay away is no luck.
-func (f *fleet) ebb() float64 {
+func (f *fleet) believed() float64 {
 	missed := f.jobsSeen() / f.slowTime() * (f.quiet - f.l.n.lease()).Seconds()
-	if missed <= ebbJobs {
+	if missed <= luckyAbsences {
 		return 1
 	}
-	return ebbJobs / missed
+	return luckyAbsences / missed
 }
 
-// ebbJobs is how many jobs may stay away by luck, at a steady rate. Users who found no
+// luckyAbsences is how many jobs may stay away by luck, at a steady rate. Users who found no
 // node come back within about a lease, so that long says nothing.
-const ebbJobs = 3
+const luckyAbsences = 3
 
 // saveFlows stores what has been learnt of the arrivals, seldom, for the next leader.
 func (f *fleet) saveFlows() {
@@ -274,7 +274,7 @@
 	for _, x := range f.flows {
 		work += x.work
 	}
-	return f.ebb() * work / f.span()
+	return f.believed() * work / f.span()
 }
 
 // coming is the work that should arrive, as usual, early enough to be due within
@@ -290,7 +290,7 @@
 	}
 	jobs := f.jobsSeen()
 	trust := math.Pow(jobs, 4) / (math.Pow(jobs, 4) + math.Pow(forecastJobs, 4))
-	return f.ebb() * trust * work / f.slowTime()
+	return f.believed() * trust * work / f.slowTime()
 }
 
 // forecastJobs is of how many jobs half of the forecast is believed: what a few
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -19,11 +19,11 @@
 type fleet struct {
 	l *leadership
 
-	requests uint64
-	rentals  []*renting
-	refused  map[option]*refusal
-	retryAt  Instant // after trouble with the cloud
-	trouble  int
+	requests    uint64
+	rentals     []*renting
+	refused     map[option]*refusal
+	retryAt     Instant // after trouble with the cloud
+	failedCalls int     // to the cloud, in a row
 
 	listAt   Instant
 	listing  bool
@@ -72,7 +72,7 @@
 	f.flows = map[string]*flow{}
 	f.thrift, f.patient = 2, true
 	for _, o := range l.n.cfg.Cluster.Objectives {
-		if (o.Kind == "wait" || o.Kind == "guarantee") && l.soon(config.Seconds(o.WithinS)) {
+		if (o.Kind == "wait" || o.Kind == "guarantee") && l.tooSoonToRent(config.Seconds(o.WithinS)) {
 			// Aims on starting soon are met only by machines that are up already;
 			// other aims leave time to queue.
 			f.thrift, f.patient = 0.3, false
@@ -113,8 +113,8 @@
 // failedCall backs off from a cloud that is down or refuses us.
 func (f *fleet) failedCall(status int) {
 	l := f.l
-	f.trouble = min(f.trouble+1, 4)
-	f.retryAt = l.n.now + (l.n.lease()/16)<<f.trouble
+	f.failedCalls = min(f.failedCalls+1, 4)
+	f.retryAt = l.n.now + (l.n.lease()/16)<<f.failedCalls
 	l.n.log.Debug("cloud call failed", "status", status)
 }
 
@@ -200,7 +200,7 @@
 			n.now-m.spareSince < config.Seconds(n.set.IdleKeep*m.kind.ReadyS)) {
 			continue // it is paid for, or work may be back before it would have booted again
 		}
-		if m.emptying && !m.returning && len(names) < 100 && (m.forced() || (len(m.runs) == 0 && m.results == 0 && m.strays == 0)) {
+		if m.emptying && !m.returning && len(names) < 100 && (m.forced() || (len(m.runs) == 0 && m.results == 0 && m.unknownTasks == 0)) {
 			names = append(names, m.name)
 		}
 	}
@@ -232,7 +232,7 @@
 			}
 		}
 		if r.Status == 200 {
-			f.trouble = 0
+			f.failedCalls = 0
 		} else {
 			f.failedCall(r.Status)
 		}
@@ -260,7 +260,7 @@
 				f.failedCall(r.Status)
 				return
 			}
-			f.trouble = 0
+			f.failedCalls = 0
 			for _, h := range list.Machines {
 				f.found(h)
 			}
@@ -632,7 +632,7 @@
 		var got protocol.MachineNames
 		switch {
 		case res.Status == 200 && json.Unmarshal(res.Body, &got) == nil:
-			f.trouble = 0
+			f.failedCalls = 0
 			n.log.Info("machines rented", "request", r.Request, "type", r.Type, "zone", r.Zone, "spot", r.Spot,
 				"asked", r.Count, "got", len(got.Machines), "target", f.target)
 			for _, name := range got.Machines {
@@ -648,7 +648,7 @@
 			}
 			f.settle(r)
 		case res.Status == 503 && strings.Contains(string(res.Body), "no capacity"):
-			f.trouble = 0
+			f.failedCalls = 0
 			n.log.Debug("no capacity", "type", r.Type, "zone", r.Zone, "spot", r.Spot)
 			f.refuse(opt)
 			f.settle(r)
--- a/internal/coordination/flood_test.go
+++ b/internal/coordination/flood_test.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// sacrifice sets aside the same jobs as a plain walk over all of them does.
+// setAsideLargest sets aside the same jobs as a plain walk over all of them does.
 func TestSacrificeIsMooresRule(t *testing.T) {
 	_, l := running(t, 1, time.Hour, 2, 8)
 	cores := l.lead.coresToStay()
@@ -85,7 +85,7 @@
 		byDue := func(a, b *ranked) int { return int(a.due - b.due) }
 		slices.SortStableFunc(all, byDue)
 		slices.SortStableFunc(plain, byDue)
-		l.lead.sacrifice(all)
+		l.lead.setAsideLargest(all)
 		plainSacrifice(plain, cores*packing, l.now)
 		for i := range all {
 			if all[i].rank != plain[i].rank {
--- a/internal/coordination/health.go
+++ b/internal/coordination/health.go
@@ -8,10 +8,10 @@
 )
 
 func (l *leadership) delay(j *job, index int, m *machine, d time.Duration) {
-	t := j.trouble[index]
+	t := j.failures[index]
 	if t == nil {
-		t = &trouble{}
-		j.trouble[index] = t
+		t = &failureHistory{}
+		j.failures[index] = t
 	}
 	t.after, t.avoid, t.until = l.n.now+d, m.name, l.n.now+d+l.n.lease()
 }
@@ -45,7 +45,7 @@
 		j.bad = true
 	}
 	l.delay(j, index, m, 0)
-	t := j.trouble[index]
+	t := j.failures[index]
 	t.failures++
 	if t.failures > 1 {
 		t.after = l.n.now + min(l.n.report()<<min(t.failures-1, 10), 4*l.n.lease())
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -51,7 +51,7 @@
 
 	parts       []*partState // bitmap parts
 	partTasks   int          // that each covers
-	trouble     map[int]*trouble
+	failures    map[int]*failureHistory
 	imageSeen   Instant         // the pass for which it was looked whether
 	imageHeld   bool            // some machine that is ready has the job's image
 	failedOn    map[string]bool // machines on which a task failed, none having completed
@@ -65,17 +65,17 @@
 	tookSum, tookCount float64 // logarithms of its finished tasks' run times
 	usual              time.Duration
 
-	cancel                []Origin // who waits for the cancellation
-	gone                  bool     // cancelled or done: nothing starts any more
-	withdrawn             bool     // and that is why
-	ending                bool     // its end may be written already, though no answer says so
-	waits                 string   // which check stopped it last
-	waiting               Instant  // since when it has had pending tasks
-	firstStart, lastStart Instant  // of its tasks, for the log
+	cancel                []Origin   // who waits for the cancellation
+	gone                  bool       // cancelled or done: nothing starts any more
+	withdrawn             bool       // and that is why
+	ending                bool       // its end may be written already, though no answer says so
+	waits                 waitReason // which check stopped it last
+	waiting               Instant    // since when it has had pending tasks
+	firstStart, lastStart Instant    // of its tasks, for the log
 }
 
-// trouble is the history of a task that failed.
-type trouble struct {
+// failureHistory is that of a task that failed.
+type failureHistory struct {
 	failures int
 	after    Instant
 	avoid    string  // the machine that is passed over,
@@ -255,7 +255,7 @@
 	j := &job{
 		spec: rec.Spec, at: at, from: at, version: version,
 		runs: map[int]*run{}, pending: rec.Spec.Tasks,
-		trouble: map[int]*trouble{}, failedOn: map[string]bool{},
+		failures: map[int]*failureHistory{}, failedOn: map[string]bool{},
 		waiting: l.n.now, imageSeen: never, chain: newChain(),
 	}
 	l.layOut(j)
@@ -357,7 +357,7 @@
 	}
 	p := j.setBit(index)
 	j.done++
-	delete(j.trouble, index)
+	delete(j.failures, index)
 	j.bad, j.probes = false, 0
 	l.dirty = true
 	if j.gone {
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -45,21 +45,21 @@
 	usage        map[string]*usage  // by team
 
 	machines       map[string]*machine
-	catalogShape   string     // of the machine types last stored, without prices
-	groups         []*group   // that record them
-	groupBytes     int        // how large their records may grow
-	groupsFrom     int        // the least number that a new one gets
-	sorted         []*machine // by name; nil: to be made anew
-	checkedAt      Instant    // when all were looked at
-	census         census     // of them, as of the last change
-	censusOK       bool
+	catalogShape   string        // of the machine types last stored, without prices
+	groups         []*group      // that record them
+	groupBytes     int           // how large their records may grow
+	groupsFrom     int           // the least number that a new one gets
+	sorted         []*machine    // by name; nil: to be made anew
+	checkedAt      Instant       // when all were looked at
+	totals         machineTotals // of them, as of the last change
+	totalsValid    bool
 	order          []ranked           // jobs that wait, as of the last full pass
 	guaranteedJobs map[*job]bool      // those that fit into their team's guarantee, as of then
 	pressed        bool               // pressing work had waited for too long then
 	active         [2]int             // tasks on machines, by class: batch, pressing
 	gone           map[string]Instant // returned or taken, and when
 	heardWorker    Instant
-	early          []Request // reports that came while loading
+	earlyReports   []Request // reports that came while loading
 
 	looked        int // machines and jobs looked at for admission: what must not grow with a report
 	watchRev      uint64
@@ -135,10 +135,10 @@
 // turnEarlyAway answers the reports that wait for the records to be read: workers would
 // wait for four seconds for an answer that can't come now.
 func (l *leadership) turnEarlyAway() {
-	for _, r := range l.early {
+	for _, r := range l.earlyReports {
 		l.n.reply(r.Origin, 503, 1, nil)
 	}
-	l.early = nil
+	l.earlyReports = nil
 }
 
 // load reads all records. Nothing is decided before they are all there.
@@ -375,8 +375,8 @@
 	l.fleet.inherit()
 	l.storeCatalog()
 	l.n.log.Info("records read", "jobs", len(l.jobs), "machines", len(l.machines))
-	early := l.early
-	l.early = nil
+	early := l.earlyReports
+	l.earlyReports = nil
 	for _, r := range early {
 		l.onReport(r)
 	}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -22,22 +22,22 @@
 	accounted      bool // nothing runs on it that this leader doesn't know of
 	rentedAt       Instant
 
-	up           bool
-	address      string // whence it reports; empty: not known
-	session, seq uint64
-	lost         uint64                 // the highest session declared lost
-	heard        Instant                // last report in order
-	answered     Instant                // last answer that may have renewed its lease
-	shown        bool                   // its last report shows our token: it has heard us
-	unheard      int                    // answers in a row that its reports show no sign of
-	twice        bool                   // another worker reports under its name
-	reborn       bool                   // it began a new session though it spoke all along
-	last         *protocol.ReportAnswer // the last answer, until the next report
-	notice       Instant                // when the cloud takes it; never: no notice
+	up            bool
+	address       string // whence it reports; empty: not known
+	session, seq  uint64
+	lost          uint64                 // the highest session declared lost
+	heard         Instant                // last report in order
+	answered      Instant                // last answer that may have renewed its lease
+	shown         bool                   // its last report shows our token: it has heard us
+	missedAnswers int                    // answers in a row that its reports show no sign of
+	twice         bool                   // another worker reports under its name
+	restarted     bool                   // it began a new session though it spoke all along
+	last          *protocol.ReportAnswer // the last answer, until the next report
+	notice        Instant                // when the cloud takes it; never: no notice
 
 	runs          map[string]*run
 	list          []*run // the same, by attempt
-	strays        int    // reported tasks that no run of ours stands for
+	unknownTasks  int    // reported tasks that no run of ours stands for
 	results       int    // reported results that the worker must still keep
 	cores, ram    float64
 	accelerators  float64
@@ -379,15 +379,15 @@
 			continue
 		}
 		if !m.accounted {
-			m.accounted, l.dirty, l.censusOK = true, true, false
+			m.accounted, l.dirty, l.totalsValid = true, true, false
 		}
 		if m.up {
 			// Its session has ended by its own clock: what it ran is dead, and
 			// the session never gets another 200.
 			l.n.log.Info("machine silent for a lease", "machine", m.name, "tasks", len(m.runs))
-			m.up, l.censusOK = false, false
+			m.up, l.totalsValid = false, false
 			m.lost, m.address = m.session, ""
-			m.strays = 0
+			m.unknownTasks = 0
 			for _, r := range m.list {
 				l.release(r)
 			}
@@ -421,4 +421,4 @@
 }
 
 // machinesChanged drops what is kept of the list of machines.
-func (l *leadership) machinesChanged() { l.sorted, l.censusOK = nil, false }
+func (l *leadership) machinesChanged() { l.sorted, l.totalsValid = nil, false }
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -148,8 +148,8 @@
 	return r
 }
 
-// reborn is a machine that is back at once after an end, in a new session.
-func (x *worker) reborn() {
+// restarted is a machine that is back at once after an end, in a new session.
+func (x *worker) restarted() {
 	x.session++
 	x.tasks, x.renewed, x.changed, x.busy = nil, x.w.now, true, false
 }
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -367,7 +367,7 @@
 		}
 		c.someWorkers(3, func(x *worker) {
 			c.after(c.within(20*time.Second), func() {
-				x.reborn()
+				x.restarted()
 			})
 		})
 		c.more(15, 30*time.Second, nil)
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -11,11 +11,11 @@
 func (l *leadership) onReport(r Request) {
 	n := l.n
 	if !l.loaded {
-		if len(l.early) >= n.maxWaiting() || n.elect.stateLost() {
+		if len(l.earlyReports) >= n.maxWaiting() || n.elect.stateLost() {
 			n.reply(r.Origin, 503, 1, nil)
 			return
 		}
-		l.early = append(l.early, r)
+		l.earlyReports = append(l.earlyReports, r)
 		return
 	}
 	rep := r.Report
@@ -26,84 +26,30 @@
 		n.stepDown("a worker has seen a higher token")
 		return
 	}
-	m := l.machines[rep.Machine]
-	if m == nil {
-		if _, gone := l.gone[rep.Machine]; gone {
-			n.reply(r.Origin, 503, 1, nil)
-			return
-		}
-		if len(rep.Tasks) > 0 {
-			// A machine is durable by name before its first task, and its record is
-			// dropped only once it is surely gone. So this is a late copy of what a
-			// returned machine once said, however fresh it looks to a leader that
-			// remembers nothing of it: it must not hold up jobs, nor fill a quota.
-			n.reply(r.Origin, 503, 1, nil)
-			return
-		}
-		m = l.newMachine(rep.Machine, rep.Type, rep.Zone, rep.Spot)
-		// Nobody recorded it, so no leader has commanded a task to it; its
-		// report must still show our token before it counts for anything.
-		m.accounted = true
-		n.log.Info("unknown machine reports", "machine", m.name, "type", m.typ)
-	}
-	if m.address != "" && rep.Address != "" && rep.Address != m.address {
-		// Two workers under one name, or a copy that somebody altered. The one that spoke
-		// first is heard until its lease is surely over: a new session of the other would be
-		// taken for the end of all that the first one runs.
-		if !m.twice {
-			m.twice = true
-			n.log.Warn("two workers report under one name", "machine", m.name, "address", m.address, "other", rep.Address)
-		}
-		n.reply(r.Origin, 503, 1, nil)
-		return
-	}
-	if rep.Session < m.session || (rep.Session == m.session && rep.Seq <= m.seq) || rep.Session <= m.lost {
-		// Late, or of a session that we have declared lost: never a 200.
-		n.reply(r.Origin, 503, 1, nil)
-		return
-	}
 	shown := rep.FencingToken == l.term
-	if m.accounted && !shown && len(rep.Tasks) > 0 {
-		// Nothing of an earlier leader is on it, by its record or because its lease has
-		// surely run out unanswered; whatever is started from now on comes with our
-		// token. So this is a copy, of what was on it once.
+	m := l.reporter(rep)
+	if m == nil || l.outdated(m, rep, shown) {
 		n.reply(r.Origin, 503, 1, nil)
 		return
 	}
 	if rep.Session > m.session && m.session != 0 {
-		// The worker began a new session, so it has killed everything.
-		m.strays, l.censusOK = 0, false
-		for _, x := range m.list {
-			if x.phase != phaseAssigned {
-				l.release(x)
-			}
-		}
-		if l.n.now-m.heard < l.n.lease()/2 {
-			// It spoke all along: either its lease ran out, as it hears no answer, or it
-			// was back at once after an end. The next command that it gets will tell, or
-			// a second time without any sign.
-			m.unheard++
-			if m.reborn {
-				m.unheard = max(m.unheard, deafAnswers)
-			}
-			m.reborn = true
-		}
+		l.beginSession(m)
 	}
 	l.hears(m, rep, shown)
 	if m.shown != shown {
-		m.shown, l.dirty, l.censusOK = shown, true, false
+		m.shown, l.dirty, l.totalsValid = shown, true, false
 	}
 	if !m.up {
-		m.up, l.dirty, l.censusOK = true, true, false
+		m.up, l.dirty, l.totalsValid = true, true, false
 	}
-	strays := m.strays
+	unknownTasks := m.unknownTasks
 	m.session, m.seq, m.heard, m.address = rep.Session, rep.Seq, n.now, rep.Address
 	forget := l.reconcile(m, rep)
-	if (m.strays > 0) != (strays > 0) {
-		l.censusOK = false
+	if (m.unknownTasks > 0) != (unknownTasks > 0) {
+		l.totalsValid = false
 	}
 	if shown && !m.accounted {
-		m.accounted, l.dirty, l.censusOK = true, true, false
+		m.accounted, l.dirty, l.totalsValid = true, true, false
 	}
 	if l.deaf(m) {
 		// Whatever we say is lost, and a 200 would only put off the moment at which
@@ -134,6 +80,72 @@
 	n.reply(r.Origin, 200, 0, m.last)
 }
 
+// reporter finds the machine that a report is of, or takes it in; nil for one that is gone.
+func (l *leadership) reporter(rep *protocol.Report) *machine {
+	if m := l.machines[rep.Machine]; m != nil {
+		return m
+	}
+	if _, gone := l.gone[rep.Machine]; gone {
+		return nil
+	}
+	if len(rep.Tasks) > 0 {
+		// A machine is durable by name before its first task, and its record is dropped only
+		// once it is surely gone. So this is a late copy of what a returned machine once
+		// said, however fresh it looks to a leader that remembers nothing of it: it must not
+		// hold up jobs, nor fill a quota.
+		return nil
+	}
+	m := l.newMachine(rep.Machine, rep.Type, rep.Zone, rep.Spot)
+	// Nobody recorded it, so no leader has commanded a task to it; its report must still
+	// show our token before it counts for anything.
+	m.accounted = true
+	l.n.log.Info("unknown machine reports", "machine", m.name, "type", m.typ)
+	return m
+}
+
+// outdated tells whether a report must not be acted upon: it is of another worker, late, or
+// a copy.
+func (l *leadership) outdated(m *machine, rep *protocol.Report, shown bool) bool {
+	if m.address != "" && rep.Address != "" && rep.Address != m.address {
+		// Two workers under one name, or a copy that somebody altered. The one that spoke
+		// first is heard until its lease is surely over: a new session of the other would be
+		// taken for the end of all that the first one runs.
+		if !m.twice {
+			m.twice = true
+			l.n.log.Warn("two workers report under one name", "machine", m.name, "address", m.address, "other", rep.Address)
+		}
+		return true
+	}
+	if rep.Session < m.session || (rep.Session == m.session && rep.Seq <= m.seq) || rep.Session <= m.lost {
+		return true // late, or of a session that we have declared lost: never a 200
+	}
+	// Nothing of an earlier leader is on a machine that is accounted for, by its record or
+	// because its lease has surely run out unanswered; whatever is started from now on comes
+	// with our token. So tasks without it are a copy of what was on it once.
+	return m.accounted && !shown && len(rep.Tasks) > 0
+}
+
+// beginSession takes the first report of a worker's new session: it has killed everything.
+func (l *leadership) beginSession(m *machine) {
+	m.unknownTasks, l.totalsValid = 0, false
+	for _, x := range m.list {
+		if x.phase != phaseAssigned {
+			l.release(x)
+		}
+	}
+	if l.n.now-m.heard >= l.n.lease()/2 {
+		return
+	}
+	// It spoke all along: either its lease ran out, as it hears no answer, or it was back at
+	// once after an end. The next command that it gets will tell, or a second time without
+	// any sign.
+	m.missedAnswers++
+	if m.restarted {
+		m.missedAnswers = max(m.missedAnswers, deafAnswers)
+	}
+	m.restarted = true
+}
+
 // deafAnswers is how many answers in a row a machine must show no sign of before
 // it is taken for deaf: one that hung for a moment, or whose answer came after it
 // had stopped waiting, misses one or two.
@@ -147,15 +159,15 @@
 	switch {
 	case last == nil:
 	case !shown:
-		m.unheard++
+		m.missedAnswers++
 	case len(last.Commands) > 0:
 		if !executed(last.Commands[0], rep) {
-			m.unheard++
+			m.missedAnswers++
 			return
 		}
-		m.unheard, m.reborn = 0, false
+		m.missedAnswers, m.restarted = 0, false
 	case !m.shown:
-		m.unheard, m.reborn = 0, false
+		m.missedAnswers, m.restarted = 0, false
 	}
 }
 
@@ -180,7 +192,7 @@
 // It gets no more work and no more answers, and is returned; what it runs ends by
 // report, with its lease or with the machine.
 func (l *leadership) deaf(m *machine) bool {
-	if m.unheard < deafAnswers {
+	if m.missedAnswers < deafAnswers {
 		return false
 	}
 	if m.why != deaf {
@@ -188,7 +200,7 @@
 		for _, x := range l.held() {
 			if x.up {
 				up++
-				if x.unheard > 0 {
+				if x.missedAnswers > 0 {
 					unsure++
 				}
 			}
@@ -232,7 +244,7 @@
 	for _, r := range m.list {
 		r.shown = false
 	}
-	m.strays, m.results = 0, 0
+	m.unknownTasks, m.results = 0, 0
 	for _, t := range rep.Tasks {
 		id, index, ok := splitTask(t.Task)
 		j := l.jobs[id]
@@ -256,7 +268,7 @@
 			// report that shows our token: this one may be a copy from before the term, and
 			// the task may have moved since. Taken at its word, such a copy had the task
 			// ended on the machine that does run it.
-			m.strays++
+			m.unknownTasks++
 			continue
 		}
 		if r == nil && j != nil && j.taskState(index) == taskPending && !j.gone {
@@ -265,7 +277,7 @@
 			r.shown = true
 		}
 		if r == nil || r.attempt != t.Attempt {
-			m.strays++
+			m.unknownTasks++
 			if len(commands) < maxCommands {
 				zero := 0.0
 				commands = append(commands, protocol.Command{Op: protocol.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -11,17 +11,20 @@
 	"hitchdoor/internal/protocol"
 )
 
-// The checks of admission, in their order, by the names under which a waiting
-// job shows them.
+// waitReason is what keeps a waiting job from starting a task, as its status shows it.
+type waitReason string
+
+// The reasons, in the order of the checks.
 const (
-	waitNeeds   = "jobs that it needs"
-	waitBackoff = "backing off"
-	waitUnknown = "a machine is not accounted for"
-	waitSlots   = "scheduler slots"
-	waitTeam    = "team quota"
-	waitOverall = "overall quota"
-	waitRoom    = "no machine with room"
-	waitImage   = "a machine with its image and room"
+	waitNeeds   waitReason = "jobs that it needs"
+	waitBackoff waitReason = "backing off"
+	waitUnknown waitReason = "a machine is not accounted for"
+	waitSlots   waitReason = "scheduler slots"
+	waitTeam    waitReason = "team quota"
+	waitOverall waitReason = "overall quota"
+	waitRoom    waitReason = "no machine with room"
+	waitImage   waitReason = "a machine with its image and room"
+	waitNothing waitReason = ""
 )
 
 func fitsType(j *protocol.Job, t *protocol.MachineType) bool {
@@ -46,7 +49,7 @@
 // ready tells whether a machine takes tasks: it has heard this leader, so that no
 // late copy of a report makes room where there is none.
 func (m *machine) ready() bool {
-	return m.up && m.shown && (m.unheard == 0 || m.reborn) && m.accounted && m.used && (!m.emptying || m.why == surplus) && !m.returning && m.kind != nil
+	return m.up && m.shown && (m.missedAnswers == 0 || m.restarted) && m.accounted && m.used && (!m.emptying || m.why == surplus) && !m.returning && m.kind != nil
 }
 
 const slack = 1e-6 // of sums of decimal amounts
@@ -72,25 +75,25 @@
 	l.active[class] += by
 }
 
-// census is what admission needs to know of all machines.
-type census struct {
+// machineTotals is what admission needs to know of all machines.
+type machineTotals struct {
 	slots    float64 // of the machines up
 	complete bool    // all are accounted for: nothing of an earlier leader runs unknown to this one
 	unknown  usage   // what may be in use without our knowing
 }
 
-// takeCensus walks all machines, if one has changed since.
-func (l *leadership) takeCensus() census {
-	if l.censusOK {
-		return l.census
+// currentTotals walks all machines, if one has changed since.
+func (l *leadership) currentTotals() machineTotals {
+	if l.totalsValid {
+		return l.totals
 	}
-	c := census{complete: true}
+	c := machineTotals{complete: true}
 	set := &l.n.set
 	for _, m := range l.held() {
 		l.looked++
 		c.complete = c.complete && m.accounted
 		if m.kind == nil {
-			if !m.accounted || m.strays > 0 {
+			if !m.accounted || m.unknownTasks > 0 {
 				// Nobody knows how much may be in use there, so no limit has room: counted
 				// as nothing, a machine of a type that is no longer sold let teams exceed it.
 				c.unknown.cores, c.unknown.accelerators = math.Inf(1), math.Inf(1)
@@ -100,18 +103,18 @@
 		if m.up && m.shown {
 			c.slots += set.SlotsPerCore*m.kind.Cores + set.SlotsBase
 		}
-		if !m.accounted || m.strays > 0 {
+		if !m.accounted || m.unknownTasks > 0 {
 			c.unknown.cores += m.kind.Cores
 			c.unknown.accelerators += m.kind.Accelerators
 		}
 	}
-	l.census, l.censusOK = c, true
+	l.totals, l.totalsValid = c, true
 	return c
 }
 
 // accountedAll tells whether nothing of an earlier leader can still be running
 // unknown to this one.
-func (l *leadership) accountedAll() bool { return l.takeCensus().complete }
+func (l *leadership) accountedAll() bool { return l.currentTotals().complete }
 
 // quickWaits tells whether pressing work has waited for too long.
 func (l *leadership) quickWaits(waiting []ranked) bool {
@@ -187,7 +190,7 @@
 	slices.SortFunc(all, func(a, b *ranked) int {
 		return cmp.Or(cmp.Compare(a.due, b.due), cmp.Compare(a.j.spec.UID, b.j.spec.UID))
 	})
-	l.sacrifice(all)
+	l.setAsideLargest(all)
 	var list []ranked
 	for _, r := range all {
 		if r.j.pending > 0 {
@@ -224,11 +227,11 @@
 	return work * j.spec.Cores
 }
 
-// sacrifice finds the jobs that can't all be in time on the machines there are.
+// setAsideLargest finds the jobs that can't all be in time on the machines there are.
 // Aims count jobs, whatever their size, so the largest give way: of jobs in
 // order of their due times, the largest is set aside whenever the next would be
 // late. (Moore's rule for the fewest late jobs.)
-func (l *leadership) sacrifice(all []*ranked) {
+func (l *leadership) setAsideLargest(all []*ranked) {
 	cores := l.coresToStay()
 	if cores == 0 {
 		return
@@ -294,13 +297,13 @@
 // pass is what the admissions of one pass share.
 type pass struct {
 	slots
-	census
+	machineTotals
 	machines []*machine
 }
 
 func (l *leadership) newPass(quickWaits bool) *pass {
-	p := &pass{census: l.takeCensus()}
-	p.slots = slots{total: p.census.slots, batch: l.active[0], quick: l.active[1], quickWaits: quickWaits}
+	p := &pass{machineTotals: l.currentTotals()}
+	p.slots = slots{total: p.machineTotals.slots, batch: l.active[0], quick: l.active[1], quickWaits: quickWaits}
 	return p
 }
 
@@ -377,7 +380,7 @@
 
 // admit starts as many tasks of a job as the checks let through, but no more than
 // most, and tells which check stopped it.
-func (l *leadership) admit(j *job, p *pass, fetch bool, most int) string {
+func (l *leadership) admit(j *job, p *pass, fetch bool, most int) waitReason {
 	n := l.n
 	// A job accepted after our leader key was written can't have been started
 	// by an earlier leader, nor one that needs a job whose end we have written; any
@@ -401,7 +404,7 @@
 		return waitTeam
 	}
 	var at *candidates
-	stopped := ""
+	stopped := waitNothing
 	leading := true // nothing pending has been passed over yet
 	for index := j.first; index < j.spec.Tasks; index++ {
 		if j.pending == 0 || most <= 0 {
@@ -414,35 +417,13 @@
 			continue
 		}
 		leading = false
-		t := j.trouble[index]
+		t := j.failures[index]
 		if t != nil && n.now < t.after {
 			stopped = waitBackoff
 			continue
 		}
-		// 1. scheduler slots
-		if pressing(&j.spec) {
-			if float64(p.quick+1) > p.total {
-				return waitSlots
-			}
-		} else {
-			limit := p.total
-			if p.quickWaits {
-				limit *= n.set.ClassShare
-			}
-			if float64(p.batch+1) > limit {
-				return waitSlots
-			}
-		}
-		// 2. team quota
-		if team.CPUsMax > 0 && use.cores+p.unknown.cores+j.spec.Cores > team.CPUsMax+slack {
-			return waitTeam
-		}
-		if team.GPUsMax > 0 && use.accelerators+p.unknown.accelerators+j.spec.Accelerators > team.GPUsMax+slack {
-			return waitTeam
-		}
-		// 3. overall quota
-		if float64(p.taken()+1) > p.total {
-			return waitOverall
+		if reason := l.checkLimits(j, p, team, use); reason != waitNothing {
+			return reason
 		}
 		avoid := ""
 		if t != nil && n.now < t.until {
@@ -477,6 +458,34 @@
 	return stopped
 }
 
+// checkLimits makes the three checks of the design for one more task of a job, in their
+// order: the scheduler slots, the team's quota, the overall quota.
+func (l *leadership) checkLimits(j *job, p *pass, team *config.Team, use *usage) waitReason {
+	switch {
+	case !l.slotFree(j, p):
+		return waitSlots
+	case team.CPUsMax > 0 && use.cores+p.unknown.cores+j.spec.Cores > team.CPUsMax+slack,
+		team.GPUsMax > 0 && use.accelerators+p.unknown.accelerators+j.spec.Accelerators > team.GPUsMax+slack:
+		return waitTeam
+	case float64(p.taken()+1) > p.total:
+		return waitOverall
+	}
+	return waitNothing
+}
+
+// slotFree tells whether the job's class has a scheduler slot left. Batch work borrows those
+// set aside for pressing work while none of that has waited for long.
+func (l *leadership) slotFree(j *job, p *pass) bool {
+	if pressing(&j.spec) {
+		return float64(p.quick+1) <= p.total
+	}
+	limit := p.total
+	if p.quickWaits {
+		limit *= l.n.set.ClassShare
+	}
+	return float64(p.batch+1) <= limit
+}
+
 // candidates are the machines on which tasks of a job may start now, the best
 // first: the least loaded in steps, then the one that has the image soonest, then
 // the least loaded exactly. They are ranked once for all tasks of the job; a walk
@@ -539,7 +548,7 @@
 // machine that has room; but only for a part of that aim.
 func (l *leadership) quickFetch(j *job) float64 {
 	within := l.startAim(j)
-	if within == 0 || !l.soon(within) || l.n.now > j.from+within*imageWait/100 {
+	if within == 0 || !l.tooSoonToRent(within) || l.n.now > j.from+within*imageWait/100 {
 		return math.Inf(1)
 	}
 	if j.imageSeen != l.scheduled {
@@ -564,8 +573,8 @@
 // machine that has its image.
 const imageWait = 60
 
-// soon tells whether an aim on starting leaves no time to rent a machine for it.
-func (l *leadership) soon(within time.Duration) bool { return within < 2*l.n.lease() }
+// tooSoonToRent tells whether an aim on starting leaves no time to rent a machine for it.
+func (l *leadership) tooSoonToRent(within time.Duration) bool { return within < 2*l.n.lease() }
 
 func (c *candidates) rate(m *machine) candidate {
 	x := candidate{m: m, load: max(m.cores/m.kind.Cores, m.ram/m.kind.RAM)}
@@ -656,14 +665,14 @@
 }
 
 type jobStatus struct {
-	ID      string  `json:"id"`
-	Class   string  `json:"class"`
-	Team    string  `json:"team"`
-	Done    int     `json:"done"`
-	Active  int     `json:"active"`
-	Pending int     `json:"pending"`
-	Waits   string  `json:"waitsFor,omitempty"`
-	AgeS    float64 `json:"ageS"`
+	ID      string     `json:"id"`
+	Class   string     `json:"class"`
+	Team    string     `json:"team"`
+	Done    int        `json:"done"`
+	Active  int        `json:"active"`
+	Pending int        `json:"pending"`
+	Waits   waitReason `json:"waitsFor,omitempty"`
+	AgeS    float64    `json:"ageS"`
 }
 
 type machineStatus struct {
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -352,7 +352,7 @@
 	x := l.lead
 	w.submit(l.name, spec("j-1", 1))
 	j := x.jobs["j-1"]
-	j.trouble[0] = &trouble{after: l.now + 10*time.Second}
+	j.failures[0] = &failureHistory{after: l.now + 10*time.Second}
 	for _, r := range j.runs {
 		x.release(r)
 	}
@@ -402,25 +402,25 @@
 	}
 	f := &l.lead.fleet
 	steady, coming := f.usual(), f.coming(100)
-	if f.ebb() != 1 || steady == 0 || coming == 0 {
-		t.Fatalf("jobs arrive: ebb %v, usual %v, coming %v", f.ebb(), steady, coming)
+	if f.believed() != 1 || steady == 0 || coming == 0 {
+		t.Fatalf("jobs arrive: believed %v, usual %v, coming %v", f.believed(), steady, coming)
 	}
 	w.state.setDown(true)
 	w.run(2 * lease)
-	if f.usual(); f.ebb() != 1 {
+	if f.usual(); f.believed() != 1 {
 		t.Error("silence in an outage counts")
 	}
 	w.state.setDown(false)
 	w.run(lease)
-	if f.usual(); f.ebb() != 1 {
+	if f.usual(); f.believed() != 1 {
 		t.Error("users have had no time to come back")
 	}
 	w.run(lease)
-	if f.usual(); f.ebb() > 0.4 || f.coming(100) > coming/3 {
-		t.Errorf("two leases without a job: ebb %v, coming %v of %v", f.ebb(), f.coming(100), coming)
+	if f.usual(); f.believed() > 0.4 || f.coming(100) > coming/3 {
+		t.Errorf("two leases without a job: believed %v, coming %v of %v", f.believed(), f.coming(100), coming)
 	}
 	w.submit(l.name, spec("j-999", 1))
-	if f.ebb() != 1 {
+	if f.believed() != 1 {
 		t.Error("not believed again with the next job")
 	}
 }
