--- a/internal/coordination/begin_test.go
+++ b/internal/coordination/begin_test.go
@@ -28,10 +28,10 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, 3)
+			w := newSimulation(t, 3)
 			w.cloud.capacity = 6
-			crowd := newCrowd(w, 1)
-			w.runTime = func(string, int) time.Duration { return 15*time.Second + crowd.within(45*time.Second) }
+			users := newUserSimulation(w, 1)
+			w.runTime = func(string, int) time.Duration { return 15*time.Second + users.within(45*time.Second) }
 			w.waitLeader()
 			w.machines(6)
 			submitted := w.now + 30*time.Second
@@ -42,18 +42,18 @@
 					if i%2 == 1 {
 						wide.Zone = "b"
 					}
-					crowd.submitUntil(wide)
+					users.submitUntil(wide)
 				}
 			})
 			if c.crash {
-				w.after(120*time.Second, crowd.newLeader)
+				w.after(120*time.Second, users.newLeader)
 			}
 			small := 0
 			fillUntil := func(end Instant) { // with more small work than the machines can do
 				for ; w.now < end; small++ {
 					j := spec(fmt.Sprintf("j-small-%d", small), 3)
 					j.EstimateS = 30
-					crowd.submitUntil(j)
+					users.submitUntil(j)
 					w.run(2 * time.Second)
 				}
 			}
@@ -72,3 +72,21 @@
 		})
 	}
 }
+
+// A reservation ends with the wait that it was made for: a machine that is reserved for a
+// job that has been cancelled, with nothing else waiting, would be held for ever.
+func TestReservationEndsWithItsJob(t *testing.T) {
+	w, l := running(t, 1, 10*time.Minute, 1, 3)
+	w.cloud.capacity = 1
+	wide := spec("j-wide", 1)
+	wide.Cores = 4
+	w.submit(l.name, wide)
+	reserved := func() bool { return l.lead.machines["m-000001"].reservedFor != nil }
+	if !w.until(mustBegin, reserved) {
+		t.Fatalf("no machine is reserved: %s", w.why("j-wide"))
+	}
+	w.cancel(l.name, "j-wide")
+	if !w.until(5*time.Second, func() bool { return !reserved() }) {
+		t.Error("the machine is still reserved")
+	}
+}
--- a/internal/coordination/forgotten_test.go
+++ b/internal/coordination/durability_test.go
@@ -84,7 +84,7 @@
 // A follower that is cut in the same way sends no worker to a leader that it does
 // not hear any more, and nobody is worse off.
 func TestHalfCutFollower(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.waitLeader()
 	f := w.followers()[0]
 	w.state.lost[f] = true
@@ -108,7 +108,7 @@
 // controllers restart, with thousands of jobs over and hundreds open, while the
 // leader is still reading its records.
 func TestNothingForgottenAfterEverything(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.cloud.capacity = 1
 	const over, open = 4000, 400
 	for i := range over {
@@ -191,7 +191,7 @@
 // A node that the state service refuses alone hands submissions to the leader, from
 // the first on; in an outage of all, users are told at once when to come back.
 func TestSubmissionAtRefusedNode(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.waitLeader()
 	w.machines(1)
 	f := w.followers()[0]
@@ -215,7 +215,7 @@
 // node that was back at once handed the answer to one user's cancellation to another
 // user's submission, and that job was never stored.
 func TestAnswerToAnEarlierProcess(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	l := w.waitLeader()
 	w.submit(l.name, spec("j-1", 1))
 	name := w.followers()[0]
@@ -248,7 +248,7 @@
 // Workers that were sent to the leader and come back, as they can't reach it, are
 // relayed for, however many there are; and they are forgotten once that is over.
 func TestRelayForAnyNumberOfWorkers(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.cfg.Resources.MaxConnections = 4000
 	w.waitLeader()
 	f := w.nodes[w.followers()[0]]
--- a/internal/coordination/election_test.go
+++ b/internal/coordination/election_test.go
@@ -12,7 +12,7 @@
 )
 
 func TestOneLeaderAndQuickTakeover(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	first := w.waitLeader()
 	term := first.lead.term
 	w.crash(first.name)
@@ -35,7 +35,7 @@
 // A leader that the state service alone refuses must stop by its own clock
 // before another may begin, and must be replaced although its peers hear it.
 func TestLeaderRefusedByStateIsReplaced(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	first := w.waitLeader()
 	w.state.refuse[first.name] = true
 	if !w.until(15*time.Second, func() bool { l := w.leader(); return l != "" && l != first.name }) {
@@ -46,7 +46,7 @@
 // Outages last longer than the leader's lease and than the workers': lease grants
 // of the peers keep the leader, and with it the tasks, alive.
 func TestStateOutageKeepsLeaderAndTasks(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.runTime = func(string, int) time.Duration { return 60 * time.Second }
 	first := w.waitLeader()
 	w.submitAndStart(first.name, spec("j-1", 3), 3)
@@ -90,7 +90,7 @@
 // A peer that has just restarted may have granted a lease that it no longer
 // remembers, so it neither grants nor votes for one span.
 func TestRestartedPeerWaitsOutOneLeaseGrant(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	first := w.waitLeader()
 	peer := w.followers()[0]
 	w.crash(peer)
@@ -115,7 +115,7 @@
 // node has said that it does not lead. What an earlier process of a node was told says
 // nothing, nor does a majority: the one that is missing may live by a grant.
 func TestFullRestartWaitsForNoLeaseGrant(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.waitLeader()
 	for _, name := range w.names {
 		w.crash(name)
@@ -150,7 +150,7 @@
 // A peer that has granted a lease votes for nobody until it is over, and one that has
 // voted for a candidate grants nothing to an older leader.
 func TestLeaseGrantAndVoteExcludeEachOther(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.state.setDown(true)
 	w.run(10 * time.Second)
 	n := w.nodes["n0"]
@@ -181,7 +181,7 @@
 // A leader cut off from peers and workers, but not from the state service,
 // would hold its key for ever and stop the service.
 func TestIsolatedLeaderResigns(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	first := w.waitLeader()
 	w.submit(first.name, spec("j-1", 2))
 	w.run(10 * time.Second)
@@ -198,7 +198,7 @@
 
 // A transaction of a replaced leader that arrives late must change nothing.
 func TestLateTransactionOfOldLeader(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	first := w.waitLeader()
 	w.submit(first.name, spec("j-1", 1))
 	w.state.hold = func(node string, txn storage.Txn) bool {
@@ -231,7 +231,7 @@
 // Answers that are lost leave the outcome unclear; the transaction is sent again
 // to the letter, and a refusal is then checked against what is stored.
 func TestUnclearTransactionIsResolved(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	first := w.waitLeader()
 	w.submit(first.name, spec("j-1", 2))
 	w.state.lose = 3
@@ -248,7 +248,7 @@
 // by the node that restarted last, whose turn is over, so leadership moves seldom.
 func TestRollingRestartMovesLeadershipSeldom(t *testing.T) {
 	for first := range 3 {
-		w := newWorld(t, 3)
+		w := newSimulation(t, 3)
 		leader := w.waitLeader().name
 		began := leader
 		w.run(20 * time.Second)
@@ -285,7 +285,7 @@
 	for seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			c := newCrowd(newWorldOf(t, []int{3, 5, 7}[seed%3], deployments[seed/3%uint64(len(deployments))]), seed)
+			c := newUserSimulation(newSimulationOf(t, []int{3, 5, 7}[seed%3], deployments[seed/3%uint64(len(deployments))]), seed)
 			span := c.lease() / termsPerLease
 			soon := func() time.Duration { return time.Duration(c.rng.ExpFloat64() * float64(span) * 0.7) }
 			c.driftClocks()
@@ -347,7 +347,7 @@
 		for offset := range 12 {
 			t.Run(fmt.Sprintf("%d nodes/%d", nodes, offset), func(t *testing.T) {
 				t.Parallel()
-				w := newWorld(t, nodes)
+				w := newSimulation(t, nodes)
 				first := w.waitLeader()
 				w.run(time.Duration(offset) * first.termSpan() / 7)
 				w.state.refuse[first.name] = true
@@ -367,7 +367,7 @@
 func TestForgottenVoteGrantsNothing(t *testing.T) {
 	changed := 0
 	for offset := range 60 {
-		w := newWorld(t, 5)
+		w := newSimulation(t, 5)
 		old := w.waitLeader()
 		others := w.followers()
 		candidate, voter, returning, faithful := others[0], others[1], others[2], others[3]
@@ -388,7 +388,7 @@
 				w.state.refuse[returning] = true
 			})
 		}
-		w.run(2 * old.termSpan()) // the world sees two leaders, if there are
+		w.run(2 * old.termSpan()) // the simulation sees two leaders, if there are
 		if w.leader() == candidate {
 			changed++
 		}
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/failures_test.go
@@ -17,7 +17,7 @@
 // Controllers that come back within a fraction of a second, in the middle of an
 // election, neither share the lead nor keep it from being taken.
 func TestQuickRestartsDuringElection(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	first := w.waitLeader()
 	w.crash(first.name)
 	for i := range 6 {
@@ -33,7 +33,7 @@
 // A machine that hangs resumes within its lease and goes on; nothing is started
 // twice, and nothing of it counts as lost.
 func TestHangingMachineResumes(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.runTime = func(string, int) time.Duration { return 20 * time.Second }
 	l := w.waitLeader()
 	w.submitAndStart(l.name, spec("j-1", 2), 2)
@@ -52,7 +52,7 @@
 
 // A machine that never comes up is given back, and another takes its place.
 func TestMachineThatNeverBoots(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	l := w.waitLeader()
 	w.cloud.boot = time.Hour
 	w.submit(l.name, spec("j-1", 1))
@@ -70,7 +70,7 @@
 // correct them.
 func TestEstimatesAreCorrected(t *testing.T) {
 	for _, factor := range []float64{0.4, 3} {
-		w := newWorld(t, 1)
+		w := newSimulation(t, 1)
 		w.runTime = func(string, int) time.Duration { return config.Seconds(10 * factor) }
 		l := w.waitLeader()
 		j := spec("j-1", 24)
@@ -90,7 +90,7 @@
 // A burst of a class: what can't all be in time gives way largest first, since
 // aims count jobs, and pressing work passes ahead of all.
 func TestBurstGivesWayLargestFirst(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.runTime = func(string, int) time.Duration { return 10 * time.Second }
 	l := w.waitLeader()
 	w.machines(2) // 8 cores
@@ -118,7 +118,7 @@
 // Work inside its team's guarantee goes by the aim on starting; beyond the
 // guarantee it does not.
 func TestGuaranteedWorkGoesFirst(t *testing.T) {
-	w := newWorld(t, 0)
+	w := newSimulation(t, 0)
 	w.names = []string{"n0"}
 	w.cfg.Count = 1
 	w.cfg.Teams = []config.Team{{Name: "team", CPUs: 4}, {Name: "free"}}
@@ -143,7 +143,7 @@
 
 // A task goes where its image is rather than to another machine with as much room.
 func TestImageDecidesBetweenMachines(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	l := w.waitLeader()
 	w.machines(3)
 	with := l.lead.machines["m-000002"]
@@ -160,9 +160,9 @@
 }
 
 // A wave takes machines without notice: their work starts elsewhere once they
-// are surely gone, and the world's check sees no task twice.
+// are surely gone, and the simulation's check sees no task twice.
 func TestSpotWaveWithoutNotice(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.runTime = func(string, int) time.Duration { return 15 * time.Second }
 	w.waitLeader()
 	w.machines(4)
@@ -196,7 +196,7 @@
 // A large job gives way to small and pressing work that keeps coming, but only for
 // a while: it begins within four minutes, and is served in the end.
 func TestLargeJobBeginsInLongBurst(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.runTime = func(string, int) time.Duration { return 10 * time.Second }
 	l := w.waitLeader()
 	w.machines(2) // 8 cores
@@ -231,7 +231,7 @@
 // the machine may be slow, and then runs to its end: stopped again and again it
 // would never be done.
 func TestLongTaskIsMovedOnce(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.runTime = func(task string, _ int) time.Duration {
 		if task == "j-1/7" || task == "j-1/6" {
 			return 60 * time.Second
@@ -251,7 +251,7 @@
 // usually comes and is due before it. What is known of that outlives the leader: it
 // was once learnt anew after each takeover, while machines were let go.
 func TestForecastOutlivesTheLeader(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.cfg.Objectives = []config.Objective{
 		{Kind: "finished", Class: "quick", WithinS: 60, Share: 0.9},
 		{Kind: "wait", Class: "patient", WithinS: 200, Share: 0.9},
@@ -291,7 +291,7 @@
 // Users name the classes; however many and long their names, what is stored of the
 // arrivals fits a value, as a refused transaction would end the leadership.
 func TestManyClassesFitTheRecord(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	l := w.waitLeader()
 	w.machines(1)
 	for i := range 300 {
@@ -312,7 +312,7 @@
 // Work that is to start within seconds waits a moment for a machine that has its
 // image: the first machine with room would miss the aim for sure by a long fetch.
 func TestUrgentWorkWaitsForItsImage(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.runTime = func(string, int) time.Duration { return time.Hour }
 	w.cloud.types = []protocol.MachineType{{Name: "c4", Cores: 4, RAM: 16, CacheGB: 40, PullGBPerS: 0.2, Rate: 0.3, SpotRate: 0.1, ReadyS: 5, Zones: []string{"a"}}}
 	w.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "c", WithinS: 5, Share: 0.8}}
@@ -346,7 +346,7 @@
 // What waits for a time, here for its back-off, is taken up when that is over, even
 // if nothing else changes meanwhile.
 func TestBackOffEndsWithoutAnyChange(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	l := w.waitLeader()
 	w.machines(1)
 	x := l.lead
@@ -371,7 +371,7 @@
 // planned for that aim. Taken for late, it was planned over four run times, and the
 // rest of its tasks started after the aim.
 func TestBegunJobIsPlannedForItsAim(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "c", WithinS: 200, Share: 0.9}}
 	w.start("n0")
 	x := w.waitLeader().lead
@@ -392,7 +392,7 @@
 // than luck explains, no machines are held for them; but silence while nothing could be
 // written, or for the time that users need to come back, says nothing.
 func TestForecastEbbsWhenJobsStayAway(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.cloud.capacity = 1
 	l := w.waitLeader()
 	lease := l.lease()
@@ -428,7 +428,7 @@
 // Where aims leave next to no late jobs, the plan counts on less of the machines' time.
 func TestPlanHasAMarginWhereAimsAreStrict(t *testing.T) {
 	demand := func(share float64) float64 {
-		w := newWorld(t, 1)
+		w := newSimulation(t, 1)
 		w.cfg.Objectives = []config.Objective{{Kind: "finished", Class: "c", WithinS: 100, Share: share}}
 		w.start("n0")
 		x := w.waitLeader().lead
@@ -448,7 +448,7 @@
 // it are cut off. What hangs is not condemned in bulk, nothing runs twice or over a
 // quota, others are rented at once, and every task runs in the end.
 func TestFleetFailsAtOnce(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.runTime = func(string, int) time.Duration { return 25 * time.Second }
 	w.cfg.Cloud.RPS, w.cfg.State.WriteRPS, w.cfg.State.RPS = 6, 250, 600
 	for _, name := range w.names {
@@ -515,7 +515,7 @@
 // machines were rented for far less when it came some seconds late. A successor counts
 // only what came since its predecessor's record.
 func TestJobsFoundHaveArrived(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.cloud.capacity = 1
 	at := time.Unix(1_000_000, 0).UnixMilli()
 	for i := range 30 {
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/fault_combinations_test.go
@@ -12,16 +12,16 @@
 	"hitchdoor/internal/protocol"
 )
 
-// The meetings of two troubles that the users name. Each is swept over offsets and seeds:
-// a single lucky timing is not a test of a meeting. HITCHDOOR_SWEEP=1 sweeps all
+// The combinations of two faults that the users name. Each is swept over offsets and seeds:
+// a single lucky timing is not a test of one. HITCHDOOR_SWEEP=1 sweeps all
 // combinations instead of every few.
 func sweepAll() bool { return os.Getenv("HITCHDOOR_SWEEP") != "" }
 
-// newMeeting is a crowd in a world of the given proportions, with a leader, machines, and
+// newFaultCombination is a simulation of the given proportions, with users, a leader, machines and
 // jobs whose tasks run for very long.
-func newMeeting(t *testing.T, nodes int, p proportions, seed uint64, jobs, tasks int) (*crowd, *simNode) {
+func newFaultCombination(t *testing.T, nodes int, p proportions, seed uint64, jobs, tasks int) (*userSimulation, *simNode) {
 	t.Helper()
-	c := newCrowd(newWorldOf(t, nodes, p), seed)
+	c := newUserSimulation(newSimulationOf(t, nodes, p), seed)
 	c.runTime = func(string, int) time.Duration { return time.Hour }
 	c.driftClocks()
 	c.waitLeader()
@@ -45,10 +45,10 @@
 	return c, l
 }
 
-func (c *crowd) lease() time.Duration { return config.Seconds(c.cfg.Workers.LeaseS) }
+func (c *userSimulation) lease() time.Duration { return config.Seconds(c.cfg.Workers.LeaseS) }
 
 // whenLed does something, once, when some other node than the given one leads.
-func (c *crowd) whenLed(but string, f func(name string)) {
+func (c *userSimulation) whenLed(but string, f func(name string)) {
 	var look func()
 	look = func() {
 		if name := c.leader(); name != "" && name != but {
@@ -61,10 +61,12 @@
 }
 
 // within is a random time up to a bound.
-func (c *crowd) within(d time.Duration) time.Duration { return time.Duration(c.rng.Int64N(int64(d))) }
+func (c *userSimulation) within(d time.Duration) time.Duration {
+	return time.Duration(c.rng.Int64N(int64(d)))
+}
 
 // someWorkers does something to a random share of the workers, one in so many.
-func (c *crowd) someWorkers(oneIn int, f func(*worker)) {
+func (c *userSimulation) someWorkers(oneIn int, f func(*worker)) {
 	for _, x := range c.inOrder() {
 		if c.rng.IntN(oneIn) == 0 {
 			f(x)
@@ -73,7 +75,7 @@
 }
 
 // newLeader ends the leader, or tells it to end, and brings it back, often at once.
-func (c *crowd) newLeader() {
+func (c *userSimulation) newLeader() {
 	name := c.leader()
 	if name == "" {
 		return
@@ -87,7 +89,7 @@
 }
 
 // cancelSome cancels some of the jobs that are open, all within a moment.
-func (c *crowd) cancelSome(oneIn int, moment time.Duration) {
+func (c *userSimulation) cancelSome(oneIn int, moment time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(c.accepted)) {
 		if c.over[id] == "" && c.rng.IntN(oneIn) == 0 {
 			c.after(c.within(moment), func() { c.cancelUntil(id) })
@@ -96,7 +98,7 @@
 }
 
 // more submits jobs within some time.
-func (c *crowd) more(jobs int, d time.Duration, change func(i int, j *protocol.Job)) {
+func (c *userSimulation) more(jobs int, d time.Duration, change func(i int, j *protocol.Job)) {
 	first := len(c.submitted)
 	for i := range jobs {
 		j := spec(fmt.Sprintf("j-%d", first+i), 1+c.rng.IntN(5))
@@ -112,7 +114,7 @@
 
 // holdBack keeps copies of the reports, and gives them to all nodes when there is another
 // leader, and again and again for some time after.
-func (c *crowd) holdBack() {
+func (c *userSimulation) holdBack() {
 	var kept []*protocol.Report
 	c.copies = func(_ *worker, rep *protocol.Report) {
 		if c.rng.IntN(6) == 0 {
@@ -145,10 +147,10 @@
 	look()
 }
 
-// meetings are the users' other meetings, by what meets. Each gets a leader, eight
+// faultCombinations are the users' other combinations, by what meets. Each gets a leader, eight
 // machines and some jobs, and lasts for as long as it says.
-var meetings = map[string]func(c *crowd) time.Duration{
-	"ends far apart, and a change of leader": func(c *crowd) time.Duration {
+var faultCombinations = map[string]func(c *userSimulation) time.Duration{
+	"ends far apart, and a change of leader": func(c *userSimulation) time.Duration {
 		c.runTime = func(task string, _ int) time.Duration {
 			return 2*time.Second + time.Duration(task[len(task)-1]-'0')*20*time.Second
 		}
@@ -158,7 +160,7 @@
 		}
 		return 50 * time.Second
 	},
-	"cancelled as soon as accepted, under close looks": func(c *crowd) time.Duration {
+	"cancelled as soon as accepted, under close looks": func(c *userSimulation) time.Duration {
 		look := c.told
 		c.told = func(id, state string) {
 			look(id, state)
@@ -170,7 +172,7 @@
 		c.after(c.within(20*time.Second), c.newLeader)
 		return 30 * time.Second
 	},
-	"only the answer of a transaction is lost": func(c *crowd) time.Duration {
+	"only the answer of a transaction is lost": func(c *userSimulation) time.Duration {
 		c.state.late = func() (time.Duration, bool) { return 0, c.rng.IntN(5) < 2 }
 		c.more(20, 40*time.Second, nil)
 		for i := range 4 {
@@ -179,7 +181,7 @@
 		c.after(c.within(40*time.Second), c.newLeader)
 		return 45 * time.Second
 	},
-	"transactions and lease calls are carried out late": func(c *crowd) time.Duration {
+	"transactions and lease calls are carried out late": func(c *userSimulation) time.Duration {
 		c.state.late = func() (time.Duration, bool) {
 			return 2*time.Second + c.within(10*time.Second), c.rng.IntN(4) == 0
 		}
@@ -190,7 +192,7 @@
 		}
 		return 70 * time.Second
 	},
-	"more work than room, over slow links": func(c *crowd) time.Duration {
+	"more work than room, over slow links": func(c *userSimulation) time.Duration {
 		c.cloud.capacity = 9
 		c.state.slow = func() time.Duration { return c.within(600 * time.Millisecond) }
 		c.more(40, 40*time.Second, func(_ int, j *protocol.Job) { j.Team = "free" })
@@ -198,7 +200,7 @@
 		c.after(20*time.Second, func() { c.cancelSome(4, time.Second) })
 		return 60 * time.Second
 	},
-	"controllers hand over and back, all end, one returns": func(c *crowd) time.Duration {
+	"controllers hand over and back, all end, one returns": func(c *userSimulation) time.Duration {
 		c.more(15, 60*time.Second, nil)
 		for i := range 3 {
 			at := time.Duration(i) * 20 * time.Second
@@ -218,7 +220,7 @@
 		}
 		return 70 * time.Second
 	},
-	"workers reach no controller": func(c *crowd) time.Duration {
+	"workers reach no controller": func(c *userSimulation) time.Duration {
 		mute := map[string]bool{}
 		c.someWorkers(2, func(x *worker) { mute[x.name] = true })
 		c.reach = func(x *worker, _ string) bool { return !mute[x.name] }
@@ -228,7 +230,7 @@
 		c.after(c.lease()/2+c.within(c.lease()), func() { c.reach = nil })
 		return 2 * c.lease()
 	},
-	"a leader ends while machines can't be reached or hear nothing": func(c *crowd) time.Duration {
+	"a leader ends while machines can't be reached or hear nothing": func(c *userSimulation) time.Duration {
 		c.someWorkers(3, func(x *worker) { x.silent = true })
 		c.someWorkers(3, func(x *worker) { x.dropAnswers = true })
 		c.more(10, 30*time.Second, nil)
@@ -239,7 +241,7 @@
 		}
 		return 2 * c.lease()
 	},
-	"a zone is cut off for longer than a lease": func(c *crowd) time.Duration {
+	"a zone is cut off for longer than a lease": func(c *userSimulation) time.Duration {
 		inside := c.anyNode()
 		c.reach = func(x *worker, node string) bool { return (x.zone == "a") == (node == inside) }
 		c.state.lost[inside] = true
@@ -255,7 +257,7 @@
 		})
 		return 2 * c.lease()
 	},
-	"cancelled as a controller's work changes hands": func(c *crowd) time.Duration {
+	"cancelled as a controller's work changes hands": func(c *userSimulation) time.Duration {
 		c.more(20, 40*time.Second, nil)
 		for i := range 5 {
 			at := 2*time.Second + time.Duration(i)*10*time.Second
@@ -264,7 +266,7 @@
 		}
 		return 55 * time.Second
 	},
-	"all controllers are away for longer than a lease": func(c *crowd) time.Duration {
+	"all controllers are away for longer than a lease": func(c *userSimulation) time.Duration {
 		c.cancelSome(3, 2*time.Second)
 		c.more(10, 2*time.Second, nil)
 		c.after(c.within(2*time.Second), func() {
@@ -278,7 +280,7 @@
 		})
 		return 2 * c.lease()
 	},
-	"a half-cut leader, and cancellations through the new one": func(c *crowd) time.Duration {
+	"a half-cut leader, and cancellations through the new one": func(c *userSimulation) time.Duration {
 		old := c.leader()
 		c.reach = func(x *worker, node string) bool { return node == old || x.zone == "a" }
 		c.state.lost[old] = true
@@ -295,7 +297,7 @@
 		})
 		return c.cancelSpan() + c.lease()
 	},
-	"ten leaders in two minutes, inside an outage too": func(c *crowd) time.Duration {
+	"ten leaders in two minutes, inside an outage too": func(c *userSimulation) time.Duration {
 		c.more(20, 100*time.Second, nil)
 		for i := range 10 {
 			c.after(time.Duration(i)*12*time.Second+c.within(3*time.Second), c.newLeader)
@@ -306,7 +308,7 @@
 		c.after(at+5*time.Second+c.within(25*time.Second), func() { c.state.setDown(false) })
 		return 2 * time.Minute
 	},
-	"machines up at once while writes lag, and the leader ends": func(c *crowd) time.Duration {
+	"machines up at once while writes lag, and the leader ends": func(c *userSimulation) time.Duration {
 		c.cloud.boot = 300 * time.Millisecond
 		c.state.slow = func() time.Duration { return c.within(c.lease() / 16) }
 		c.more(30, 30*time.Second, nil)
@@ -315,7 +317,7 @@
 		}
 		return 40 * time.Second
 	},
-	"jobs bound to one zone lose machines": func(c *crowd) time.Duration {
+	"jobs bound to one zone lose machines": func(c *userSimulation) time.Duration {
 		c.more(15, 30*time.Second, func(i int, j *protocol.Job) {
 			j.SameZone, j.Spread = i%3 == 0, i%3 == 1
 			if i%3 == 2 {
@@ -335,7 +337,7 @@
 		c.after(c.within(30*time.Second), func() { c.cancelSome(5, time.Second) })
 		return 45 * time.Second
 	},
-	"questions and cancellations meet the end of the last task": func(c *crowd) time.Duration {
+	"questions and cancellations meet the end of the last task": func(c *userSimulation) time.Duration {
 		run := c.runTime
 		c.runTime = func(task string, n int) time.Duration {
 			d := run(task, n)
@@ -356,7 +358,7 @@
 		c.more(30, 30*time.Second, func(_ int, j *protocol.Job) { j.Tasks = 1 + c.rng.IntN(2) })
 		return 45 * time.Second
 	},
-	"old reports after newer ones": func(c *crowd) time.Duration {
+	"old reports after newer ones": func(c *userSimulation) time.Duration {
 		c.copies = func(_ *worker, rep *protocol.Report) {
 			if c.rng.IntN(2) == 0 {
 				again := *rep
@@ -375,7 +377,7 @@
 		c.cancelSome(4, 20*time.Second)
 		return 45 * time.Second
 	},
-	"reports held back until a new leader acts, at all nodes": func(c *crowd) time.Duration {
+	"reports held back until a new leader acts, at all nodes": func(c *userSimulation) time.Duration {
 		c.holdBack()
 		c.more(15, 40*time.Second, nil)
 		for i := range 3 {
@@ -384,7 +386,7 @@
 		c.after(c.within(40*time.Second), func() { c.cancelSome(4, time.Second) })
 		return 50 * time.Second
 	},
-	"teams at their limits, machines cut off or hanging, cancellations, a takeover": func(c *crowd) time.Duration {
+	"teams at their limits, machines cut off or hanging, cancellations, a takeover": func(c *userSimulation) time.Duration {
 		c.more(16, 5*time.Second, func(i int, j *protocol.Job) { j.Team, j.Tasks = []string{"team", "small"}[i%2], 4 })
 		at := 8*time.Second + c.within(4*time.Second)
 		c.after(at, func() {
@@ -402,7 +404,7 @@
 		c.after(at+c.within(3*time.Second)-time.Second, c.newLeader)
 		return at + 2*c.lease()
 	},
-	"answers are held up for seconds": func(c *crowd) time.Duration {
+	"answers are held up for seconds": func(c *userSimulation) time.Duration {
 		c.someWorkers(2, func(x *worker) { x.lag = c.within(6 * time.Second) })
 		c.more(15, 30*time.Second, nil)
 		c.cancelSome(3, 20*time.Second)
@@ -412,7 +414,7 @@
 		}
 		return 45 * time.Second
 	},
-	"a slow state service refuses the leader, then everybody": func(c *crowd) time.Duration {
+	"a slow state service refuses the leader, then everybody": func(c *userSimulation) time.Duration {
 		c.state.slow = func() time.Duration { return c.within(c.lease() / 20) }
 		name := c.leader()
 		c.state.refuse[name] = true
@@ -427,7 +429,7 @@
 		})
 		return at + c.cancelSpan()*5/4 + 2*time.Second
 	},
-	"cancelled jobs' machines hang, and the leader changes": func(c *crowd) time.Duration {
+	"cancelled jobs' machines hang, and the leader changes": func(c *userSimulation) time.Duration {
 		at := c.within(4 * time.Second)
 		c.after(at, func() { c.cancelSome(2, 200*time.Millisecond) })
 		c.after(at+c.within(400*time.Millisecond), func() {
@@ -440,7 +442,7 @@
 		c.more(6, 10*time.Second, nil)
 		return 2 * c.lease()
 	},
-	"controllers go silent for a minute or more": func(c *crowd) time.Duration {
+	"controllers go silent for a minute or more": func(c *userSimulation) time.Duration {
 		c.more(15, 40*time.Second, nil)
 		at := c.within(10 * time.Second)
 		c.after(at, func() {
@@ -457,7 +459,7 @@
 		}
 		return at + 95*time.Second
 	},
-	"silent in an election, at a confirmation, in a write": func(c *crowd) time.Duration {
+	"silent in an election, at a confirmation, in a write": func(c *userSimulation) time.Duration {
 		c.more(20, 60*time.Second, nil)
 		for i := range 4 {
 			at := time.Duration(i) * 20 * time.Second
@@ -474,7 +476,7 @@
 		}
 		return 110 * time.Second
 	},
-	"a flood of questions, and a controller stands still": func(c *crowd) time.Duration {
+	"a flood of questions, and a controller stands still": func(c *userSimulation) time.Duration {
 		c.more(15, 30*time.Second, nil)
 		for i := range 600 {
 			c.after(time.Duration(i)*50*time.Millisecond, c.poll)
@@ -485,7 +487,7 @@
 		}
 		return 40 * time.Second
 	},
-	"jobs with a mistake beside a faulty machine, and a change of leader": func(c *crowd) time.Duration {
+	"jobs with a mistake beside a faulty machine, and a change of leader": func(c *userSimulation) time.Duration {
 		c.more(12, 20*time.Second, func(i int, j *protocol.Job) {
 			if i%4 == 0 {
 				c.mistake[j.UID] = true
@@ -500,7 +502,7 @@
 		})
 		return 85 * time.Second
 	},
-	"machines come up late or never": func(c *crowd) time.Duration {
+	"machines come up late or never": func(c *userSimulation) time.Duration {
 		c.cloud.bootOf = func() time.Duration {
 			if c.rng.IntN(4) == 0 {
 				return time.Hour
@@ -512,7 +514,7 @@
 		c.after(60*time.Second, func() { c.cloud.bootOf = nil })
 		return 70 * time.Second
 	},
-	"odd requests": func(c *crowd) time.Duration {
+	"odd requests": func(c *userSimulation) time.Duration {
 		c.more(10, 20*time.Second, nil)
 		for range 40 {
 			c.after(c.within(40*time.Second), func() { c.oddRequest() })
@@ -524,7 +526,7 @@
 
 // goSilent lets a controller stand still, and go on as if nothing had been; some of them
 // between a decision and what comes of it.
-func (c *crowd) goSilent(name string, d time.Duration) {
+func (c *userSimulation) goSilent(name string, d time.Duration) {
 	n := c.nodes[name]
 	switch {
 	case n.down || n.frozen:
@@ -537,7 +539,7 @@
 
 // oddRequest repeats a submission in another form, cancels what is over, or sends a job
 // that fits no machine.
-func (c *crowd) oddRequest() {
+func (c *userSimulation) oddRequest() {
 	ids := slices.Sorted(maps.Keys(c.accepted))
 	if len(ids) == 0 {
 		return
@@ -563,22 +565,22 @@
 	}
 }
 
-// TestMeetings brings about each of the meetings, with 3 and 7 nodes, in the proportions
+// TestFaultCombinations brings about each of the combinations, with 3 and 7 nodes, in the proportions
 // of each deployment, at random offsets; under close looks all along. Whatever met, in the
 // end every job is done or cancelled, nothing waits beside room, and nothing is forgotten.
-func TestMeetings(t *testing.T) {
+func TestFaultCombinations(t *testing.T) {
 	seeds := uint64(8)
 	if sweepAll() {
 		seeds = 60
 	}
-	for name, meet := range meetings {
+	for name, meet := range faultCombinations {
 		t.Run(name, func(t *testing.T) {
 			for seed := range seeds {
 				t.Run(fmt.Sprint(seed), func(t *testing.T) {
 					t.Parallel()
-					w := newWorldOf(t, []int{3, 7}[seed%2], deployments[seed/2%uint64(len(deployments))])
+					w := newSimulationOf(t, []int{3, 7}[seed%2], deployments[seed/2%uint64(len(deployments))])
 					w.cfg.Teams = append(w.cfg.Teams, config.Team{Name: "small", CPUsMax: 8})
-					c := newCrowd(w, seed*31+uint64(len(name)))
+					c := newUserSimulation(w, seed*31+uint64(len(name)))
 					for _, node := range c.names {
 						c.start(node)
 					}
@@ -612,7 +614,7 @@
 	for k, p := range deployments {
 		t.Run(fmt.Sprintf("lease %v", p.lease), func(t *testing.T) {
 			t.Parallel()
-			c := newCrowd(newWorldOf(t, 3, p), uint64(k))
+			c := newUserSimulation(newSimulationOf(t, 3, p), uint64(k))
 			c.state.limited = true
 			c.runTime = func(string, int) time.Duration { return time.Second + c.within(6*time.Second) }
 			c.waitLeader()
--- a/internal/coordination/flood_test.go
+++ b/internal/coordination/flood_test.go
@@ -17,7 +17,7 @@
 // a controller has, and each leader would have ended by it in turn.
 func TestFloodOfLargeJobsFitsTheMemory(t *testing.T) {
 	const jobs, perJob = 2000, 8 << 10
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	l := w.waitLeader()
 	before := heapInUse()
 	for i := range jobs {
@@ -41,12 +41,12 @@
 // Another team's job begins in time beside a flood, and questions, cancellations and the
 // other jobs of the flood are answered.
 func TestFloodOfOneTeamLeavesOthersServed(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.cloud.capacity = 4
 	w.runTime = func(string, int) time.Duration { return 10 * time.Second }
 	w.waitLeader()
 	w.machines(4)
-	c := newCrowd(w, 1)
+	c := newUserSimulation(w, 1)
 	for i := range 300 {
 		j := spec(fmt.Sprintf("j-flood-%d", i), 200)
 		j.Class = "flood"
--- a/internal/coordination/guarantee_test.go
+++ b/internal/coordination/guarantee_test.go
@@ -24,7 +24,7 @@
 		{"tasks that don't save", 0, 40 * time.Second, 10 * time.Second, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			w := newWorld(t, 3)
+			w := newSimulation(t, 3)
 			w.cfg.Teams = append(w.cfg.Teams, config.Team{Name: "owner", CPUs: 4})
 			w.cfg.Objectives = []config.Objective{{Kind: "guarantee", WithinS: 10, Share: 0.9}}
 			for _, name := range w.names {
--- a/internal/coordination/judge_test.go
+++ b/internal/coordination/invariants_test.go
@@ -14,11 +14,11 @@
 	"hitchdoor/internal/protocol"
 )
 
-// The judge is the part of the world that knows the rules. It hears every answer that a
+// invariantChecker is the part of the simulation that knows the rules. It hears every answer that a
 // user gets, from any node and by any way, and sees every task on every machine. Answers
 // are ordered by real time: a question that was asked after an answer had arrived may get
 // nothing older, milliseconds later at another node included.
-type judge struct {
+type invariantChecker struct {
 	submitted map[string]bool
 	accepted  map[string]Instant // when a user was first told so
 	over      map[string]string  // final states that users were told
@@ -31,17 +31,17 @@
 	waits     map[string]Instant // since when a job waits though there is room for it
 	lookedAt  Instant
 	told      func(id, state string) // is told what users are told for the first time
-	caught    map[string]int         // by rule, instead of failing the test: to judge the judge
+	caught    map[string]int         // by rule, instead of failing the test: to test the checker itself
 }
 
-func newJudge() judge {
-	return judge{submitted: map[string]bool{}, accepted: map[string]Instant{}, over: map[string]string{},
+func newInvariantChecker() invariantChecker {
+	return invariantChecker{submitted: map[string]bool{}, accepted: map[string]Instant{}, over: map[string]string{},
 		overAt: map[string]Instant{}, asked: map[string]bool{}, answered: map[string]Instant{},
 		finished: map[string]bool{}, begun: map[string]Instant{}, calm: never, waits: map[string]Instant{}}
 }
 
 // broken reports that a rule is broken.
-func (w *world) broken(rule, format string, args ...any) {
+func (w *simulation) broken(rule, format string, args ...any) {
 	w.t.Helper()
 	if w.caught != nil {
 		w.caught[rule]++
@@ -51,7 +51,7 @@
 }
 
 // hears judges the answer to a user's request that was sent at some moment.
-func (w *world) hears(r Request, node string, sent Instant, reply Reply) {
+func (w *simulation) hears(r Request, node string, sent Instant, reply Reply) {
 	w.t.Helper()
 	id := r.ID
 	accepted, known := w.accepted[id]
@@ -101,20 +101,20 @@
 	}
 }
 
-func (w *world) tells(id, state string) {
+func (w *simulation) tells(id, state string) {
 	if w.told != nil {
 		w.told(id, state)
 	}
 }
 
 // mayBeCancelled tells whether a user has asked to cancel a job or one that it needs.
-func (w *world) mayBeCancelled(id string) bool {
+func (w *simulation) mayBeCancelled(id string) bool {
 	return w.asked[id] || slices.ContainsFunc(w.specs[id].Needs, w.mayBeCancelled)
 }
 
 // cancelledAt is when users were first told that a job, or one that it needs, is cancelled;
 // of the latter not before it was itself accepted.
-func (w *world) cancelledAt(id string) (at Instant, ok bool) {
+func (w *simulation) cancelledAt(id string) (at Instant, ok bool) {
 	if w.over[id] == protocol.Withdrawn {
 		at, ok = w.overAt[id], true
 	}
@@ -128,10 +128,10 @@
 	return at, ok
 }
 
-func (w *world) cancelSpan() time.Duration { return config.Seconds(w.cfg.Workers.CancelS) }
+func (w *simulation) cancelSpan() time.Duration { return config.Seconds(w.cfg.Workers.CancelS) }
 
 // check looks for a rule that is broken at this moment.
-func (w *world) check() {
+func (w *simulation) check() {
 	w.t.Helper()
 	leaders := 0
 	for _, n := range w.nodes {
@@ -176,7 +176,7 @@
 // checkWaiting looks for jobs that wait, after all troubles, for 90 s though a machine
 // that fits has room and their team is under its limit, and for jobs that have not begun
 // after four minutes.
-func (w *world) checkWaiting(where map[string]string, cores map[string]float64) {
+func (w *simulation) checkWaiting(where map[string]string, cores map[string]float64) {
 	w.t.Helper()
 	for _, id := range slices.Sorted(maps.Keys(w.accepted)) {
 		if _, cancelled := w.cancelledAt(id); cancelled || w.over[id] != "" || w.mayBeCancelled(id) || w.mistake[id] {
@@ -204,7 +204,7 @@
 }
 
 // hasRoom tells whether a task of a job waits though it could run somewhere.
-func (w *world) hasRoom(id string, where map[string]string, cores map[string]float64) bool {
+func (w *simulation) hasRoom(id string, where map[string]string, cores map[string]float64) bool {
 	j := w.specs[id]
 	if slices.ContainsFunc(j.Needs, func(need string) bool { return w.over[need] != protocol.Done }) {
 		return false
@@ -237,7 +237,7 @@
 }
 
 // misplaced tells why a job's next task may not start on a machine now, if so.
-func (w *world) misplaced(j *protocol.Job, x *worker) string {
+func (w *simulation) misplaced(j *protocol.Job, x *worker) string {
 	switch {
 	case len(j.Types) > 0 && !slices.Contains(j.Types, x.typ):
 		return "type " + x.typ
@@ -272,7 +272,7 @@
 
 // checkStart judges a start on a machine. An answer to a report takes four seconds at
 // most, so a later start after the confirmation of a cancellation was commanded after it.
-func (w *world) checkStart(x *worker, key string) {
+func (w *simulation) checkStart(x *worker, key string) {
 	w.t.Helper()
 	id := jobOf(key)
 	j := w.specs[id]
@@ -296,34 +296,34 @@
 	return fmt.Sprintf("session %d, token %d, reports to %s, hanging %v, silent %v, deaf %v", x.session, x.token, x.node, x.hanging, x.silent, x.dropAnswers)
 }
 
-// The judge must be able to fail: each rule is broken here on purpose, by an answer that
+// The invariant checker must be able to fail: each rule is broken here on purpose, by an answer that
 // no node gives, or by a machine that no leader has told what it does.
-func TestTheJudgeCatches(t *testing.T) {
+func TestInvariantCheckerFindsEachViolation(t *testing.T) {
 	state := func(s string) Reply {
 		return Reply{Status: 200, Body: []byte(`{"uid":"j-1","situacao":"` + s + `"}`)}
 	}
 	query, submit := Request{Kind: protocol.RequestQuery, ID: "j-1"}, Request{Kind: protocol.RequestSubmit, ID: "j-1"}
-	put := func(w *world, name, key string, attempt uint64) {
+	put := func(w *simulation, name, key string, attempt uint64) {
 		w.workers[name].tasks = append(w.workers[name].tasks,
 			&simTask{key: key, attempt: attempt, state: protocol.TaskRunning, end: w.now + time.Hour})
 	}
-	start := func(w *world, name, key string) {
+	start := func(w *simulation, name, key string) {
 		w.workers[name].execute(protocol.Command{Op: protocol.OpStart, Task: key, Attempt: 99})
 	}
-	for rule, breaks := range map[string]func(w *world){
-		"forgotten":  func(w *world) { w.hears(query, "n0", w.now, Reply{Status: 404}) },
-		"forgotten ": func(w *world) { w.hears(submit, "n0", w.now, Reply{Status: 422}) },
-		"invented": func(w *world) {
+	for rule, breaks := range map[string]func(w *simulation){
+		"forgotten":  func(w *simulation) { w.hears(query, "n0", w.now, Reply{Status: 404}) },
+		"forgotten ": func(w *simulation) { w.hears(submit, "n0", w.now, Reply{Status: 422}) },
+		"invented": func(w *simulation) {
 			w.hears(Request{Kind: protocol.RequestQuery, ID: "j-x"}, "n0", w.now, state(protocol.Queued))
 		},
-		"went_back": func(w *world) {
+		"went_back": func(w *simulation) {
 			w.over["j-1"], w.overAt["j-1"] = protocol.Withdrawn, w.now
 			w.hears(query, "n0", w.now, state(protocol.Running))
 		},
-		"went_back ":  func(w *world) { w.hears(query, "n0", w.now, state(protocol.Withdrawn)) },
-		"not_done":    func(w *world) { w.hears(query, "n0", w.now, state(protocol.Done)) },
-		"silent wait": func(w *world) { w.hears(query, "n0", w.now, Reply{Status: 503}) },
-		"orphaned": func(w *world) {
+		"went_back ":  func(w *simulation) { w.hears(query, "n0", w.now, state(protocol.Withdrawn)) },
+		"not_done":    func(w *simulation) { w.hears(query, "n0", w.now, state(protocol.Done)) },
+		"silent wait": func(w *simulation) { w.hears(query, "n0", w.now, Reply{Status: 503}) },
+		"orphaned": func(w *simulation) {
 			j := w.specs["j-1"]
 			j.Needs = []string{"j-0"}
 			w.specs["j-1"] = j
@@ -331,12 +331,12 @@
 			w.accepted["j-1"] -= time.Minute
 			w.hears(query, "n0", w.now, state(protocol.Queued))
 		},
-		"ran_twice": func(w *world) {
+		"ran_twice": func(w *simulation) {
 			put(w, "m-000001", "j-1/0", 1)
 			put(w, "m-000002", "j-1/0", 2)
 			w.check()
 		},
-		"quota": func(w *world) {
+		"quota": func(w *simulation) {
 			j := spec("j-2", 17)
 			j.Team = "team"
 			w.specs["j-2"] = j
@@ -345,34 +345,34 @@
 			}
 			w.check()
 		},
-		"ran_cancelled": func(w *world) {
+		"ran_cancelled": func(w *simulation) {
 			w.over["j-1"], w.overAt["j-1"] = protocol.Withdrawn, w.now-w.cancelSpan()-time.Second
 			put(w, "m-000001", "j-1/0", 1)
 			w.check()
 		},
-		"started after its cancellation": func(w *world) {
+		"started after its cancellation": func(w *simulation) {
 			w.over["j-1"], w.overAt["j-1"] = protocol.Withdrawn, w.now-5*time.Second
 			start(w, "m-000001", "j-1/0")
 		},
-		"too_early": func(w *world) {
+		"too_early": func(w *simulation) {
 			j := after("j-2", 1, "j-1")
 			w.specs["j-2"] = j
 			start(w, "m-000001", "j-2/0")
 		},
-		"wrong_place": func(w *world) {
+		"wrong_place": func(w *simulation) {
 			j := spec("j-2", 1)
 			j.Spot = false
 			w.specs["j-2"] = j
 			start(w, "m-000001", "j-2/0")
 		},
-		"wrong_place ": func(w *world) {
+		"wrong_place ": func(w *simulation) {
 			j := spec("j-2", 2)
 			j.SameZone = true
 			w.specs["j-2"] = j
 			start(w, "m-000001", "j-2/0")
 			start(w, "m-000002", "j-2/1")
 		},
-		"two leaders": func(w *world) {
+		"two leaders": func(w *simulation) {
 			for _, n := range w.nodes {
 				if n.lead == nil {
 					n.becomeLeader(99, 0, 0, n.now)
@@ -380,15 +380,15 @@
 			}
 			w.check()
 		},
-		"forgotten  ": func(w *world) {
+		"forgotten  ": func(w *simulation) {
 			for _, n := range w.nodes {
 				n.down = true
 			}
 			w.run(time.Second)
-			(newCrowd(w, 1)).calmDown()
+			(newUserSimulation(w, 1)).calmDown()
 			w.run(76 * time.Second)
 		},
-		"waits ": func(w *world) {
+		"waits ": func(w *simulation) {
 			w.cloud.noSpot = true
 			w.accepted["j-2"], w.specs["j-2"], w.calm = w.now, after("j-2", 1), w.now
 			for i := range 8 {
@@ -396,7 +396,7 @@
 			}
 			w.run(4*time.Minute + 2*time.Second)
 		},
-		"waits": func(w *world) {
+		"waits": func(w *simulation) {
 			for _, n := range w.nodes {
 				n.down = true
 			}
@@ -405,7 +405,7 @@
 		},
 	} {
 		t.Run(rule, func(t *testing.T) {
-			w := newWorld(t, 3)
+			w := newSimulation(t, 3)
 			w.runTime = func(string, int) time.Duration { return time.Hour }
 			l := w.waitLeader()
 			w.machines(2)
--- a/internal/coordination/copies_test.go
+++ b/internal/coordination/late_reports_test.go
@@ -12,7 +12,7 @@
 // what waited for it runs elsewhere. Its fresh reports once kept tasks waiting on
 // it for ever.
 func TestDeafMachineGetsNoWork(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	l := w.waitLeader()
 	w.machines(2)
 	w.runTime = func(string, int) time.Duration { return time.Hour }
@@ -49,7 +49,7 @@
 // After a takeover a deaf machine must not hold up the older jobs: it never shows
 // the new token, and each answer to it once put off the end of accounting.
 func TestDeafMachineAcrossTakeover(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.runTime = func(task string, _ int) time.Duration {
 		if jobOf(task) == "j-1" {
 			return 20 * time.Second
@@ -84,7 +84,7 @@
 // A machine that hears again after it was taken for deaf is safe: nothing of it
 // runs twice, whether it has been returned or not.
 func TestDeafMachineHearsAgain(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.runTime = func(string, int) time.Duration { return 12 * time.Second }
 	l := w.waitLeader()
 	w.submitAndStart(l.name, spec("j-1", 4), 4)
@@ -104,7 +104,7 @@
 // newer ones, after the machine was returned, after a takeover by a leader that
 // remembers nothing of it. None brings back a machine, a task or a quota.
 func TestLateCopiesReviveNothing(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.runTime = func(task string, _ int) time.Duration {
 		if jobOf(task) == "j-2" {
 			return time.Hour
@@ -180,7 +180,7 @@
 // Copies that come while the machine lives, in any order and long after, neither
 // bring back a task that has finished or moved, nor free one that runs.
 func TestLateCopiesOfLivingMachines(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.runTime = func(string, int) time.Duration { return 4 * time.Second }
 	l := w.waitLeader()
 	count := 0
@@ -222,7 +222,7 @@
 // A machine that is back at once after an end, in a new session, loses what it ran and
 // gets it again; it is not taken for one that hears nothing.
 func TestMachineBackAtOnce(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.runTime = func(string, int) time.Duration { return 20 * time.Second }
 	l := w.waitLeader()
 	w.machines(1)
@@ -293,7 +293,7 @@
 		for offset := range 12 {
 			t.Run(fmt.Sprintf("%d nodes, offset %d", nodes, offset), func(t *testing.T) {
 				t.Parallel()
-				w := newWorld(t, nodes)
+				w := newSimulation(t, nodes)
 				w.runTime = func(string, int) time.Duration { return 80 * time.Second }
 				l := w.waitLeader()
 				w.machines(1)
--- a/internal/coordination/busy_test.go
+++ b/internal/coordination/load_test.go
@@ -10,14 +10,14 @@
 
 // busy is a leader at the size of a large deployment, with half as many machines
 // again: all full, and tens of thousands of tasks that wait.
-func busy(b *testing.B) (*world, *simNode) {
+func busy(b *testing.B) (*simulation, *simNode) {
 	defer b.ReportAllocs()
 	return busyLeader(&testing.T{}, 1800, 300)
 }
 
 // busyLeader is a leader of so many full machines, with 60 jobs of so many tasks.
-func busyLeader(t *testing.T, machines, tasks int) (*world, *simNode) {
-	w := newWorld(t, 1)
+func busyLeader(t *testing.T, machines, tasks int) (*simulation, *simNode) {
+	w := newSimulation(t, 1)
 	w.runTime = func(string, int) time.Duration { return time.Hour }
 	l := w.waitLeader()
 	w.cloud.boot = time.Second
--- a/internal/coordination/chaos_test.go
+++ b/internal/coordination/mixed_faults_test.go
@@ -11,20 +11,20 @@
 	"hitchdoor/internal/protocol"
 )
 
-// chaos is one short run of mixed troubles, all of it repeatable by its seed.
-type chaos struct {
-	*crowd
+// mixedFaults is one short run of mixed troubles, all of it repeatable by its seed.
+type mixedFaults struct {
+	*userSimulation
 	limits bool // the state service may lower its limits
 }
 
-// TestMixedTroubles mixes, in many short runs, crashes and quick returns of
+// TestMixedFaults mixes, in many short runs, crashes and quick returns of
 // controllers, controllers that stand still, cuts that hold messages, cut zones, half-cut
 // controllers, state outages, lost answers, late transactions, deaf, hanging and silent machines, machines that are
 // back at once, mute ones, hangs at a cancellation, cancellations at an end, late copies of reports, also for the next leader, rolling upgrades from the version before, and a
-// state service that lowers its limits; jobs need others. The world checks at each moment that
-// one node leads, no task runs twice and no team is over its limit; the judge
+// state service that lowers its limits; jobs need others. The simulation checks at each moment that
+// one node leads, no task runs twice and no team is over its limit; the invariant checker
 // also hears what users are told, and every accepted job runs in the end.
-func TestMixedTroubles(t *testing.T) {
+func TestMixedFaults(t *testing.T) {
 	seeds := uint64(96)
 	if sweepAll() {
 		seeds = 6000
@@ -32,13 +32,13 @@
 	for seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runChaos(t, seed)
+			runMixedFaults(t, seed)
 		})
 	}
 }
 
-func runChaos(t *testing.T, seed uint64) {
-	c := &chaos{crowd: newCrowd(newWorldOf(t, 3+4*int(seed%3/2), deployments[seed/6%uint64(len(deployments))]), seed)}
+func runMixedFaults(t *testing.T, seed uint64) {
+	c := &mixedFaults{userSimulation: newUserSimulation(newSimulationOf(t, 3+4*int(seed%3/2), deployments[seed/6%uint64(len(deployments))]), seed)}
 	if seed%5 == 2 {
 		// One team has a guarantee, for which others give room back.
 		c.cfg.Teams[0].CPUs = 8
@@ -102,7 +102,7 @@
 }
 
 // userWork submits a job, and at times cancels one.
-func (c *chaos) userWork(i int) {
+func (c *mixedFaults) userWork(i int) {
 	j := spec(fmt.Sprintf("j-%d", i), 1+c.rng.IntN(9))
 	if c.rng.IntN(2) == 0 {
 		j.Team = "team"
@@ -128,7 +128,7 @@
 	}
 }
 
-func (c *chaos) anyWorkers(f func(*worker)) {
+func (c *mixedFaults) anyWorkers(f func(*worker)) {
 	for i := range c.cloud.last {
 		if x := c.workers[fmt.Sprintf("m-%06d", i+1)]; x != nil && c.rng.IntN(3) == 0 {
 			f(x)
@@ -136,15 +136,17 @@
 	}
 }
 
-func (c *chaos) soon() time.Duration { return time.Duration(200+c.rng.IntN(25_000)) * time.Millisecond }
+func (c *mixedFaults) soon() time.Duration {
+	return time.Duration(200+c.rng.IntN(25_000)) * time.Millisecond
+}
 
-func (c *chaos) crashSome() {
+func (c *mixedFaults) crashSome() {
 	for range 1 + c.rng.IntN(3) {
 		c.back(c.anyNode(), 3*time.Second)
 	}
 }
 
-func (c *chaos) quickReturn() {
+func (c *mixedFaults) quickReturn() {
 	for i := range 3 {
 		c.after(time.Duration(i*c.rng.IntN(900))*time.Millisecond, func() {
 			c.back(c.anyNode(), time.Duration(20+c.rng.IntN(400))*time.Millisecond)
@@ -152,7 +154,7 @@
 	}
 }
 
-func (c *chaos) cutSome() {
+func (c *mixedFaults) cutSome() {
 	for range 1 + c.rng.IntN(2) {
 		c.cut[[2]string{c.anyNode(), c.anyNode()}] = true
 	}
@@ -160,13 +162,13 @@
 }
 
 // peersRefuse cuts all controllers from each other.
-func (c *chaos) peersRefuse() {
+func (c *mixedFaults) peersRefuse() {
 	c.cutAll()
 	c.after(c.soon(), c.mend)
 }
 
 // halfCut takes the state service and the other controllers from one, not its workers.
-func (c *chaos) halfCut() {
+func (c *mixedFaults) halfCut() {
 	name := c.leader()
 	if name == "" || c.rng.IntN(3) == 0 {
 		name = c.anyNode()
@@ -178,7 +180,7 @@
 
 // standStill stops controllers for a moment or for longer than every lease, some of
 // them between a decision and what comes of it.
-func (c *chaos) standStill() {
+func (c *mixedFaults) standStill() {
 	for range 1 + c.rng.IntN(2) {
 		name := c.anyNode()
 		if l := c.leader(); l != "" && c.rng.IntN(2) == 0 {
@@ -189,7 +191,7 @@
 }
 
 // mistakes lets some jobs fail on every machine until their users cancel them.
-func (c *chaos) mistakes() {
+func (c *mixedFaults) mistakes() {
 	for _, id := range slices.Sorted(maps.Keys(c.accepted)) {
 		if c.over[id] == "" && !c.mistake[id] && c.rng.IntN(4) == 0 {
 			c.mistake[id] = true
@@ -199,7 +201,7 @@
 }
 
 // cutZone cuts one node and the workers of a zone from everything else.
-func (c *chaos) cutZone() {
+func (c *mixedFaults) cutZone() {
 	name := c.anyNode()
 	c.reach = func(x *worker, node string) bool { return (x.zone == "a") == (node == name) }
 	c.state.lost[name] = true
@@ -211,21 +213,21 @@
 	})
 }
 
-func (c *chaos) stateOutage() {
+func (c *mixedFaults) stateOutage() {
 	c.state.setDown(true)
 	c.after(c.soon(), func() { c.state.setDown(false) })
 }
 
-func (c *chaos) refuseOne() {
+func (c *mixedFaults) refuseOne() {
 	name := c.anyNode()
 	c.state.refuse[name] = true
 	c.after(c.soon(), func() { delete(c.state.refuse, name) })
 }
 
-func (c *chaos) loseAnswers() { c.state.lose += 1 + c.rng.IntN(3) }
+func (c *mixedFaults) loseAnswers() { c.state.lose += 1 + c.rng.IntN(3) }
 
 // lateTransaction keeps back a transaction, which is executed minutes later.
-func (c *chaos) lateTransaction() {
+func (c *mixedFaults) lateTransaction() {
 	s := c.state
 	s.hold = holdOne(s)
 	c.after(time.Duration(c.rng.IntN(60))*time.Second, func() {
@@ -237,21 +239,21 @@
 	})
 }
 
-func (c *chaos) deafen() {
+func (c *mixedFaults) deafen() {
 	c.anyWorkers(func(x *worker) {
 		x.dropAnswers = true
 		c.after(c.soon(), func() { x.dropAnswers = false })
 	})
 }
 
-func (c *chaos) hang() {
+func (c *mixedFaults) hang() {
 	c.anyWorkers(func(x *worker) {
 		x.hanging = true
 		c.after(c.soon(), func() { x.hanging = false })
 	})
 }
 
-func (c *chaos) silence() {
+func (c *mixedFaults) silence() {
 	c.anyWorkers(func(x *worker) {
 		x.silent = true
 		c.after(c.soon(), func() { x.silent = false })
@@ -259,14 +261,14 @@
 }
 
 // restarted brings machines back at once in a new session, with nothing on them.
-func (c *chaos) restarted() {
+func (c *mixedFaults) restarted() {
 	c.anyWorkers(func(x *worker) {
 		x.restarted()
 	})
 }
 
 // lateWrites lets some transactions and lease calls go unanswered and be carried out late.
-func (c *chaos) lateWrites() {
+func (c *mixedFaults) lateWrites() {
 	c.state.late = func() (time.Duration, bool) {
 		return 2*time.Second + c.within(10*time.Second), c.rng.IntN(4) == 0
 	}
@@ -274,19 +276,19 @@
 }
 
 // answersLost lets some be carried out at once, with only the answer lost.
-func (c *chaos) answersLost() {
+func (c *mixedFaults) answersLost() {
 	c.state.late = func() (time.Duration, bool) { return 0, c.rng.IntN(3) == 0 }
 	c.after(c.soon(), func() { c.state.late = nil })
 }
 
 // slowState holds up each call to the state service.
-func (c *chaos) slowState() {
+func (c *mixedFaults) slowState() {
 	c.state.slow = func() time.Duration { return c.within(c.lease() / 16) }
 	c.after(c.soon(), func() { c.state.slow = nil })
 }
 
 // mute takes all controllers from some workers.
-func (c *chaos) mute() {
+func (c *mixedFaults) mute() {
 	mute := map[string]bool{}
 	c.anyWorkers(func(x *worker) { mute[x.name] = true })
 	c.reach = func(x *worker, _ string) bool { return !mute[x.name] }
@@ -294,13 +296,13 @@
 }
 
 // cancelAndHang cancels jobs and lets machines hang at that moment.
-func (c *chaos) cancelAndHang() {
+func (c *mixedFaults) cancelAndHang() {
 	c.cancelSome(3, 200*time.Millisecond)
 	c.after(c.within(400*time.Millisecond), c.hang)
 }
 
 // cancelAtEnd cancels jobs when their last task is about to end.
-func (c *chaos) cancelAtEnd() {
+func (c *mixedFaults) cancelAtEnd() {
 	for _, x := range c.inOrder() {
 		for _, t := range x.tasks {
 			if id := jobOf(t.key); t.state == protocol.TaskRunning && c.rng.IntN(4) == 0 {
@@ -311,7 +313,7 @@
 }
 
 // refuseWithPeers lets a node be refused by the state service and the other nodes at once.
-func (c *chaos) refuseWithPeers() {
+func (c *mixedFaults) refuseWithPeers() {
 	name := c.anyNode()
 	c.state.refuse[name] = true
 	c.cutOff(name)
@@ -319,15 +321,15 @@
 }
 
 // answersHeldUp holds up answers to workers, for some beyond the four seconds.
-func (c *chaos) answersHeldUp() {
+func (c *mixedFaults) answersHeldUp() {
 	c.anyWorkers(func(x *worker) {
 		x.lag = c.within(6 * time.Second)
 		c.after(c.soon(), func() { x.lag = 0 })
 	})
 }
 
-// refusedThenOut is the first meeting: the leader refused alone, then an outage for all.
-func (c *chaos) refusedThenOut() {
+// refusedThenOut is the first combination: the leader refused alone, then an outage for all.
+func (c *mixedFaults) refusedThenOut() {
 	name := c.leader()
 	if name == "" {
 		return
--- a/internal/coordination/outside_faults_test.go
+++ b/internal/coordination/outside_faults_test.go
@@ -59,7 +59,7 @@
 			for i, share := range []float64{0.1, 0.3, 0.6, 1} {
 				t.Run(fmt.Sprintf("%v/%s/%v", target, fault, share), func(t *testing.T) {
 					t.Parallel()
-					c := newCrowd(newWorldOf(t, 3, deployments[i]), uint64(i)+uint64(len(fault)))
+					c := newUserSimulation(newSimulationOf(t, 3, deployments[i]), uint64(i)+uint64(len(fault)))
 					c.runTime = func(string, int) time.Duration { return time.Second + c.within(20*time.Second) }
 					c.driftClocks()
 					c.waitLeader()
@@ -93,7 +93,7 @@
 }
 
 // mangleAnswers alters a share of a service's answers, to one node or to all.
-func (c *crowd) mangleAnswers(target Target, only string, share float64, alter func(Result) Result) {
+func (c *userSimulation) mangleAnswers(target Target, only string, share float64, alter func(Result) Result) {
 	c.mangle = func(node string, call Call, r Result) Result {
 		if call.Target != target || c.rng.Float64() > share || (only != "" && node != only) {
 			return r
@@ -103,7 +103,7 @@
 }
 
 // countCalls counts the calls to the state service that are answered from now on.
-func (c *crowd) countCalls() func() int {
+func (c *userSimulation) countCalls() func() int {
 	calls := 0
 	inner := c.mangle
 	c.mangle = func(node string, call Call, r Result) Result {
@@ -127,7 +127,7 @@
 		"old changes": {Status: 200, Body: storage.Encode(storage.Events{Revision: 1, Log: []storage.Event{{Drop: "job/j-9", Version: 1}}})},
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := newWorld(t, 3)
+			w := newSimulation(t, 3)
 			l := w.waitLeader()
 			w.machines(1)
 			watches, reads := 0, 0
@@ -180,7 +180,7 @@
 	for name, types := range catalogs {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := newCrowd(newWorld(t, 3), 3)
+			c := newUserSimulation(newSimulation(t, 3), 3)
 			c.waitLeader()
 			c.machines(2)
 			c.more(4, 5*time.Second, nil)
@@ -205,7 +205,7 @@
 
 // A type that one catalogue lacks is believed to be there until the next one lacks it too.
 func TestTypeMissingOnce(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	n := w.waitLeader()
 	catalog := func(names ...string) protocol.Catalog {
 		var c protocol.Catalog
@@ -372,7 +372,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := newCrowd(newWorld(t, 3), uint64(len(name)))
+			c := newUserSimulation(newSimulation(t, 3), uint64(len(name)))
 			c.runTime = func(string, int) time.Duration { return time.Second + c.within(15*time.Second) }
 			c.waitLeader()
 			c.machines(3)
@@ -397,7 +397,7 @@
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			c := newCrowd(newWorldOf(t, 3, deployments[seed]), seed)
+			c := newUserSimulation(newSimulationOf(t, 3, deployments[seed]), seed)
 			c.wallOff = map[string]time.Duration{"n0": 5 * time.Minute, "n2": -7 * time.Minute}
 			for _, name := range c.names {
 				c.start(name)
@@ -420,12 +420,12 @@
 // While no zone has capacity left, rentals are asked for at a bounded rate, work goes on on
 // the machines there are, and the rest follows once there is capacity again.
 func TestNoCapacityAnywhere(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.runTime = func(string, int) time.Duration { return 20 * time.Second }
 	w.waitLeader()
 	w.machines(2)
 	w.cloud.capacity = 2
-	c := newCrowd(w, 1)
+	c := newUserSimulation(w, 1)
 	c.more(10, 5*time.Second, func(_ int, j *protocol.Job) { j.Tasks, j.Team = 8, "free" })
 	w.run(10 * time.Second)
 	asked := 0
--- a/internal/coordination/pipelines_test.go
+++ b/internal/coordination/pipelines_test.go
@@ -18,17 +18,17 @@
 	return j
 }
 
-// pipelines is a world of nodes that are all known to be new, with a leader.
-func pipelines(t *testing.T, nodes int) (*world, *simNode) {
+// pipelines is a simulation of nodes that are all known to be new, with a leader.
+func pipelines(t *testing.T, nodes int) (*simulation, *simNode) {
 	t.Helper()
-	w := newWorld(t, nodes)
+	w := newSimulation(t, nodes)
 	l := w.waitLeader()
 	w.allNew()
 	w.machines(2)
 	return w, l
 }
 
-func (w *world) accept(node string, j protocol.Job) {
+func (w *simulation) accept(node string, j protocol.Job) {
 	w.t.Helper()
 	if r := w.submit(node, j); r.Status != 201 {
 		w.t.Fatalf("%s: submission answered %d", j.UID, r.Status)
@@ -36,7 +36,7 @@
 }
 
 // Each job of a pipeline starts only when all that it needs are done, whichever node
-// took it; its times begin then. (The world checks each start against the records.)
+// took it; its times begin then. (The simulation checks each start against the records.)
 func TestPipelineRunsInOrder(t *testing.T) {
 	w, l := pipelines(t, 3)
 	other := w.followers()[0]
@@ -160,7 +160,7 @@
 // What a job needs may take more than one value of the state service: it is stored with
 // the job, read before the job is known, by any node and leader, and dropped with it.
 func TestNeedsOverManyRecords(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.announce(1, 4, 60)
 	w.state.lowered = true
 	l := w.waitLeader()
@@ -320,7 +320,7 @@
 // A leader that has not yet read what became of a job does not call one after it queued:
 // a predecessor may have told its user that it is cancelled.
 func TestNeedNotReadYet(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.state.put(storage.FinalKey("j-a"), storage.FinalRecord{State: protocol.Withdrawn, Tasks: 1})
 	w.state.put(storage.JobKey("j-b"), storage.JobRecord{Spec: after("j-b", 1, "j-a"), AtMS: time.Unix(1_000_000, 0).UnixMilli()})
 	w.state.put(storage.JobKey("j-c"), storage.JobRecord{Spec: after("j-c", 1, "j-b"), AtMS: time.Unix(1_000_000, 0).UnixMilli()})
--- a/internal/coordination/gap_test.go
+++ b/internal/coordination/refusal_outage_test.go
@@ -9,36 +9,36 @@
 	"hitchdoor/internal/protocol"
 )
 
-// gapWays are the ways in which an end comes to be told while the old leader doesn't know
+// refusalOutageWays are the ways in which an end comes to be told while the old leader doesn't know
 // of it, or in which that leader may come to keep its workers.
-var gapWays = map[string]func(c *crowd, old string){
-	"plain": func(*crowd, string) {},
-	"answers lost": func(c *crowd, _ string) {
+var refusalOutageWays = map[string]func(c *userSimulation, old string){
+	"plain": func(*userSimulation, string) {},
+	"answers lost": func(c *userSimulation, _ string) {
 		c.state.late = func() (time.Duration, bool) { return 0, c.rng.IntN(2) == 0 }
 		c.after(c.lease(), func() { c.state.late = nil })
 	},
-	"writes late": func(c *crowd, _ string) {
+	"writes late": func(c *userSimulation, _ string) {
 		c.state.late = func() (time.Duration, bool) {
 			return 2*time.Second + time.Duration(c.rng.IntN(10_000))*time.Millisecond, c.rng.IntN(3) == 0
 		}
 		c.after(c.lease(), func() { c.state.late = nil })
 	},
-	"the successor ends": func(c *crowd, old string) {
+	"the successor ends": func(c *userSimulation, old string) {
 		c.whenLed(old, func(name string) {
 			c.after(time.Duration(c.rng.IntN(2000))*time.Millisecond, func() { c.back(name, c.cancelSpan()) })
 		})
 	},
-	"the successor is back at once": func(c *crowd, old string) {
+	"the successor is back at once": func(c *userSimulation, old string) {
 		c.whenLed(old, func(name string) {
 			c.after(time.Duration(c.rng.IntN(2000))*time.Millisecond, func() { c.back(name, 100*time.Millisecond) })
 		})
 	},
-	"the successor is not heard": func(c *crowd, old string) {
+	"the successor is not heard": func(c *userSimulation, old string) {
 		c.whenLed(old, func(name string) {
 			c.after(time.Duration(c.rng.IntN(2000))*time.Millisecond, func() { c.cutOff(name) })
 		})
 	},
-	"the others forget": func(c *crowd, old string) {
+	"the others forget": func(c *userSimulation, old string) {
 		c.whenLed(old, func(string) {
 			c.after(time.Duration(c.rng.IntN(2000))*time.Millisecond, func() {
 				for _, name := range c.names {
@@ -49,14 +49,14 @@
 			})
 		})
 	},
-	"the old leader hears nobody": func(c *crowd, old string) {
+	"the old leader hears nobody": func(c *userSimulation, old string) {
 		c.cutOff(old)
 		c.after(c.lease()/4, c.mend)
 	},
-	"the old leader stands still": func(c *crowd, old string) {
+	"the old leader stands still": func(c *userSimulation, old string) {
 		c.freeze(c.nodes[old], time.Duration(c.rng.IntN(int(c.lease()/3))), func() {})
 	},
-	"the election is in full swing": func(c *crowd, old string) {
+	"the election is in full swing": func(c *userSimulation, old string) {
 		for i := range 4 {
 			c.after(time.Duration(i)*c.lease()/12, func() {
 				if name := c.anyNode(); name != old && !c.nodes[name].down {
@@ -67,7 +67,7 @@
 	},
 }
 
-// The first meeting: the state service refuses the leader alone, another controller
+// The first combination: the state service refuses the leader alone, another controller
 // confirms cancellations, and then the state service is out for all for longer than
 // cancel_s, while workers go on reporting to the old leader. The refusal begins up to three
 // terms before the outage; users cancel all along.
@@ -81,7 +81,7 @@
 	if sweepAll() {
 		offsets = 320 // a twentieth of a heartbeat apart
 	}
-	for way, prepare := range gapWays {
+	for way, prepare := range refusalOutageWays {
 		t.Run(way, func(t *testing.T) {
 			for i := range offsets {
 				for k, p := range deployments {
@@ -91,7 +91,7 @@
 						}
 						t.Run(fmt.Sprintf("%d nodes, lease %v, offset %d", nodes, p.lease, i), func(t *testing.T) {
 							t.Parallel()
-							gap(t, nodes, p, uint64(i), time.Duration(float64(i)/float64(offsets)*gapTerms/termsPerLease*p.lease*1e9), prepare)
+							gap(t, nodes, p, uint64(i), time.Duration(float64(i)/float64(offsets)*refusalOutageTerms/termsPerLease*p.lease*1e9), prepare)
 						})
 					}
 				}
@@ -100,15 +100,15 @@
 	}
 }
 
-// gapTerms is how many spans of a leader's lease the refusal begins before the outage, at
+// refusalOutageTerms is how many spans of a leader's lease the refusal begins before the outage, at
 // most: a successor is elected after one or two.
-const gapTerms = 3.2
+const refusalOutageTerms = 3.2
 
 var confirmedElsewhere atomic.Int64
 
-func gap(t *testing.T, nodes int, p proportions, seed uint64, outageAfter time.Duration, prepare func(*crowd, string)) {
+func gap(t *testing.T, nodes int, p proportions, seed uint64, outageAfter time.Duration, prepare func(*userSimulation, string)) {
 	const jobs = 8
-	c, l := newMeeting(t, nodes, p, seed, jobs, 2)
+	c, l := newFaultCombination(t, nodes, p, seed, jobs, 2)
 	outageAfter += time.Duration(c.rng.Float64() * float64(c.lease()) / 32)
 	// Half of the machines reach nobody but the old leader.
 	c.reach = func(x *worker, node string) bool { return node == l.name || x.name[len(x.name)-1]%2 == 0 }
@@ -132,7 +132,7 @@
 }
 
 // settleCancelled checks that the first few jobs are cancelled for good.
-func (c *crowd) settleCancelled(jobs int) {
+func (c *userSimulation) settleCancelled(jobs int) {
 	c.t.Helper()
 	if !c.until(time.Minute, func() bool {
 		for i := range jobs {
--- a/internal/coordination/reservation.go
+++ b/internal/coordination/reservation.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"hitchdoor/internal/config"
 	"hitchdoor/internal/protocol"
 )
 
@@ -87,7 +88,7 @@
 		}
 		wait := l.timeToRoom(m, &j.spec)
 		if !m.hasImage(j.spec.Image) {
-			wait += l.pull().time(j.spec.ImageGB)
+			wait += config.Seconds(j.spec.ImageGB / m.kind.PullGBPerS)
 		}
 		if best == nil || wait < soonest {
 			best, soonest = m, wait
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -14,7 +14,7 @@
 )
 
 func TestJobRunsToDone(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.waitLeader()
 	f := w.followers()[0]
 	if r := w.submit(f, spec("j-1", 20)); r.Status != 201 {
@@ -41,7 +41,7 @@
 // forgotten, went_back: what was accepted or over stays so after all
 // controllers have been killed at once.
 func TestNothingForgottenAfterFullRestart(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.waitLeader()
 	w.submit("n0", spec("j-1", 1))
 	w.waitState("j-1", protocol.Done, 60*time.Second)
@@ -71,7 +71,7 @@
 
 // invented, forgotten: 404 only after the state service has said so.
 func TestUnknownJobs(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.waitLeader()
 	for _, n := range w.names {
 		if code, _ := w.query(n, "j-404"); code != 404 {
@@ -90,7 +90,7 @@
 // A submission whose write was executed, but whose answer was lost in a crash,
 // is known when it is repeated.
 func TestCrashBetweenWriteAndAnswer(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	first := w.waitLeader()
 	j := spec("j-1", 1)
 	w.specs["j-1"] = j
@@ -121,7 +121,7 @@
 // ran_twice: a machine that the new leader does not hear may still run tasks. Old
 // jobs wait for its lease; a job accepted since can't be on it and need not.
 func TestTakeoverWaitsForSilentMachine(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.runTime = func(string, int) time.Duration { return 200 * time.Second }
 	first := w.waitLeader()
 	w.submitAndStart(first.name, spec("j-1", 4), 4)
@@ -155,7 +155,7 @@
 // ran_twice: a session that was declared lost never gets a 200, or its tasks
 // would live on beside their second runs.
 func TestLostSessionNeverAnswered(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.runTime = func(string, int) time.Duration { return 300 * time.Second }
 	l := w.waitLeader()
 	w.submitAndStart(l.name, spec("j-1", 1), 1)
@@ -178,7 +178,7 @@
 
 // A late report, older than one already seen, changes nothing and gets no 200.
 func TestLateReportIsIgnored(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.runTime = func(string, int) time.Duration { return 100 * time.Second }
 	l := w.waitLeader()
 	w.submitAndStart(l.name, spec("j-1", 1), 1)
@@ -203,7 +203,7 @@
 // A start whose answer was dropped was not executed: the same attempt is sent
 // again, and nothing is counted twice.
 func TestDroppedAnswerIsSentAgain(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	l := w.waitLeader()
 	w.submit(l.name, spec("j-1", 1))
 	if !w.until(30*time.Second, func() bool { return len(w.workers) > 0 }) {
@@ -224,7 +224,7 @@
 
 // ran_cancelled: a start is in flight when the user cancels.
 func TestCancelAgainstStartInFlight(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.runTime = func(string, int) time.Duration { return 300 * time.Second }
 	w.waitLeader()
 	w.submit("n0", spec("j-1", 6))
@@ -256,7 +256,7 @@
 
 // not_done, went_back: no user hears "withdrawn" before it is durable.
 func TestCancelWaitsForTheWrite(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	first := w.waitLeader()
 	w.submit(first.name, spec("j-1", 4))
 	w.state.setDown(true)
@@ -273,7 +273,7 @@
 // A result is forgotten by its worker only once its bit is durable; it is the
 // only copy until then.
 func TestForgetOnlyAfterDoneIsDurable(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.runTime = func(key string, _ int) time.Duration {
 		if key == "j-1/0" {
 			return 2 * time.Second
@@ -298,9 +298,9 @@
 }
 
 // quota: what a silent machine may still run counts until it is surely over; the
-// world's check holds the limit at each moment.
+// simulation's check holds the limit at each moment.
 func TestQuotaCountsUnreachableTasks(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.runTime = func(string, int) time.Duration { return 30 * time.Second }
 	w.waitLeader()
 	j := spec("j-1", 40)
@@ -332,7 +332,7 @@
 
 // wrong_place: types, zone, kind and the places of the job's other tasks.
 func TestPlacementObeysTheJob(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.runTime = func(string, int) time.Duration { return 20 * time.Second }
 	l := w.waitLeader()
 	zoned, plain, one, apart := spec("j-1", 3), spec("j-2", 3), spec("j-3", 6), spec("j-4", 5)
@@ -379,7 +379,7 @@
 
 // The checks of admission come in their order, and the job says which stopped it.
 func TestAdmissionOrder(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.runTime = func(string, int) time.Duration { return 100 * time.Second }
 	l := w.waitLeader()
 	j := spec("j-1", 40)
@@ -403,7 +403,7 @@
 
 // Set-aside slots are lent to batch work until pressing work has waited.
 func TestBorrowedSlotsComeBack(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	l := w.waitLeader()
 	low, urgent := spec("j-1", 10), spec("j-2", 1)
 	urgent.Priority = "urgent"
@@ -425,7 +425,7 @@
 // A failed task is retried at once on another machine; a machine that fails
 // everything is found and returned.
 func TestSickMachineIsReturned(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.runTime = func(string, int) time.Duration { return 3 * time.Second }
 	l := w.waitLeader()
 	w.machines(3)
@@ -448,7 +448,7 @@
 // A job that fails on every machine is the job's own mistake: no machine is
 // condemned for it, and other work goes on.
 func TestBadJobCondemnsNoMachine(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	l := w.waitLeader()
 	w.submitAndStart(l.name, spec("j-1", 12), 4)
 	bad := spec("j-9", 6)
@@ -481,7 +481,7 @@
 // A spot notice drains the machine: tasks that save are stopped with time to
 // save, and the machine gets nothing more.
 func TestSpotNoticeDrains(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.runTime = func(string, int) time.Duration { return 100 * time.Second }
 	l := w.waitLeader()
 	j := spec("j-1", 4)
@@ -514,7 +514,7 @@
 // The cloud may be down or have no cheap machines: demand is remembered, other
 // kinds are tried, and no request name is used twice.
 func TestCloudTroubles(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	l := w.waitLeader()
 	w.cloud.down = true
 	w.submit(l.name, spec("j-1", 4))
@@ -528,7 +528,7 @@
 
 // Machines that nobody asked for, after a late rental request, are returned.
 func TestUnknownMachineIsUsedOrReturned(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.waitLeader()
 	x := w.cloud.rent("c4", "a", false)
 	if !w.until(3*time.Minute, func() bool { return w.cloud.hosts[x.name] == nil }) {
@@ -539,7 +539,7 @@
 // A worker that can't reach the leader comes back after its 421, and is then
 // relayed, so that its lease holds.
 func TestFollowerRelaysForCutWorkers(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	l := w.waitLeader()
 	f := w.followers()[0]
 	rep := &protocol.Report{Machine: "m-9", Type: "c4", Zone: "a", Session: 1, Seq: 1}
@@ -562,7 +562,7 @@
 // A machine that runs its tasks far slower than their siblings run elsewhere is
 // emptied, and what would be done sooner from the start moves.
 func TestSlowMachineIsEmptied(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	l := w.waitLeader()
 	w.machines(3)
 	var victim string
@@ -585,7 +585,7 @@
 // The largest job fits the value limit (the stand-in checks each write), and what
 // is finished survives a takeover.
 func TestLargestJob(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.runTime = func(string, int) time.Duration { return time.Second }
 	w.waitLeader()
 	j := spec("j-1", protocol.MaxTasks)
@@ -616,7 +616,7 @@
 // A report may be written over several lines; between controllers a line is a
 // message, so what was parsed is forwarded and not what came.
 func TestForwardedBodyIsOneLine(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.waitLeader()
 	f := w.nodes[w.followers()[0]]
 	rep, err := protocol.ParseReport([]byte("{\"maquina\":\"m-9\",\n\"porte\":\"c4\",\"praca\":\"a\",\"turno\":1,\n\"contagem\":1,\"pecas\":[]}\n"))
@@ -647,7 +647,7 @@
 // Submissions must not wait behind the records of machines: a burst of rented
 // machines once used up all changes and users were turned away.
 func TestSubmissionsPassMachineRecords(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.cfg.State.WriteRPS = 25
 	for _, name := range w.names {
 		w.start(name)
@@ -677,7 +677,7 @@
 // Hundreds of machines that come up together must be durable by name before their
 // first task without waiting for one another's changes.
 func TestMachinesShareRecords(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.cfg.State.WriteRPS = 25
 	w.start("n0")
 	l := w.waitLeader()
@@ -720,7 +720,7 @@
 // Records of single machines, as the version before wrote them, are still read: a
 // machine that had tasks is waited for, and its record moves into a group.
 func TestRecordsOfTheVersionBefore(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	x := w.cloud.rent("c4", "a", true)
 	w.cloud.boot = time.Hour
 	w.cloud.rent("c4", "a", true) // recorded, but never up
@@ -746,7 +746,7 @@
 // the cloud calls from returns: a quiet machine that a takeover waits for holds up
 // all older jobs until it is returned.
 func TestReturnsGoBeforeRentals(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.cfg.Cloud.RPS = 0.4
 	w.runTime = func(string, int) time.Duration { return 8 * time.Second }
 	for _, name := range w.names {
@@ -774,7 +774,7 @@
 // it has: the machine types are stored. A job that no stored type fits is not refused
 // for good, as types may have come since.
 func TestStartWhileTheCloudIsDown(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	l := w.waitLeader()
 	w.machines(2)
 	w.submitAndStart(l.name, spec("j-1", 4), 4)
@@ -819,7 +819,7 @@
 		{"one has just started", func(from, _ *machine, _ *job) { from.list[0].started += 50 * time.Second }, false},
 		{"the machine is needed", func(from, _ *machine, _ *job) { from.emptying, from.why = false, "" }, false},
 	} {
-		w := newWorld(t, 1)
+		w := newSimulation(t, 1)
 		w.cloud.types = []protocol.MachineType{{Name: "c4", Cores: 32, RAM: 128, CacheGB: 40, PullGBPerS: 1, Rate: 0.3, SpotRate: 0.1, ReadyS: 5, Zones: []string{"a", "b"}}}
 		w.start("n0")
 		l := w.waitLeader()
@@ -850,7 +850,7 @@
 // A job whose record outgrows a value can't be kept, so it is refused for good; it
 // was once turned away with 503, to be sent again and again.
 func TestJobTooLargeToStore(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	l := w.waitLeader()
 	w.machines(1)
 	j := spec("j-1", 1)
@@ -865,7 +865,7 @@
 // Once a job's end is in the state service, any node may tell it, though the leader
 // that wrote it has got no answer yet: the leader must not say anything older.
 func TestEndIsToldByAllOrNone(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	l := w.waitLeader()
 	w.machines(1)
 	w.cloud.capacity = 1
@@ -899,7 +899,7 @@
 // quota: what may still run on a machine of a type that is no longer sold fills the limits
 // of all teams until it is known; it once counted for nothing.
 func TestQuotaCountsTypesNoLongerSold(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.runTime = func(string, int) time.Duration { return time.Hour }
 	l := w.waitLeader()
 	j := spec("j-1", 16) // the team's limit
@@ -934,7 +934,7 @@
 // known, and runs as soon as the mistake is mended where it reads it. A faulty machine is
 // still found beside it.
 func TestJobWithAMistakeIsTriedWithOneTask(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.runTime = func(string, int) time.Duration { return 2 * time.Second }
 	l := w.waitLeader()
 	w.machines(6)
@@ -979,7 +979,7 @@
 // and is tried on a machine that it has not failed on as soon as there is one, though the
 // faulty ones are idle and hold its image.
 func TestSmallJobOnFaultyMachines(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.runTime = func(string, int) time.Duration { return 2 * time.Second }
 	l := w.waitLeader()
 	w.machines(4)
@@ -1010,7 +1010,7 @@
 // not, and the others follow it at once rather than after its whole run.
 func TestHealthyJobDoesNotPauseForAWholeRun(t *testing.T) {
 	const takes = 2 * time.Minute
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.cloud.capacity = 8
 	w.runTime = func(string, int) time.Duration { return takes }
 	l := w.waitLeader()
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -316,6 +316,7 @@
 	l.order = l.waitingJobs()
 	l.pressed = l.quickWaits(l.order)
 	if len(l.order) == 0 {
+		l.renewReservations()
 		return
 	}
 	p := l.newPass(l.pressed)
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/simulated_cloud_test.go
@@ -16,7 +16,7 @@
 
 // fakeCloud is the cloud.
 type fakeCloud struct {
-	w        *world
+	w        *simulation
 	requests map[string][]string
 	hosts    map[string]*worker
 	last     int
@@ -106,7 +106,7 @@
 
 // worker is a machine's worker.
 type worker struct {
-	w                *world
+	w                *simulation
 	name, typ, zone  string
 	spot             bool
 	session, seq     uint64
--- a/internal/coordination/state_test.go
+++ b/internal/coordination/simulated_state_test.go
@@ -16,7 +16,7 @@
 
 // fakeState is the state service.
 type fakeState struct {
-	w         *world
+	w         *simulation
 	keys      map[string]storage.Item
 	rev       uint64
 	log       []storage.Event
--- a/internal/coordination/crowd_test.go
+++ b/internal/coordination/simulated_users_test.go
@@ -12,31 +12,31 @@
 	"hitchdoor/internal/storage"
 )
 
-// crowd is a world with users who ask any node, repeat what was not answered, and look
-// closely. What they are told is heard by the judge.
-type crowd struct {
-	*world
+// userSimulation is a simulation together with users who ask any node, repeat what was not answered, and look
+// closely. What they are told is heard by the invariant checker.
+type userSimulation struct {
+	*simulation
 	rng *rand.Rand
 }
 
-func newCrowd(w *world, seed uint64) *crowd {
-	return &crowd{world: w, rng: rand.New(rand.NewPCG(seed, 7))}
+func newUserSimulation(w *simulation, seed uint64) *userSimulation {
+	return &userSimulation{simulation: w, rng: rand.New(rand.NewPCG(seed, 7))}
 }
 
 // driftClocks lets the nodes' steady clocks run by as much as they may.
-func (c *crowd) driftClocks() {
+func (c *userSimulation) driftClocks() {
 	for _, name := range c.names {
 		c.nodes[name].rate = 1 + (c.rng.Float64()-0.5)/1000
 	}
 }
 
-func (c *crowd) anyNode() string { return c.names[c.rng.IntN(len(c.names))] }
+func (c *userSimulation) anyNode() string { return c.names[c.rng.IntN(len(c.names))] }
 
 // knows tells whether some user was told that a job is accepted.
-func (c *crowd) knows(id string) bool { _, ok := c.accepted[id]; return ok }
+func (c *userSimulation) knows(id string) bool { _, ok := c.accepted[id]; return ok }
 
 // user asks any node, and gives up after 5 s as users do.
-func (c *crowd) user(r Request, f func(Reply)) {
+func (c *userSimulation) user(r Request, f func(Reply)) {
 	done := false
 	once := func(r Reply) {
 		if !done {
@@ -49,7 +49,7 @@
 }
 
 // submitUntil submits a job until some node has taken it, 40 times at most.
-func (c *crowd) submitUntil(j protocol.Job) {
+func (c *userSimulation) submitUntil(j protocol.Job) {
 	var try func(int)
 	try = func(tries int) {
 		c.user(Request{Kind: protocol.RequestSubmit, ID: j.UID, Job: &j}, func(r Reply) {
@@ -66,7 +66,7 @@
 }
 
 // cancelUntil cancels a job until some node has confirmed it, or says that it is done.
-func (c *crowd) cancelUntil(id string) {
+func (c *userSimulation) cancelUntil(id string) {
 	c.user(Request{Kind: protocol.RequestCancel, ID: id}, func(r Reply) {
 		switch {
 		case r.Status == 200:
@@ -79,7 +79,7 @@
 }
 
 // poll asks any nodes about all jobs, and about one that nobody submitted.
-func (c *crowd) poll() {
+func (c *userSimulation) poll() {
 	for _, id := range slices.Sorted(maps.Keys(c.accepted)) {
 		c.user(Request{Kind: protocol.RequestQuery, ID: id}, func(Reply) {})
 	}
@@ -88,7 +88,7 @@
 
 // lookClosely lets users ask at all nodes, again and again within milliseconds, and repeat
 // the submission, as soon as anybody was told that a job is accepted, done or cancelled.
-func (c *crowd) lookClosely() {
+func (c *userSimulation) lookClosely() {
 	c.told = func(id, _ string) {
 		j := c.specs[id]
 		for i := range 6 {
@@ -106,7 +106,7 @@
 
 // calmDown says that all troubles are over: from here on nothing waits beside room, and
 // each job is asked about every 5 s and has to be answered within 75 s.
-func (c *crowd) calmDown() {
+func (c *userSimulation) calmDown() {
 	c.calm = c.now
 	var again func()
 	again = func() {
@@ -125,7 +125,7 @@
 
 // settle waits until every job that was accepted and not cancelled is done, and the others
 // have their end written.
-func (c *crowd) settle(d time.Duration) {
+func (c *userSimulation) settle(d time.Duration) {
 	c.t.Helper()
 	c.calmDown()
 	open := func() []string {
@@ -147,7 +147,7 @@
 }
 
 // why tells what a job that is not done waits for.
-func (w *world) why(id string) string {
+func (w *simulation) why(id string) string {
 	name := w.leader()
 	if name == "" {
 		return "nobody leads: " + w.noLeader()
@@ -172,7 +172,7 @@
 }
 
 // noLeader tells what each node does about it.
-func (w *world) noLeader() string {
+func (w *simulation) noLeader() string {
 	out := fmt.Sprintf("state down %v, refuses %v, lost %v, leader key %q", w.state.down, w.state.refuse, w.state.lost, w.state.keys[storage.LeaderKey].Value)
 	for _, name := range w.names {
 		n := w.nodes[name]
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/simulation_test.go
@@ -21,14 +21,14 @@
 	"hitchdoor/internal/storage"
 )
 
-// The world of the tests: a fake clock, nodes that are stepped by hand, and
+// The simulation of the tests: a fake clock, nodes that are stepped by hand, and
 // stand-ins for the state service, the cloud and the workers, written from the
-// protocol. Every test also has the judge of judge_test.go, who looks at each moment and
+// protocol. Every test also has the invariant checker of invariants_test.go, who looks at each moment and
 // at each answer for a rule that is broken.
 
 const step = 5 * time.Millisecond
 
-type world struct {
+type simulation struct {
 	t       *testing.T
 	now     Instant
 	cfg     config.Cluster
@@ -54,7 +54,7 @@
 	mistake map[string]bool                               // jobs that fail on every machine
 	old     map[string]bool                               // nodes that start with level 0
 	wallOff map[string]time.Duration                      // by how much nodes' times of day are wrong
-	judge
+	invariantChecker
 }
 
 type event struct {
@@ -107,11 +107,13 @@
 
 var deployments = []proportions{{1.5, 14, 34}, {3, 18, 38}, {4, 22, 42}, {5, 26.5, 46.5}}
 
-func newWorld(t *testing.T, nodes int) *world { return newWorldOf(t, nodes, deployments[0]) }
+func newSimulation(t *testing.T, nodes int) *simulation {
+	return newSimulationOf(t, nodes, deployments[0])
+}
 
-func newWorldOf(t *testing.T, nodes int, p proportions) *world {
-	w := &world{t: t, nodes: map[string]*simNode{}, workers: map[string]*worker{}, specs: map[string]protocol.Job{},
-		cut: map[[2]string]bool{}, far: map[string]bool{}, starts: map[string]int{}, mistake: map[string]bool{}, old: map[string]bool{}, judge: newJudge(),
+func newSimulationOf(t *testing.T, nodes int, p proportions) *simulation {
+	w := &simulation{t: t, nodes: map[string]*simNode{}, workers: map[string]*worker{}, specs: map[string]protocol.Job{},
+		cut: map[[2]string]bool{}, far: map[string]bool{}, starts: map[string]int{}, mistake: map[string]bool{}, old: map[string]bool{}, invariantChecker: newInvariantChecker(),
 		runTime: func(string, int) time.Duration { return 5 * time.Second }}
 	c := &w.cfg
 	c.Count = nodes
@@ -140,7 +142,7 @@
 	return slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
 }
 
-func (w *world) start(name string) {
+func (w *simulation) start(name string) {
 	p := &config.Platform{Node: name, Cluster: w.cfg}
 	if w.old[name] {
 		p.Cluster.State.Next = config.State{}.Next // level 0 does not know them
@@ -163,12 +165,12 @@
 	}
 }
 
-func (w *world) crash(name string) { w.nodes[name].down = true; w.nodes[name].epoch++ }
+func (w *simulation) crash(name string) { w.nodes[name].down = true; w.nodes[name].epoch++ }
 
-func (w *world) restart(name string) { w.start(name) }
+func (w *simulation) restart(name string) { w.start(name) }
 
 // back lets a node end and begin anew.
-func (w *world) back(name string, after time.Duration) {
+func (w *simulation) back(name string, after time.Duration) {
 	w.crash(name)
 	w.after(after, func() {
 		if w.nodes[name].down {
@@ -179,16 +181,16 @@
 	})
 }
 
-func (w *world) after(d time.Duration, f func()) {
+func (w *simulation) after(d time.Duration, f func()) {
 	w.planned++
 	heap.Push(&w.events, event{w.now + d, w.planned, f})
 }
 
-// run lets the world go on for a while.
-func (w *world) run(d time.Duration) { w.until(d, func() bool { return false }) }
+// run lets the simulation go on for a while.
+func (w *simulation) run(d time.Duration) { w.until(d, func() bool { return false }) }
 
-// until lets the world go on until something holds, and tells whether it came to hold.
-func (w *world) until(d time.Duration, cond func() bool) bool {
+// until lets the simulation go on until something holds, and tells whether it came to hold.
+func (w *simulation) until(d time.Duration, cond func() bool) bool {
 	w.t.Helper()
 	for end := w.now + d; w.now < end; {
 		if cond() {
@@ -212,7 +214,7 @@
 
 // inOrder lists the workers by name. The list is kept as long as it is true: sorted at
 // each step it was half of the tests' time.
-func (w *world) inOrder() []*worker {
+func (w *simulation) inOrder() []*worker {
 	same := len(w.ordered) == len(w.workers)
 	for _, x := range w.ordered {
 		same = same && w.workers[x.name] == x
@@ -223,7 +225,7 @@
 	return w.ordered
 }
 
-func (w *world) stepNode(n *simNode) {
+func (w *simulation) stepNode(n *simNode) {
 	if n.down || n.frozen {
 		return
 	}
@@ -239,7 +241,7 @@
 }
 
 // freeze lets a node stand still for a while and then do something first.
-func (w *world) freeze(n *simNode, d time.Duration, then func()) {
+func (w *simulation) freeze(n *simNode, d time.Duration, then func()) {
 	n.frozen = true
 	epoch := n.epoch
 	w.after(d, func() {
@@ -250,7 +252,7 @@
 	})
 }
 
-func (w *world) carryOut(n *simNode, effects []any) {
+func (w *simulation) carryOut(n *simNode, effects []any) {
 	epoch := n.epoch
 	for _, e := range effects {
 		switch e := e.(type) {
@@ -362,14 +364,14 @@
 }
 
 // upgrade ends a node and brings it back with this version.
-func (w *world) upgrade(name string) {
+func (w *simulation) upgrade(name string) {
 	w.crash(name)
 	delete(w.old, name)
 	w.after(time.Second, func() { w.restart(name) })
 }
 
 // allNew waits until every node that is up knows that all are of this version.
-func (w *world) allNew() {
+func (w *simulation) allNew() {
 	w.t.Helper()
 	known := func(name string) bool { n := w.nodes[name]; return n.down || n.versions.all }
 	if !w.until(30*time.Second, func() bool { return !slices.ContainsFunc(w.names, func(s string) bool { return !known(s) }) }) {
@@ -378,7 +380,7 @@
 }
 
 // final is what the state service knows of a job that is over.
-func (w *world) final(id string) string {
+func (w *simulation) final(id string) string {
 	var f storage.FinalRecord
 	if it, ok := w.state.keys[storage.FinalKey(id)]; ok {
 		json.Unmarshal(it.Value, &f)
@@ -386,24 +388,24 @@
 	return f.State
 }
 
-func (w *world) apart(a, b string) bool { return w.cut[[2]string{a, b}] || w.cut[[2]string{b, a}] }
+func (w *simulation) apart(a, b string) bool { return w.cut[[2]string{a, b}] || w.cut[[2]string{b, a}] }
 
 // cutOff cuts a node from all others.
-func (w *world) cutOff(name string) {
+func (w *simulation) cutOff(name string) {
 	for _, other := range w.names {
 		w.cut[[2]string{name, other}] = true
 	}
 }
 
 // cutAll cuts all nodes from each other.
-func (w *world) cutAll() {
+func (w *simulation) cutAll() {
 	for _, name := range w.names {
 		w.cutOff(name)
 	}
 }
 
 // mend ends all cuts between nodes; what they held back arrives now.
-func (w *world) mend() {
+func (w *simulation) mend() {
 	w.cut = map[[2]string]bool{}
 	kept := w.kept
 	w.kept = nil
@@ -413,7 +415,7 @@
 }
 
 // ask sends a request to a node; a node that is down gives status 0.
-func (w *world) ask(name string, r Request, f func(Reply)) {
+func (w *simulation) ask(name string, r Request, f func(Reply)) {
 	n := w.nodes[name]
 	if n.down {
 		w.after(step, func() { f(Reply{}) })
@@ -425,8 +427,8 @@
 	n.inbox = append(n.inbox, r)
 }
 
-// listen lets the judge hear what a user is told.
-func (w *world) listen(name string, r Request, f func(Reply)) func(Reply) {
+// listen lets the invariant checker hear what a user is told.
+func (w *simulation) listen(name string, r Request, f func(Reply)) func(Reply) {
 	switch r.Kind {
 	case protocol.RequestSubmit:
 		w.submitted[r.ID] = true
@@ -447,7 +449,7 @@
 }
 
 // request asks a node and waits for the answer, 5 s at most.
-func (w *world) request(name string, r Request) Reply {
+func (w *simulation) request(name string, r Request) Reply {
 	w.t.Helper()
 	var got *Reply
 	w.ask(name, r, func(x Reply) { got = &x })
@@ -458,7 +460,7 @@
 }
 
 // machines brings up machines beside those that are rented for the work.
-func (w *world) machines(n int) {
+func (w *simulation) machines(n int) {
 	w.t.Helper()
 	for i := range n {
 		w.cloud.rent("c4", []string{"a", "b"}[i%2], true)
@@ -469,14 +471,14 @@
 	w.run(2 * time.Second)
 }
 
-func (w *world) submit(node string, j protocol.Job) Reply {
+func (w *simulation) submit(node string, j protocol.Job) Reply {
 	w.t.Helper()
 	w.specs[j.UID] = j
 	return w.request(node, Request{Kind: protocol.RequestSubmit, ID: j.UID, Job: &j})
 }
 
 // submitAndStart submits a job and waits until so many of its tasks are on machines.
-func (w *world) submitAndStart(node string, j protocol.Job, tasks int) {
+func (w *simulation) submitAndStart(node string, j protocol.Job, tasks int) {
 	w.t.Helper()
 	w.submit(node, j)
 	if !w.until(time.Minute, func() bool { return w.onMachines(j.UID) >= tasks }) {
@@ -484,11 +486,11 @@
 	}
 }
 
-// running is a world whose leader runs one job, j-1: all its tasks are on machines, each
+// running is a simulation whose leader runs one job, j-1: all its tasks are on machines, each
 // for so long.
-func running(t *testing.T, nodes int, takes time.Duration, machines, tasks int) (*world, *simNode) {
+func running(t *testing.T, nodes int, takes time.Duration, machines, tasks int) (*simulation, *simNode) {
 	t.Helper()
-	w := newWorld(t, nodes)
+	w := newSimulation(t, nodes)
 	w.runTime = func(string, int) time.Duration { return takes }
 	l := w.waitLeader()
 	w.machines(machines)
@@ -496,7 +498,7 @@
 	return w, l
 }
 
-func (w *world) query(node, id string) (int, protocol.JobState) {
+func (w *simulation) query(node, id string) (int, protocol.JobState) {
 	w.t.Helper()
 	r := w.request(node, Request{Kind: protocol.RequestQuery, ID: id})
 	var s protocol.JobState
@@ -508,12 +510,12 @@
 	return r.Status, s
 }
 
-func (w *world) cancel(node, id string) Reply {
+func (w *simulation) cancel(node, id string) Reply {
 	w.t.Helper()
 	return w.request(node, Request{Kind: protocol.RequestCancel, ID: id})
 }
 
-func (w *world) leader() string {
+func (w *simulation) leader() string {
 	for _, name := range w.names {
 		if n := w.nodes[name]; !n.down && !n.frozen && n.authority() {
 			return name
@@ -523,7 +525,7 @@
 }
 
 // lead waits until some node leads and has read the records.
-func (w *world) waitLeader() *simNode {
+func (w *simulation) waitLeader() *simNode {
 	w.t.Helper()
 	if !w.until(30*time.Second, func() bool { l := w.leader(); return l != "" && w.nodes[l].lead.loaded }) {
 		w.t.Fatal("nobody leads")
@@ -531,12 +533,12 @@
 	return w.nodes[w.leader()]
 }
 
-func (w *world) followers() []string {
+func (w *simulation) followers() []string {
 	return slices.DeleteFunc(slices.Clone(w.names), func(s string) bool { return s == w.leader() || w.nodes[s].down })
 }
 
 // waitState waits until a job has a state.
-func (w *world) waitState(id, state string, d time.Duration) {
+func (w *simulation) waitState(id, state string, d time.Duration) {
 	w.t.Helper()
 	end := w.now + d
 	var last protocol.JobState
@@ -553,7 +555,7 @@
 }
 
 // allStarts counts how often tasks were started, all together.
-func (w *world) allStarts() int {
+func (w *simulation) allStarts() int {
 	all := 0
 	for _, n := range w.starts {
 		all += n
@@ -562,7 +564,7 @@
 }
 
 // startedOnce checks that no task was started a second time.
-func (w *world) startedOnce() {
+func (w *simulation) startedOnce() {
 	w.t.Helper()
 	for task, n := range w.starts {
 		if n != 1 {
@@ -572,7 +574,7 @@
 }
 
 // onMachines counts a job's tasks that are on machines.
-func (w *world) onMachines(id string) int {
+func (w *simulation) onMachines(id string) int {
 	count := 0
 	for _, x := range w.workers {
 		for _, t := range x.tasks {
--- a/internal/coordination/versions_test.go
+++ b/internal/coordination/versions_test.go
@@ -14,7 +14,7 @@
 )
 
 // announce lets the settings name lower limits of the state service.
-func (w *world) announce(valueKB float64, ops int, rps float64) {
+func (w *simulation) announce(valueKB float64, ops int, rps float64) {
 	next := &w.cfg.State.Next
 	next.ValueKB, next.TxnOps, next.WriteRPS = &valueKB, &ops, &rps
 	for _, name := range w.names {
@@ -34,12 +34,12 @@
 	productionBeat  = `{"type":"beat","term":4,"lead":true,"sent":12,"up":12,"run":5,"heard":7}`
 )
 
-func (w *world) putRaw(key, value string) { w.state.put(key, json.RawMessage(value)) }
+func (w *simulation) putRaw(key, value string) { w.state.put(key, json.RawMessage(value)) }
 
 // What production has written is read, led and rewritten; a job may need one that
 // production ended.
 func TestRecordsOfProduction(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.putRaw(storage.TermKey, productionTerm)
 	w.putRaw(storage.JobKey("j-p"), productionJob)
 	w.putRaw(storage.FinalKey("j-q"), productionFinal)
@@ -69,7 +69,7 @@
 
 // A line of production says nothing of its version, and is understood.
 func TestMessagesOfProduction(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	m, err := protocol.DecodePeer([]byte(productionBeat))
 	if err != nil {
 		t.Fatal(err)
@@ -100,7 +100,7 @@
 // when leaders change in between.
 func TestLargeGroupsAreSplit(t *testing.T) {
 	for _, crashAt := range []time.Duration{0, 5 * time.Millisecond, 30 * time.Millisecond, 60 * time.Millisecond, 120 * time.Millisecond} {
-		w := newWorld(t, 3)
+		w := newSimulation(t, 3)
 		w.announce(1, 4, 40)
 		w.state.lowered = true
 		w.cloud.boot = time.Hour
@@ -151,7 +151,7 @@
 // says so: it may have tasks.
 func TestMachineInTwoGroups(t *testing.T) {
 	for _, first := range []bool{false, true} {
-		w := newWorld(t, 1)
+		w := newSimulation(t, 1)
 		for i, used := range []bool{first, !first} {
 			w.state.put(storage.GroupKey(i), storage.GroupRecord{"m-000900": {Type: "c4", Zone: "a", Spot: true, AtMS: 1_000_000_000, Used: used}})
 		}
@@ -175,7 +175,7 @@
 // that never ran.
 func TestBitmapsOfTheLargestJobs(t *testing.T) {
 	const tasks, doneTask = 20_000, 15_000
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.old["n2"] = true
 	w.announce(1, 4, 40)
 	bits := make([]byte, (tasks+7)/8)
@@ -226,7 +226,7 @@
 // While some node may be of the version before, which would start such a job at once, a
 // job that needs others is not taken; and what a node of it has written is led on.
 func TestNothingNewBeforeAllAreNew(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	for _, name := range w.names {
 		w.old[name] = true
 		w.start(name)
@@ -268,7 +268,7 @@
 // large, changes are paced by the lower rate after the first refusal, and what matters
 // is written first.
 func TestLowerLimits(t *testing.T) {
-	w := newWorld(t, 3)
+	w := newSimulation(t, 3)
 	w.announce(1, 4, 12)
 	l := w.waitLeader()
 	w.allNew()
@@ -299,7 +299,7 @@
 // A transaction that the state service refuses for good, as its limits are lower than
 // the settings say, is cut anew and never sent again as it was; nobody stops leading.
 func TestRefusedForGood(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	l := w.waitLeader()
 	w.machines(2)
 	seen := map[string]bool{}
@@ -328,7 +328,7 @@
 // A submission that is too large for the limits is refused at once, but never one that
 // was accepted when they were wider.
 func TestTooLargeForTheNewLimits(t *testing.T) {
-	w := newWorld(t, 1)
+	w := newSimulation(t, 1)
 	w.announce(1, 4, 40)
 	w.waitLeader()
 	w.allNew()
