--- a/internal/coordination/election_test.go
+++ b/internal/coordination/election_test.go
@@ -279,65 +279,58 @@
 // authority at most, and once all is well again somebody leads within two leases. Here
 // nothing else goes on, so that thousands of elections fit.
 func TestAuthorityIsExclusive(t *testing.T) {
-	seeds := uint64(200)
-	if sweepAll() {
-		seeds = 4000
-	}
-	for seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			c := newUserSimulation(newSimulationOf(t, []int{3, 5, 7}[seed%3], deployments[seed/3%uint64(len(deployments))]), seed)
-			span := c.lease() / termsPerLease
-			soon := func() time.Duration { return time.Duration(c.rng.ExpFloat64() * float64(span) * 0.7) }
-			c.driftClocks()
-			c.holds = seed%2 == 0
-			if seed%4 == 1 {
-				c.state.late = func() (time.Duration, bool) {
-					return time.Duration(c.rng.ExpFloat64() * float64(span)), c.rng.IntN(8) == 0
-				}
+	eachSeed(t, 200, 4000, func(t *testing.T, seed uint64) {
+		c := newUserSimulation(newSimulationOf(t, []int{3, 5, 7}[seed%3], deployments[seed/3%uint64(len(deployments))]), seed)
+		span := c.lease() / termsPerLease
+		soon := func() time.Duration { return time.Duration(c.rng.ExpFloat64() * float64(span) * 0.7) }
+		c.driftClocks()
+		c.holds = seed%2 == 0
+		if seed%4 == 1 {
+			c.state.late = func() (time.Duration, bool) {
+				return time.Duration(c.rng.ExpFloat64() * float64(span)), c.rng.IntN(8) == 0
 			}
-			for end := c.now + 8*c.lease(); c.now < end; c.run(soon() / 2) {
-				name, other := c.anyNode(), c.anyNode()
-				if l := c.leader(); l != "" && c.rng.IntN(3) == 0 {
-					name = l
-				}
-				n := c.nodes[name]
-				switch c.rng.IntN(8) {
-				case 0, 1:
-					c.state.refuse[name] = true
-					c.after(soon(), func() { delete(c.state.refuse, name) })
-				case 2:
-					for _, some := range c.names {
-						if c.rng.IntN(2) == 0 {
-							c.state.refuse[some] = true
-							c.after(soon(), func() { delete(c.state.refuse, some) })
-						}
-					}
-				case 3:
-					c.state.setDown(true)
-					c.after(soon(), func() { c.state.setDown(false) })
-				case 4, 5:
-					c.cut[[2]string{name, other}] = true
-					c.after(soon(), c.mend)
-				case 6:
-					if !n.down {
-						c.back(name, soon()/4)
-					}
-				case 7:
-					if !n.down && !n.frozen {
-						c.freeze(n, soon(), func() {})
+		}
+		for end := c.now + 8*c.lease(); c.now < end; c.run(soon() / 2) {
+			name, other := c.anyNode(), c.anyNode()
+			if l := c.leader(); l != "" && c.rng.IntN(3) == 0 {
+				name = l
+			}
+			n := c.nodes[name]
+			switch c.rng.IntN(8) {
+			case 0, 1:
+				c.state.refuse[name] = true
+				c.after(soon(), func() { delete(c.state.refuse, name) })
+			case 2:
+				for _, some := range c.names {
+					if c.rng.IntN(2) == 0 {
+						c.state.refuse[some] = true
+						c.after(soon(), func() { delete(c.state.refuse, some) })
 					}
 				}
+			case 3:
+				c.state.setDown(true)
+				c.after(soon(), func() { c.state.setDown(false) })
+			case 4, 5:
+				c.cut[[2]string{name, other}] = true
+				c.after(soon(), c.mend)
+			case 6:
+				if !n.down {
+					c.back(name, soon()/4)
+				}
+			case 7:
+				if !n.down && !n.frozen {
+					c.freeze(n, soon(), func() {})
+				}
 			}
-			c.state.late = nil
-			c.run(12 * time.Second)
-			c.state.refuse = map[string]bool{}
-			c.mend()
-			if !c.until(2*c.lease(), func() bool { return c.leader() != "" }) {
-				t.Fatal("nobody leads, though all is well")
-			}
-		})
-	}
+		}
+		c.state.late = nil
+		c.run(12 * time.Second)
+		c.state.refuse = map[string]bool{}
+		c.mend()
+		if !c.until(2*c.lease(), func() bool { return c.leader() != "" }) {
+			t.Fatal("nobody leads, though all is well")
+		}
+	})
 }
 
 // A leader that the state service alone refuses is replaced within a worker lease, with any
--- a/internal/coordination/fault_combinations_test.go
+++ b/internal/coordination/fault_combinations_test.go
@@ -17,6 +17,21 @@
 // combinations instead of every few.
 func sweepAll() bool { return os.Getenv("HITCHDOOR_SWEEP") != "" }
 
+// eachSeed runs a test, in parallel, with as many seeds as usual, or as a sweep asks for.
+func eachSeed(t *testing.T, usual, sweep uint64, run func(t *testing.T, seed uint64)) {
+	t.Helper()
+	seeds := usual
+	if sweepAll() {
+		seeds = sweep
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			run(t, seed)
+		})
+	}
+}
+
 // newFaultCombination is a simulation of the given proportions, with users, a leader, machines and
 // jobs whose tasks run for very long.
 func newFaultCombination(t *testing.T, nodes int, p proportions, seed uint64, jobs, tasks int) (*userSimulation, *simNode) {
@@ -569,40 +584,33 @@
 // of each deployment, at random offsets; under close looks all along. Whatever met, in the
 // end every job is done or cancelled, nothing waits beside room, and nothing is forgotten.
 func TestFaultCombinations(t *testing.T) {
-	seeds := uint64(8)
-	if sweepAll() {
-		seeds = 60
-	}
 	for name, meet := range faultCombinations {
 		t.Run(name, func(t *testing.T) {
-			for seed := range seeds {
-				t.Run(fmt.Sprint(seed), func(t *testing.T) {
-					t.Parallel()
-					w := newSimulationOf(t, []int{3, 7}[seed%2], deployments[seed/2%uint64(len(deployments))])
-					w.cfg.Teams = append(w.cfg.Teams, config.Team{Name: "small", CPUsMax: 8})
-					c := newUserSimulation(w, seed*31+uint64(len(name)))
-					for _, node := range c.names {
-						c.start(node)
-					}
-					c.driftClocks()
-					times := map[string]time.Duration{}
-					c.runTime = func(task string, _ int) time.Duration {
-						if times[task] == 0 {
-							times[task] = time.Second + c.within(40*time.Second)
-						}
-						return times[task]
+			eachSeed(t, 8, 60, func(t *testing.T, seed uint64) {
+				w := newSimulationOf(t, []int{3, 7}[seed%2], deployments[seed/2%uint64(len(deployments))])
+				w.cfg.Teams = append(w.cfg.Teams, config.Team{Name: "small", CPUsMax: 8})
+				c := newUserSimulation(w, seed*31+uint64(len(name)))
+				for _, node := range c.names {
+					c.start(node)
+				}
+				c.driftClocks()
+				times := map[string]time.Duration{}
+				c.runTime = func(task string, _ int) time.Duration {
+					if times[task] == 0 {
+						times[task] = time.Second + c.within(40*time.Second)
 					}
-					c.waitLeader()
-					c.machines(8)
-					c.lookClosely()
-					c.more(8, 100*time.Millisecond, nil)
-					c.run(8 * time.Second)
-					c.run(meet(c))
-					c.state.late, c.state.slow, c.copies = nil, nil, nil
-					c.run(12 * time.Second) // what is late comes
-					c.settle(5 * time.Minute)
-				})
-			}
+					return times[task]
+				}
+				c.waitLeader()
+				c.machines(8)
+				c.lookClosely()
+				c.more(8, 100*time.Millisecond, nil)
+				c.run(8 * time.Second)
+				c.run(meet(c))
+				c.state.late, c.state.slow, c.copies = nil, nil, nil
+				c.run(12 * time.Second) // what is late comes
+				c.settle(5 * time.Minute)
+			})
 		})
 	}
 }
--- a/internal/coordination/mixed_faults_test.go
+++ b/internal/coordination/mixed_faults_test.go
@@ -25,16 +25,7 @@
 // one node leads, no task runs twice and no team is over its limit; the invariant checker
 // also hears what users are told, and every accepted job runs in the end.
 func TestMixedFaults(t *testing.T) {
-	seeds := uint64(96)
-	if sweepAll() {
-		seeds = 6000
-	}
-	for seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			runMixedFaults(t, seed)
-		})
-	}
+	eachSeed(t, 96, 6000, runMixedFaults)
 }
 
 func runMixedFaults(t *testing.T, seed uint64) {
