--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -218,5 +218,18 @@
 	minNextKB = 1.0
 )
 
-// Seconds turns a number of seconds into a duration.
-func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// longest is the longest duration made of a number of seconds: sums of several must not
+// overflow, whatever a user or another service writes.
+const longest = 10 * 365 * 24 * time.Hour
+
+// Seconds turns a number of seconds into a duration, within ten years either way.
+func Seconds(s float64) time.Duration {
+	switch d := s * float64(time.Second); {
+	case d >= float64(longest):
+		return longest
+	case d <= -float64(longest):
+		return -longest
+	default:
+		return time.Duration(d)
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 const platform = `node = "n0"
@@ -117,3 +118,16 @@
 		}
 	}
 }
+
+// Amounts that users and other services write become durations whose sums don't overflow.
+func TestSecondsAreBounded(t *testing.T) {
+	for _, s := range []float64{0, 1.5, 1e9, 1e18, 1e300, -1e300} {
+		d := Seconds(s)
+		if (s >= 0) != (d >= 0) || (s >= 0) != (4*d+time.Hour >= 0) {
+			t.Errorf("%v s: %v", s, d)
+		}
+	}
+	if Seconds(1.5) != 1500*time.Millisecond {
+		t.Errorf("1.5 s: %v", Seconds(1.5))
+	}
+}
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -477,7 +477,8 @@
 		}
 	case msgGrant:
 		if n.lead != nil && m.Term == n.lead.term && n.authority() {
-			p.granted = max(p.granted, Instant(m.Sent)+leaseSafe(n.termSpan()))
+			// No grant was asked for later than now, whatever its peer makes of the time.
+			p.granted = max(p.granted, min(Instant(m.Sent), n.now)+leaseSafe(n.termSpan()))
 		}
 	case msgVoteRequest:
 		if n.mayVote(m.Term) || m.Term == e.votedTerm {
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -264,7 +264,7 @@
 			for _, h := range list.Machines {
 				f.found(h)
 			}
-			if list.Truncated && len(list.Machines) > 0 {
+			if list.Truncated {
 				page(list.Machines[len(list.Machines)-1].UID)
 				return
 			}
@@ -283,10 +283,12 @@
 	}
 	m := l.machines[h.UID]
 	if m == nil {
-		m = l.obtained(h.UID, h.Type, h.Zone, h.Spot, l.n.now-config.Seconds(h.HeldS))
+		m = l.obtained(h.UID, h.Type, h.Zone, h.Spot, l.n.now-config.Seconds(max(h.HeldS, 0)))
 		l.n.log.Info("unknown machine listed", "machine", m.name, "state", h.State)
 	}
-	if h.State == "failed" && !m.failedListing {
+	if h.State == protocol.HostFailed && !m.failedListing && l.n.now-m.heard > 2*l.n.report() {
+		// One that reports has not failed, whatever a list says: it would be returned with
+		// all that it runs.
 		m.failedListing = true
 		l.leave(m, failedAlone)
 	}
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -61,13 +61,14 @@
 	heardWorker    Instant
 	early          []Request // reports that came while loading
 
-	looked      int // machines and jobs looked at for admission: what must not grow with a report
-	watchRev    uint64
-	watching    bool
-	scheduled   Instant
-	preemptedAt Instant
-	timers      []timer
-	fleet       fleet
+	looked        int // machines and jobs looked at for admission: what must not grow with a report
+	watchRev      uint64
+	watching      bool
+	watchFailures int // watches in a row of which nothing came
+	scheduled     Instant
+	preemptedAt   Instant
+	timers        []timer
+	fleet         fleet
 }
 
 // usage is what a team's tasks hold, from command to confirmed end.
@@ -500,30 +501,64 @@
 func (l *leadership) watch() {
 	n := l.n
 	l.watching = true
-	wait := n.lease() / 2
+	sent, wait := n.now, n.lease()/2
 	n.call(State, "GET", storage.FollowPath(storage.JobPrefix, l.watchRev, wait.Milliseconds()), nil, 4*n.lease(), func(r Result) {
 		if n.lead != l {
 			return
 		}
-		var ev storage.Events
+		var events storage.Events
 		switch {
-		case r.Status == 200 && json.Unmarshal(r.Body, &ev) == nil:
-			for _, e := range ev.Log {
-				if e.Set != "" {
-					l.loadJobs([]storage.Item{{Key: e.Set, Value: e.Value, Version: e.Version}})
-				}
-			}
-			l.watchRev = max(l.watchRev, ev.Revision)
-			l.watching = false
+		case r.Status == 200 && json.Unmarshal(r.Body, &events) == nil:
+			l.takeEvents(events, n.now < sent+wait/2)
 		case r.Status == 410:
 			// Too far behind: read the open jobs again. Jobs in the table stay.
-			l.readAll(storage.JobPrefix, "", l.loadJobs, func() { l.watching = false })
+			l.rereadJobs()
+		case r.Status == 503:
+			l.watchFailures = 1 // an outage, as short as may be
+			l.watchLater()
+		case l.watchFailures == 0:
+			l.watchFailures = 1
+			l.watchLater()
 		default:
-			l.later(func() { l.watching = false })
+			// Twice in a row, so it may be what has changed that can't be told, as it is too
+			// much for one answer; pages may get through.
+			l.rereadJobs()
 		}
 	})
 }
 
+// maxWatchFailures bounds the pause between two watches, which doubles with each.
+const maxWatchFailures = 4
+
+// takeEvents takes what a watch has seen. One that comes back early and brings nothing new
+// is no reason to ask again at once: that would be as fast as answers come.
+func (l *leadership) takeEvents(events storage.Events, early bool) {
+	for _, e := range events.Log {
+		if e.Set != "" {
+			l.loadJobs([]storage.Item{{Key: e.Set, Value: e.Value, Version: e.Version}})
+		}
+	}
+	if early && (len(events.Log) == 0 || events.Revision <= l.watchRev) {
+		l.watchFailures = min(l.watchFailures+1, maxWatchFailures)
+		l.watchLater()
+		return
+	}
+	l.watchRev = max(l.watchRev, events.Revision)
+	l.watching, l.watchFailures = false, 0
+}
+
+// rereadJobs reads the open jobs again, and then goes on watching.
+func (l *leadership) rereadJobs() {
+	l.watchFailures = min(l.watchFailures+1, maxWatchFailures)
+	l.readAll(storage.JobPrefix, "", l.loadJobs, l.watchLater)
+}
+
+// watchLater watches again after a pause that grows while nothing comes of it.
+func (l *leadership) watchLater() {
+	at := l.n.now + l.n.lease()/100<<l.watchFailures
+	l.timers = append(l.timers, timer{at, func() { l.watching = false }})
+}
+
 // team finds a team's settings.
 func (n *Node) team(name string) *config.Team {
 	for i := range n.cfg.Cluster.Teams {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -23,12 +23,14 @@
 	rentedAt       Instant
 
 	up           bool
+	address      string // whence it reports; empty: not known
 	session, seq uint64
 	lost         uint64                 // the highest session declared lost
 	heard        Instant                // last report in order
 	answered     Instant                // last answer that may have renewed its lease
 	shown        bool                   // its last report shows our token: it has heard us
 	unheard      int                    // answers in a row that its reports show no sign of
+	twice        bool                   // another worker reports under its name
 	reborn       bool                   // it began a new session though it spoke all along
 	last         *protocol.ReportAnswer // the last answer, until the next report
 	notice       Instant                // when the cloud takes it; never: no notice
@@ -384,7 +386,7 @@
 			// the session never gets another 200.
 			l.n.log.Info("machine silent for a lease", "machine", m.name, "tasks", len(m.runs))
 			m.up, l.censusOK = false, false
-			m.lost = m.session
+			m.lost, m.address = m.session, ""
 			m.strays = 0
 			for _, r := range m.list {
 				l.release(r)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -7,7 +7,9 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/segmentio/encoding/json"
@@ -115,6 +117,14 @@
 	Cloud
 )
 
+// String is the target's name in the log.
+func (t Target) String() string {
+	if t == Cloud {
+		return "cloud"
+	}
+	return "state service"
+}
+
 // Result is the outcome of a call; status 0 means that no answer came, so that
 // the call may or may not have been carried out, now or later.
 type Result struct {
@@ -163,8 +173,9 @@
 	now     Instant
 	effects []any
 
-	nextCall uint64
-	calls    map[uint64]func(Result)
+	nextCall   uint64
+	calls      map[uint64]func(Result)
+	oddAnswers map[Target]Instant // when a service last gave an answer that can't be its own
 
 	elect    election
 	peers    map[string]*peer
@@ -177,6 +188,9 @@
 	catalogSure bool // it came from the cloud, not from the record of an earlier leader
 	catalogAt   Instant
 	catalogBusy bool
+	// missingTypes are those that the last catalogue lacked: they stay until another lacks
+	// them too.
+	missingTypes map[string]bool
 
 	finals   *finalCache
 	accepted recent[bool] // jobs that are known to have been accepted
@@ -258,7 +272,7 @@
 	c := &o.Platform.Cluster
 	n := &Node{
 		cfg: o.Platform, set: o.Settings, log: o.Log, rng: o.Rand, wall: o.Wall, build: o.Build,
-		calls: map[uint64]func(Result){}, peers: map[string]*peer{}, forwards: map[uint64]*forward{},
+		calls: map[uint64]func(Result){}, oddAnswers: map[Target]Instant{}, missingTypes: map[string]bool{}, peers: map[string]*peer{}, forwards: map[uint64]*forward{},
 		relays: map[string]*relay{}, accepted: newRecent[bool](recentSize),
 		finals:    &finalCache{recent: newRecent[storage.FinalRecord](recentSize)},
 		catalogAt: never, crowdedUntil: never,
@@ -379,10 +393,29 @@
 func (n *Node) call(t Target, method, path string, body any, timeout time.Duration, then func(Result)) {
 	n.nextCall++
 	raw := encode(body)
-	n.calls[n.nextCall] = then
+	n.calls[n.nextCall] = func(r Result) { then(n.checked(t, method, path, r)) }
 	n.effects = append(n.effects, Call{ID: n.nextCall, Target: t, Method: method, Path: path, Body: raw, Timeout: timeout})
 }
 
+// checked is the result of a call, or that of one without an answer where the service can't
+// have given this one: then, too, it may or may not have been carried out.
+func (n *Node) checked(t Target, method, path string, r Result) Result {
+	check := storage.CheckAnswer
+	if t == Cloud {
+		check = protocol.CheckCloudAnswer
+	}
+	err := check(method, path, r.Status, r.Body)
+	if err == nil {
+		return r
+	}
+	// Once, not per request: in such a trouble every answer may look like this.
+	if last, seen := n.oddAnswers[t]; !seen || n.now > last+4*n.lease() {
+		n.log.Warn("answer can't be used", "service", t.String(), "error", err)
+	}
+	n.oddAnswers[t] = n.now
+	return Result{ID: r.ID}
+}
+
 // stateTimeout bounds one call to the state service.
 func (n *Node) stateTimeout() time.Duration { return n.lease() / 14 }
 
@@ -421,14 +454,14 @@
 	if n.catalogBusy {
 		return
 	}
-	wait := n.lease()
-	if n.catalogSure {
+	wait := n.lease() / 10
+	switch {
+	case len(n.missingTypes) > 0:
+		wait = n.lease()
+	case n.catalogSure && n.lead != nil:
 		wait = 4 * n.lease()
-		if n.lead == nil {
-			wait *= 4
-		}
-	} else {
-		wait = n.lease() / 10
+	case n.catalogSure:
+		wait = 16 * n.lease()
 	}
 	if n.catalogAt != never && n.now < n.catalogAt+wait {
 		return
@@ -444,18 +477,39 @@
 			n.log.Debug("catalogue not read", "status", r.Status)
 			return
 		}
-		n.catalogSure = true
-		n.setCatalog(c)
+		n.takeCatalog(c)
 	})
 	if n.catalog == nil {
 		n.readCatalog()
 	}
 }
 
+// takeCatalog takes the cloud's catalogue. A type that was there before and is missing once
+// stays until the next reading: a job that only it can hold would be refused for good.
+func (n *Node) takeCatalog(c protocol.Catalog) {
+	missing := map[string]bool{}
+	named := map[string]bool{}
+	for _, t := range c.Types {
+		named[t.Name] = true
+	}
+	if n.catalogSure || len(n.missingTypes) > 0 {
+		for _, name := range slices.Sorted(maps.Keys(n.catalog)) {
+			if !named[name] && !n.missingTypes[name] {
+				missing[name] = true
+				c.Types = append(c.Types, *n.catalog[name])
+			}
+		}
+	}
+	n.missingTypes = missing
+	n.catalogSure = len(missing) == 0
+	n.setCatalog(c)
+}
+
 func (n *Node) setCatalog(c protocol.Catalog) {
-	types := make(map[string]*protocol.MachineType, len(c.Types))
-	for i := range c.Types {
-		types[c.Types[i].Name] = &c.Types[i]
+	usable := c.Usable()
+	types := make(map[string]*protocol.MachineType, len(usable))
+	for i := range usable {
+		types[usable[i].Name] = &usable[i]
 	}
 	n.catalog = types
 	if n.lead != nil {
--- /dev/null
+++ b/internal/coordination/outside_faults_test.go
@@ -0,0 +1,392 @@
+package coordination
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
+)
+
+// answerFaults are what a service, or something on the way to it, makes of an answer. The
+// call itself was carried out.
+var answerFaults = map[string]func(r Result) Result{
+	"cut short":          func(r Result) Result { r.Body = r.Body[:len(r.Body)/2]; return r },
+	"a page of a proxy":  func(r Result) Result { r.Body = []byte("<html>ok</html>"); return r },
+	"no body":            func(r Result) Result { r.Body = nil; return r },
+	"an empty object":    func(r Result) Result { r.Body = []byte("{}"); return r },
+	"null":               func(r Result) Result { r.Body = []byte("null"); return r },
+	"a list":             func(r Result) Result { r.Body = []byte("[1,2]"); return r },
+	"wrong types":        func(r Result) Result { return retyped(r) },
+	"a redirect":         func(r Result) Result { return Result{ID: r.ID, Status: 302} },
+	"not found":          func(r Result) Result { return Result{ID: r.ID, Status: 404, Body: []byte("<html>404</html>")} },
+	"forbidden":          func(r Result) Result { return Result{ID: r.ID, Status: 403} },
+	"a conflict":         func(r Result) Result { return Result{ID: r.ID, Status: 409} },
+	"an odd status":      func(r Result) Result { return Result{ID: r.ID, Status: 207, Body: r.Body} },
+	"an error of a node": func(r Result) Result { return Result{ID: r.ID, Status: 500, Body: []byte("oops")} },
+	"refused for the rate": func(r Result) Result {
+		return Result{ID: r.ID, Status: 429}
+	},
+}
+
+// retyped turns each number of an answer into a string.
+func retyped(r Result) Result {
+	var fields map[string]any
+	if json.Unmarshal(r.Body, &fields) != nil {
+		return r
+	}
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		if _, number := fields[name].(float64); number {
+			fields[name] = "7"
+		}
+	}
+	r.Body = storage.Encode(fields)
+	return r
+}
+
+// Whatever the state service or the cloud answers for half a minute, to one node or to all,
+// now and then or always: no rule is broken, nobody is told anything false, the node goes
+// on by itself, and everything is served once the answers are right again.
+func TestOddAnswersOfOutsideServices(t *testing.T) {
+	for fault, alter := range answerFaults {
+		for _, target := range []Target{State, Cloud} {
+			for i, share := range []float64{0.1, 0.3, 0.6, 1} {
+				t.Run(fmt.Sprintf("%v/%s/%v", target, fault, share), func(t *testing.T) {
+					t.Parallel()
+					c := newCrowd(newWorldOf(t, 3, deployments[i]), uint64(i)+uint64(len(fault)))
+					c.runTime = func(string, int) time.Duration { return time.Second + c.within(20*time.Second) }
+					c.driftClocks()
+					c.waitLeader()
+					c.machines(3)
+					c.lookClosely()
+					c.more(6, 5*time.Second, nil)
+					c.run(5 * time.Second)
+					only := ""
+					if share == 0.6 {
+						only = c.leader()
+					}
+					c.mangleAnswers(target, only, share, alter)
+					c.more(8, 25*time.Second, nil)
+					for range 4 {
+						c.after(c.within(25*time.Second), func() { c.cancelSome(4, time.Second) })
+					}
+					for range 3 {
+						c.after(c.within(25*time.Second), c.newLeader)
+					}
+					calls := c.countCalls()
+					c.run(30 * time.Second)
+					if most := int(30 * c.cfg.State.RPS); calls() > most {
+						t.Errorf("%d calls in 30 s: %v a second are allowed", calls(), c.cfg.State.RPS)
+					}
+					c.mangle = nil
+					c.settle(5 * time.Minute)
+				})
+			}
+		}
+	}
+}
+
+// mangleAnswers alters a share of a service's answers, to one node or to all.
+func (c *crowd) mangleAnswers(target Target, only string, share float64, alter func(Result) Result) {
+	c.mangle = func(node string, call Call, r Result) Result {
+		if call.Target != target || c.rng.Float64() > share || (only != "" && node != only) {
+			return r
+		}
+		return alter(r)
+	}
+}
+
+// countCalls counts the calls to the state service that are answered from now on.
+func (c *crowd) countCalls() func() int {
+	calls := 0
+	inner := c.mangle
+	c.mangle = func(node string, call Call, r Result) Result {
+		if call.Target == State {
+			calls++
+		}
+		return inner(node, call, r)
+	}
+	return func() int { return calls }
+}
+
+// A watch that always comes back at once, with nothing or with 410, is asked for again
+// after a pause that grows: without it, a leader asked as fast as answers came. Jobs that
+// other nodes write are found all the same.
+func TestWatchThatComesBackAtOnce(t *testing.T) {
+	for name, answer := range map[string]Result{
+		"empty":       {Status: 200, Body: storage.Encode(storage.Events{Revision: 1})},
+		"gone":        {Status: 410},
+		"no answer":   {Status: 0},
+		"unreadable":  {Status: 200, Body: []byte("{")},
+		"old changes": {Status: 200, Body: storage.Encode(storage.Events{Revision: 1, Log: []storage.Event{{Drop: "job/j-9", Version: 1}}})},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			l := w.waitLeader()
+			w.machines(1)
+			watches, reads := 0, 0
+			w.instead = func(call Call) (Result, bool) {
+				switch {
+				case strings.HasPrefix(call.Path, "/follow"):
+					watches++
+					return answer, true
+				case strings.HasPrefix(call.Path, "/store?under=job"):
+					reads++
+				}
+				return Result{}, false
+			}
+			w.run(time.Minute)
+			if most := 60; watches > most || reads > most {
+				t.Errorf("%d watches and %d listings in a minute", watches, reads)
+			}
+			if name == "empty" || name == "old changes" {
+				return // it may be that nothing has changed: only its own lease tells
+			}
+			w.submit(w.followers()[0], spec("j-1", 1))
+			if !w.until(20*time.Second, func() bool { return l.lead.jobs["j-1"] != nil || w.final("j-1") != "" }) {
+				t.Error("a job that another node wrote is not found")
+			}
+		})
+	}
+}
+
+// What the cloud says of machine types, machines and rentals may be wrong in every way that
+// JSON allows: types that are missing once or given away, lists that repeat, contradict or
+// name nobody, rentals answered with machines that are known.
+func TestOddCloudFacts(t *testing.T) {
+	c4 := protocol.MachineType{Name: "c4", Cores: 4, RAM: 16, CacheGB: 40, PullGBPerS: 1, Rate: 0.3, SpotRate: 0.1, ReadyS: 5, Zones: []string{"a", "b"}}
+	with := func(change func(*protocol.MachineType)) []protocol.MachineType {
+		t := c4
+		change(&t)
+		return []protocol.MachineType{t}
+	}
+	catalogs := map[string][]protocol.MachineType{
+		"a type is given away":      with(func(t *protocol.MachineType) { t.Rate, t.SpotRate = 0, 0 }),
+		"prices a thousandfold":     with(func(t *protocol.MachineType) { t.Rate, t.SpotRate = 300, 100 }),
+		"prices below nothing":      with(func(t *protocol.MachineType) { t.Rate, t.SpotRate = -3, -1 }),
+		"images are never fetched":  with(func(t *protocol.MachineType) { t.PullGBPerS = 0 }),
+		"no cores":                  with(func(t *protocol.MachineType) { t.Cores = 0 }),
+		"another type only":         with(func(t *protocol.MachineType) { t.Name = "x9" }),
+		"the same type twice":       {c4, c4},
+		"a boot of a hundred years": with(func(t *protocol.MachineType) { t.ReadyS = 3e9 }),
+		"amounts beyond all bounds": with(func(t *protocol.MachineType) { t.ReadyS, t.CacheGB, t.Rate = 1e300, 1e300, 1e300 }),
+	}
+	for name, types := range catalogs {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCrowd(newWorld(t, 3), 3)
+			c.waitLeader()
+			c.machines(2)
+			c.more(4, 5*time.Second, nil)
+			c.run(5 * time.Second)
+			c.cloud.types = types
+			for _, node := range c.names { // all read the catalogue anew
+				c.nodes[node].catalogAt = never
+			}
+			c.more(4, 5*time.Second, nil)
+			c.run(20 * time.Second)
+			if r := c.submit(c.leader(), spec("j-once", 1)); r.Status == 422 && name != "another type only" && name != "no cores" {
+				t.Errorf("a job that fits is answered %d", r.Status)
+			}
+			c.cloud.types = nil
+			for _, node := range c.names {
+				c.nodes[node].catalogAt = never
+			}
+			c.settle(5 * time.Minute)
+		})
+	}
+}
+
+// A type that one catalogue lacks is believed to be there until the next one lacks it too.
+func TestTypeMissingOnce(t *testing.T) {
+	w := newWorld(t, 1)
+	n := w.waitLeader()
+	catalog := func(names ...string) protocol.Catalog {
+		var c protocol.Catalog
+		for _, name := range names {
+			c.Types = append(c.Types, protocol.MachineType{Name: name, Cores: 4, RAM: 16})
+		}
+		return c
+	}
+	n.takeCatalog(catalog("c4", "g8"))
+	for i, step := range []struct {
+		names  []string
+		known  bool
+		secure bool
+	}{
+		{[]string{"c4"}, true, false},
+		{[]string{"c4", "g8"}, true, true},
+		{[]string{"c4"}, true, false},
+		{[]string{"c4"}, false, true},
+	} {
+		n.takeCatalog(catalog(step.names...))
+		if (n.catalog["g8"] != nil) != step.known || n.catalogSure != step.secure {
+			t.Errorf("step %d: known %v, sure %v", i, n.catalog["g8"] != nil, n.catalogSure)
+		}
+	}
+}
+
+// Machine lists that are empty, that repeat or contradict themselves return no machine that
+// reports, and are not read without end.
+func TestOddMachineLists(t *testing.T) {
+	host := func(name, state string) protocol.Host {
+		return protocol.Host{UID: name, Type: "c4", Zone: "a", Spot: true, State: state, HeldS: 500}
+	}
+	for name, list := range map[string]protocol.HostList{
+		"empty":                    {},
+		"empty, and more to come":  {Truncated: true},
+		"the same page for ever":   {Machines: []protocol.Host{host("m-000001", "running")}, Truncated: true},
+		"in no order":              {Machines: []protocol.Host{host("m-000009", "running"), host("m-000002", "running")}},
+		"all have failed":          {Machines: []protocol.Host{host("m-000001", "failed"), host("m-000002", "failed")}},
+		"nameless":                 {Machines: []protocol.Host{host("", "running")}},
+		"unknown states":           {Machines: []protocol.Host{host("m-000001", "?"), host("m-000002", "")}},
+		"held since the beginning": {Machines: []protocol.Host{{UID: "m-000001", State: "running", HeldS: 1e300}, {UID: "m-000003", State: "running", HeldS: -1e300}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, l := running(t, 1, 2*time.Minute, 2, 8)
+			lists := 0
+			w.instead = func(call Call) (Result, bool) {
+				if !strings.HasPrefix(call.Path, "/hosts?") {
+					return Result{}, false
+				}
+				lists++
+				return Result{Status: 200, Body: storage.Encode(list)}, true
+			}
+			w.run(90 * time.Second)
+			if lists > 60 {
+				t.Errorf("%d pages were read in 90 s", lists)
+			}
+			if l.lead == nil || w.leader() != l.name {
+				t.Fatal("the leader is gone")
+			}
+			w.waitState("j-1", protocol.Done, 2*time.Minute)
+			w.startedOnce()
+			for name := range l.lead.machines {
+				if name == "" {
+					t.Error("a machine without a name is held")
+				}
+			}
+		})
+	}
+}
+
+// Rentals that are answered with machines known already, returned already, without names or
+// with more than was asked for neither confuse the books nor stop the next ones.
+func TestOddRentals(t *testing.T) {
+	for name, machines := range map[string][]string{
+		"known ones":       {"m-000001", "m-000002"},
+		"nameless":         {"", "m-000101"},
+		"none":             {},
+		"far too many":     manyNames(400),
+		"the same thrice":  {"m-000102", "m-000102", "m-000102"},
+		"one that is gone": {"m-000050"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, l := running(t, 1, 30*time.Second, 2, 8)
+			l.lead.gone["m-000050"] = w.now
+			w.mangle = func(_ string, call Call, r Result) Result {
+				if call.Path == "/hosts" && r.Status == 200 {
+					return Result{ID: r.ID, Status: 200, Body: storage.Encode(protocol.MachineNames{Machines: machines})}
+				}
+				return r
+			}
+			w.submit(l.name, spec("j-2", 40))
+			w.run(30 * time.Second)
+			w.mangle = nil
+			w.waitState("j-2", protocol.Done, 5*time.Minute)
+			w.startedOnce()
+		})
+	}
+}
+
+func manyNames(count int) []string {
+	var names []string
+	for i := range count {
+		names = append(names, fmt.Sprintf("m-%06d", 1000+i))
+	}
+	return names
+}
+
+// Two workers report under one name. The one that was heard first keeps its tasks: the
+// other's newer session is not the end of what the first one runs. Once the first is surely
+// gone the other may have the name.
+func TestTwoWorkersUnderOneName(t *testing.T) {
+	w, l := running(t, 1, 2*time.Minute, 1, 4)
+	x := w.inOrder()[0]
+	other := func(session, seq uint64) int {
+		rep := &protocol.Report{Machine: x.name, Address: "10.9.9.9:9000", Type: "c4", Zone: x.zone, Spot: true,
+			Session: session, Seq: seq, FencingToken: x.token}
+		return w.request(l.name, Request{Kind: ReqReport, Report: rep}).Status
+	}
+	for i := range uint64(20) {
+		if status := other(1+i/4, 1000+i); status != 503 {
+			t.Fatalf("the other worker is answered %d", status)
+		}
+		w.run(2 * time.Second)
+	}
+	w.startedOnce()
+	delete(w.workers, x.name)
+	w.run(l.lead.leaseOver() + time.Second)
+	if m := l.lead.machines[x.name]; m != nil && m.address != "" {
+		t.Errorf("the name still belongs to %s", m.address)
+	}
+}
+
+// Reports may hold whatever JSON allows: what nobody started is stopped, what is unknown is
+// left alone, and no amount of time is believed beyond all bounds.
+func TestOddReports(t *testing.T) {
+	notice := func(s float64) *float64 { return &s }
+	for name, change := range map[string]func(rep *protocol.Report){
+		"an unknown state": func(rep *protocol.Report) {
+			for i := range rep.Tasks {
+				rep.Tasks[i].State = "sleeping"
+			}
+		},
+		"an unknown reason": func(rep *protocol.Report) {
+			for i := range rep.Tasks {
+				if rep.Tasks[i].State == protocol.TaskExited && rep.Tasks[i].Why != protocol.WhyDone {
+					rep.Tasks[i].Why = "bored"
+				}
+			}
+		},
+		"tasks that nobody started": func(rep *protocol.Report) {
+			rep.Tasks = append(rep.Tasks,
+				protocol.TaskReport{Task: "j-nobodys/0", Attempt: 1, State: protocol.TaskRunning},
+				protocol.TaskReport{Task: "j-1/99999", Attempt: 1, State: protocol.TaskRunning},
+				protocol.TaskReport{Task: "j-1/-1", Attempt: 1, State: protocol.TaskRunning},
+				protocol.TaskReport{Task: "", Attempt: 1, State: ""},
+				protocol.TaskReport{Task: "j-1/0", Attempt: 1 << 63, State: protocol.TaskExited, Why: protocol.WhyError})
+		},
+		"each task twice":   func(rep *protocol.Report) { rep.Tasks = append(rep.Tasks, rep.Tasks...) },
+		"a notice long ago": func(rep *protocol.Report) { rep.NoticeS = notice(-1e300) },
+		"a notice of years": func(rep *protocol.Report) { rep.NoticeS = notice(1e300) },
+		"another type":      func(rep *protocol.Report) { rep.Type, rep.Zone = "x9", "nowhere" },
+		"no type":           func(rep *protocol.Report) { rep.Type, rep.Zone, rep.Address = "", "", "" },
+		"the last sequence": func(rep *protocol.Report) { rep.Seq += 1 << 62 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCrowd(newWorld(t, 3), uint64(len(name)))
+			c.runTime = func(string, int) time.Duration { return time.Second + c.within(15*time.Second) }
+			c.waitLeader()
+			c.machines(3)
+			odd := true
+			c.copies = func(_ *worker, rep *protocol.Report) {
+				if odd && c.rng.IntN(3) == 0 {
+					change(rep)
+				}
+			}
+			c.more(8, 15*time.Second, nil)
+			c.after(c.within(15*time.Second), c.newLeader)
+			c.run(30 * time.Second)
+			odd = false
+			c.settle(5 * time.Minute)
+		})
+	}
+}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -45,6 +45,17 @@
 		m.accounted = true
 		n.log.Info("unknown machine reports", "machine", m.name, "type", m.typ)
 	}
+	if m.address != "" && rep.Address != "" && rep.Address != m.address {
+		// Two workers under one name, or a copy that somebody altered. The one that spoke
+		// first is heard until its lease is surely over: a new session of the other would be
+		// taken for the end of all that the first one runs.
+		if !m.twice {
+			m.twice = true
+			n.log.Warn("two workers report under one name", "machine", m.name, "address", m.address, "other", rep.Address)
+		}
+		n.reply(r.Origin, 503, 1, nil)
+		return
+	}
 	if rep.Session < m.session || (rep.Session == m.session && rep.Seq <= m.seq) || rep.Session <= m.lost {
 		// Late, or of a session that we have declared lost: never a 200.
 		n.reply(r.Origin, 503, 1, nil)
@@ -85,7 +96,7 @@
 		m.up, l.dirty, l.censusOK = true, true, false
 	}
 	strays := m.strays
-	m.session, m.seq, m.heard = rep.Session, rep.Seq, n.now
+	m.session, m.seq, m.heard, m.address = rep.Session, rep.Seq, n.now, rep.Address
 	forget := l.reconcile(m, rep)
 	if (m.strays > 0) != (strays > 0) {
 		l.censusOK = false
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,7 +59,7 @@
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	conns := shareSockets(&p.Cluster)
-	opt := transport.ClientOptions{Dial: lease / 8, Idle: lease / 2, MaxBody: 16 << 20}
+	opt := transport.ClientOptions{Dial: lease / 8, Idle: lease / 2, MaxBody: maxAnswer(&p.Cluster)}
 	client := func(addr string, connections int) *transport.Client {
 		opt.Connections = connections
 		return transport.NewClient(addr, opt)
@@ -81,12 +81,21 @@
 		Connections: conns.server, Idle: 2 * lease, Patience: lease / 4,
 	})
 	failed := make(chan error, 2)
-	go func() { failed <- server.Serve(users) }()
-	go func() { failed <- d.peers.Serve(others) }()
+	go func() { failed <- server.Serve(transport.Steady(users, log)) }()
+	go func() { failed <- d.peers.Serve(transport.Steady(others, log)) }()
 	log.Info("started", "node", p.Node, "users", p.ClientListen, "peers", p.PeerBind)
 	return d.loop(ctx, report/24, failed)
 }
 
+// answerShare is the part of the memory, one in so many, that one answer of another service
+// may take: several may come at once.
+const answerShare = 16
+
+// maxAnswer bounds an answer in bytes. A watch may bring every change of an outage at once.
+func maxAnswer(c *config.Cluster) int {
+	return int(c.Resources.MemMB * (1 << 20) / answerShare)
+}
+
 // sockets is how a controller's connections are shared out.
 type sockets struct{ state, cloud, peers, server int }
 
--- /dev/null
+++ b/internal/protocol/cloud_test.go
@@ -0,0 +1,63 @@
+package protocol
+
+import (
+	"errors"
+	"testing"
+)
+
+// What the cloud can't have answered is told from what it can.
+func TestCheckCloudAnswer(t *testing.T) {
+	const page = "/hosts?limit=500&since=m-000004"
+	for _, c := range []struct {
+		method, path string
+		status       int
+		body         string
+		ok           bool
+	}{
+		{"GET", "/catalog", 200, `{"portes":[{"sku":"c4","cores":4,"ramGb":16}]}`, true},
+		{"GET", "/catalog", 200, `{"portes":[{"sku":"c4","cores":0,"ramGb":16}]}`, false},
+		{"GET", "/catalog", 200, `{"portes":[]}`, false},
+		{"GET", "/catalog", 200, `{"por`, false},
+		{"GET", "/catalog", 503, ``, true},
+		{"POST", "/hosts", 200, `{"maquinas":["m-000001"]}`, true},
+		{"POST", "/hosts", 200, `{"maquinas":[]}`, true},
+		{"POST", "/hosts", 200, `{"maquinas":["m-000001",""]}`, false},
+		{"POST", "/hosts", 200, `[]`, false},
+		{"POST", "/hosts", 503, `{"error":"no capacity"}`, true},
+		{"POST", "/hosts/return", 200, ``, true},
+		{"GET", page, 200, `{"maquinas":[{"uid":"m-000005"},{"uid":"m-000006"}],"truncated":true}`, true},
+		{"GET", page, 200, `{"maquinas":[],"truncated":false}`, true},
+		{"GET", page, 200, `{"maquinas":[],"truncated":true}`, false},
+		{"GET", page, 200, `{"maquinas":[{"uid":"m-000004"}]}`, false},
+		{"GET", page, 200, `{"maquinas":[{"uid":"m-000005"},{"uid":"m-000005"}]}`, false},
+		{"GET", page, 200, `{"maquinas":[{"uid":""}]}`, false},
+		{"GET", page, 200, `<html>`, false},
+	} {
+		err := CheckCloudAnswer(c.method, c.path, c.status, []byte(c.body))
+		var odd *CloudError
+		if (err == nil) != c.ok || err != nil && !errors.As(err, &odd) {
+			t.Errorf("%s %s: %d %s: %v", c.method, c.path, c.status, c.body, err)
+		}
+	}
+}
+
+// A type that is given away, or that never fetches an image, stays, with figures that can
+// be divided by; one that holds no task does not.
+func TestUsableTypes(t *testing.T) {
+	good := MachineType{Name: "c4", Cores: 4, RAM: 16, PullGBPerS: 1, Rate: 1, SpotRate: 0.5}
+	free, slow, none, nameless := good, good, good, good
+	free.Rate, free.SpotRate = -1, 0
+	slow.PullGBPerS = 0
+	none.Cores = 0
+	nameless.Name = ""
+	catalog := Catalog{Types: []MachineType{good, free, slow, none, nameless}}
+	usable := catalog.Usable()
+	if len(usable) != 3 {
+		t.Fatalf("%d types can be used, not 3", len(usable))
+	}
+	for _, u := range usable {
+		if !(u.PerCore(true) > 0) || !(u.PerCore(false) > 0) || !(u.PullGBPerS > 0) {
+			t.Errorf("%+v", u)
+		}
+	}
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -177,7 +177,7 @@
 	if err := json.Unmarshal(body, &r); err != nil {
 		return nil, err
 	}
-	if r.Machine == "" || r.Session == 0 {
+	if r.Machine == "" || r.Session == 0 { // the least that tells one report from another
 		return nil, errors.New("report without machine or session")
 	}
 	return &r, nil
@@ -252,6 +252,9 @@
 	Truncated bool   `json:"truncated"`
 }
 
+// HostFailed is the state of a machine that has stopped on its own.
+const HostFailed = "failed"
+
 // Host is one machine of the list.
 type Host struct {
 	UID     string  `json:"uid"`
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -191,3 +193,147 @@
 		t.Fatalf("a stranger was listened to: %v", err)
 	}
 }
+
+// A service that cuts its answers short, sends too much, trickles, never ends or stays mute
+// costs each call its timeout at most, and no connection for longer: the next call finds one.
+func TestClientWithUnfitServers(t *testing.T) {
+	const timeout = 300 * time.Millisecond
+	head := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	trickle := func(conn net.Conn, text string) {
+		for i := 0; ; i = (i + 1) % len(text) {
+			if _, err := conn.Write([]byte(text[i : i+1])); err != nil {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	for name, answer := range map[string]func(net.Conn){
+		"cut short":           func(c net.Conn) { io.WriteString(c, head+"Content-Length: 10\r\n\r\n{}"); c.Close() },
+		"closed at once":      func(c net.Conn) { c.Close() },
+		"said to be too long": func(c net.Conn) { io.WriteString(c, head+"Content-Length: 999999999\r\n\r\n{}") },
+		"too long": func(c net.Conn) {
+			io.WriteString(c, head+"Transfer-Encoding: chunked\r\n\r\n")
+			for {
+				if _, err := io.WriteString(c, "1000\r\n"+strings.Repeat("x", 0x1000)+"\r\n"); err != nil {
+					return
+				}
+			}
+		},
+		"too long a header": func(c net.Conn) {
+			for {
+				if _, err := io.WriteString(c, "X-"+strings.Repeat("x", 1000)); err != nil {
+					return
+				}
+			}
+		},
+		"trickling header": func(c net.Conn) { trickle(c, head) },
+		"trickling body":   func(c net.Conn) { io.WriteString(c, head+"Content-Length: 9999\r\n\r\n"); trickle(c, "x") },
+		"mute":             func(net.Conn) {},
+		"not HTTP":         func(c net.Conn) { io.WriteString(c, "220 ready\r\n") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ln, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { ln.Close() })
+			var fit atomic.Bool
+			go func() {
+				for {
+					conn, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						conn.Read(make([]byte, 1024))
+						if fit.Load() {
+							io.WriteString(conn, head+"Content-Length: 2\r\n\r\n{}")
+							return
+						}
+						answer(conn)
+					}()
+				}
+			}()
+			const connections = 2
+			c := NewClient(ln.Addr().String(), ClientOptions{Connections: connections, Dial: time.Second, Idle: time.Second, MaxBody: 1 << 16})
+			call := coordination.Call{ID: 1, Method: "GET", Path: "/store/x", Timeout: timeout}
+			for range 2 * connections {
+				began := time.Now()
+				if r := c.Do(call); r.Status != 0 || r.Body != nil {
+					t.Fatalf("%+v", r)
+				}
+				if took := time.Since(began); took > 2*timeout {
+					t.Fatalf("a call took %v", took)
+				}
+			}
+			fit.Store(true)
+			if r := c.Do(call); r.Status != 200 {
+				t.Errorf("the next call: %+v", r)
+			}
+		})
+	}
+}
+
+// A redirect is not followed: it may lead anywhere.
+func TestClientFollowsNoRedirect(t *testing.T) {
+	url := serve(t, func(coordination.Request) coordination.Reply { return coordination.Reply{Status: 302} })
+	c := NewClient(strings.TrimPrefix(url, "http://"), ClientOptions{Connections: 1, Dial: time.Second, Idle: time.Second, MaxBody: 1 << 16})
+	if r := c.Do(coordination.Call{ID: 1, Method: "GET", Path: "/work/j-1", Timeout: time.Second}); r.Status != 302 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// failingListener gives errors before its connections.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// With all file descriptors in use, connections can't be accepted for a while. Servers took
+// that for their end, and the process ended with them.
+func TestServersGoOnWithoutFileDescriptors(t *testing.T) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	listen := func() net.Listener {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		return Steady(&failingListener{Listener: ln, failures: 3}, log)
+	}
+	ended := make(chan error, 2)
+	users, peers := listen(), listen()
+	ask := asker(func(coordination.Request) coordination.Reply {
+		return coordination.Reply{Status: 200, Body: []byte("{}")}
+	})
+	server := NewServer(ask, ServerOptions{Connections: 16, Idle: 5 * time.Second, Patience: time.Second})
+	go func() { ended <- server.Serve(users) }()
+	links := NewPeers("a", []config.Peer{{Node: "b", PeerAddr: "127.0.0.1:1"}}, time.Second, log, func(coordination.PeerMessage) {})
+	go func() { ended <- links.Serve(peers) }()
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Get("http://" + users.Addr().String() + "/healthz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	select {
+	case err := <-ended:
+		t.Fatalf("a server ended: %v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	peers.Close()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Error("a listener that is closed does not end its server")
+	}
+}
