--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -7,6 +7,7 @@
 
 	"github.com/segmentio/encoding/json"
 
+	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
 
@@ -127,9 +128,9 @@
 	e := &n.elect
 	if n.now >= e.heartbeatAt+n.lease()/heartbeatsPerLease || e.heartbeatAt == never {
 		e.heartbeatAt = n.now
-		m := Message{Type: msgHeartbeat, Sent: int64(n.now), Up: int64(n.now), Run: n.run, Level: level, Slow: n.slowed}
+		m := protocol.Heartbeat{Sent: n.now, Uptime: n.now, Process: n.run, Level: level, Slowed: n.slowed}
 		if n.lead != nil {
-			m.Term, m.Lead, m.Want = n.lead.term, n.authority(), e.renewBad
+			m.Term, m.Leads, m.WantsGrant = n.lead.term, n.authority(), e.renewBad
 		}
 		for _, k := range n.cfg.Known {
 			m.Heard = n.peers[k.Node].run
@@ -290,7 +291,7 @@
 	}
 	if c.askedAt == never || n.now > c.askedAt+n.lease()/heartbeatsPerLease {
 		c.askedAt = n.now
-		n.sendAll(Message{Type: msgVoteRequest, Term: c.term})
+		n.sendAll(protocol.VoteRequest{Term: c.term})
 	}
 }
 
@@ -454,53 +455,69 @@
 	})
 }
 
+// onPeer takes a message of another controller.
 func (n *Node) onPeer(pm PeerMessage) {
 	p := n.peers[pm.From]
 	if p == nil {
 		return
 	}
-	m := pm.Msg
 	p.heard = n.now
-	e := &n.elect
-	switch m.Type {
-	case msgHeartbeat:
-		p.leads, p.term, p.up, p.run, p.level = m.Lead, m.Term, time.Duration(m.Up), m.Run, m.Level
-		if m.Slow {
-			n.slowDown()
-		}
-		p.idle = p.idle || (m.Heard == n.run && !m.Lead)
-		if m.Lead && m.Want {
-			n.grantLease(p, m)
-		}
-		if m.Lead && n.lead != nil && m.Term > n.lead.term {
-			n.stepDown("a peer leads with a higher term")
-		}
-	case msgGrant:
-		if n.lead != nil && m.Term == n.lead.term && n.authority() {
-			// No grant was asked for later than now, whatever its peer makes of the time.
-			p.granted = max(p.granted, min(Instant(m.Sent), n.now)+leaseSafe(n.termSpan()))
-		}
-	case msgVoteRequest:
-		if n.mayVote(m.Term) || m.Term == e.votedTerm {
-			e.votedTerm = m.Term
-			n.send(p.name, Message{Type: msgVote, Term: m.Term, OK: true})
-		}
-	case msgVote:
-		if c := e.candidate; c != nil && c.term == m.Term && m.OK {
-			c.votes[p.name] = true
-			n.tickCandidate()
-		}
-	case msgAsk:
-		n.onAsk(p, m)
-	case msgAnswer:
+	switch m := pm.Msg.(type) {
+	case protocol.Heartbeat:
+		n.onHeartbeat(p, m)
+	case protocol.LeaseGrant:
+		n.onLeaseGrant(p, m)
+	case protocol.VoteRequest:
+		n.onVoteRequest(p, m)
+	case protocol.Vote:
+		n.onVote(p, m)
+	case protocol.ForwardedRequest:
+		n.onForwarded(p, m)
+	case protocol.ForwardedAnswer:
 		n.onAnswer(m)
 	}
 }
 
+func (n *Node) onHeartbeat(p *peer, m protocol.Heartbeat) {
+	p.leads, p.term, p.up, p.run, p.level = m.Leads, m.Term, m.Uptime, m.Process, m.Level
+	if m.Slowed {
+		n.slowDown()
+	}
+	p.idle = p.idle || (m.Heard == n.run && !m.Leads)
+	if m.Leads && m.WantsGrant {
+		n.grantLease(p, m)
+	}
+	if m.Leads && n.lead != nil && m.Term > n.lead.term {
+		n.stepDown("a peer leads with a higher term")
+	}
+}
+
+func (n *Node) onLeaseGrant(p *peer, m protocol.LeaseGrant) {
+	if n.lead == nil || m.Term != n.lead.term || !n.authority() {
+		return
+	}
+	// No grant was asked for later than now, whatever its peer makes of the time.
+	p.granted = max(p.granted, min(m.Sent, n.now)+leaseSafe(n.termSpan()))
+}
+
+func (n *Node) onVoteRequest(p *peer, m protocol.VoteRequest) {
+	if n.mayVote(m.Term) || m.Term == n.elect.votedTerm {
+		n.elect.votedTerm = m.Term
+		n.send(p.name, protocol.Vote{Term: m.Term, Granted: true})
+	}
+}
+
+func (n *Node) onVote(p *peer, m protocol.Vote) {
+	if c := n.elect.candidate; c != nil && c.term == m.Term && m.Granted {
+		c.votes[p.name] = true
+		n.tickCandidate()
+	}
+}
+
 // grantLease binds this node not to stand, or to vote for a candidate, for a while.
 // It is given only while the state service is out of reach from here too:
 // otherwise the leader alone is refused, and is better replaced.
-func (n *Node) grantLease(p *peer, m Message) {
+func (n *Node) grantLease(p *peer, m protocol.Heartbeat) {
 	e := &n.elect
 	if n.lead != nil || !e.stateDown() || m.Term < e.votedTerm ||
 		m.Term < e.grantedTerm || n.now < drift(n.termSpan()) {
@@ -508,5 +525,5 @@
 	}
 	e.grantedTerm = m.Term
 	e.grantedUntil = max(e.grantedUntil, n.now+drift(n.termSpan()))
-	n.send(p.name, Message{Type: msgGrant, Term: m.Term, Sent: m.Sent})
+	n.send(p.name, protocol.LeaseGrant{Term: m.Term, Sent: m.Sent})
 }
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -456,8 +456,8 @@
 // onUser serves a user's request as the leader.
 func (l *leadership) onUser(r Request) {
 	n := l.n
-	if !l.loaded && r.Kind != ReqSubmit {
-		if r.Kind == ReqQuery {
+	if !l.loaded && r.Kind != protocol.RequestSubmit {
+		if r.Kind == protocol.RequestQuery {
 			n.queryDirect(r, l)
 			return
 		}
@@ -465,19 +465,19 @@
 		return
 	}
 	switch r.Kind {
-	case ReqSubmit:
+	case protocol.RequestSubmit:
 		if j := l.jobs[r.Job.UID]; j != nil {
 			l.answer(r, j)
 			return
 		}
 		n.submitDirect(r, l)
-	case ReqQuery:
+	case protocol.RequestQuery:
 		if j := l.jobs[r.ID]; j != nil {
 			l.answer(r, j)
 			return
 		}
 		n.queryDirect(r, l)
-	case ReqCancel:
+	case protocol.RequestCancel:
 		l.onCancel(r)
 	}
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -32,21 +32,10 @@
 	Peer   string
 }
 
-// Request kinds.
-const (
-	ReqSubmit  = "submit"
-	ReqQuery   = "query"
-	ReqCancel  = "cancel"
-	ReqReport  = "report"
-	ReqStatus  = "status"
-	ReqHealth  = "health"
-	ReqMetrics = "metrics"
-)
-
 // Request is a user's or a worker's request.
 type Request struct {
 	Origin Origin
-	Kind   string
+	Kind   protocol.RequestKind
 	ID     string           // job id, of queries and cancellations
 	Job    *protocol.Job    // parsed body of a submission
 	Report *protocol.Report // parsed body of a report
@@ -54,54 +43,27 @@
 	passed bool // a submission that was handed to the leader already
 }
 
-// Message is one line between controllers.
-type Message struct {
-	Type  string          `json:"type"`
-	Term  uint64          `json:"term,omitempty"`
-	Lead  bool            `json:"lead,omitempty"`
-	Want  bool            `json:"want,omitempty"`
-	Sent  int64           `json:"sent,omitempty"`
-	Up    int64           `json:"up,omitempty"`
-	Run   uint64          `json:"run,omitempty"`   // the sender's process
-	Heard uint64          `json:"heard,omitempty"` // the receiver's process that was heard last
-	OK    bool            `json:"ok,omitempty"`
-	Level int             `json:"level,omitempty"` // of the sender's version
-	Slow  bool            `json:"slow,omitempty"`  // the lower rate of changes holds
-	ID    uint64          `json:"id,omitempty"`
-	Kind  string          `json:"kind,omitempty"`
-	Job   string          `json:"job,omitempty"`
-	Code  int             `json:"code,omitempty"`
-	Retry int             `json:"retry,omitempty"`
-	Body  json.RawMessage `json:"body,omitempty"`
-}
-
-// Message types.
-const (
-	msgHeartbeat   = "beat"    // "I am here", from everybody to everybody
-	msgGrant       = "promise" // answer to a leader's heartbeat that wants a lease grant
-	msgVoteRequest = "clear"   // a candidate asks for a vote, which a peer bound by a grant can't give
-	msgVote        = "cleared" // the answer
-	msgAsk         = "ask"     // a forwarded request
-	msgAnswer      = "answer"  // its answer
-)
-
 // PeerMessage is a message with its sender.
 type PeerMessage struct {
 	From string
-	Msg  Message
+	Msg  protocol.PeerMessage
 }
 
 // IsQuestion tells whether a request changes nothing and may wait behind all that does.
 func (r Request) IsQuestion() bool {
-	return r.Kind == ReqQuery || r.Kind == ReqStatus || r.Kind == ReqMetrics
+	return r.Kind == protocol.RequestQuery || r.Kind == protocol.RequestStatus || r.Kind == protocol.RequestMetrics
 }
 
 // IsQuestion tells the same of a message that passes a request on.
-func (m PeerMessage) IsQuestion() bool { return m.Msg.Type == msgAsk && m.Msg.Kind == ReqQuery }
+func (m PeerMessage) IsQuestion() bool {
+	request, forwarded := m.Msg.(protocol.ForwardedRequest)
+	return forwarded && request.Kind == protocol.RequestQuery
+}
 
-// Refusal is the answer to a question that can't be taken now.
+// Refusal is the answer to a forwarded question that can't be taken now.
 func (m PeerMessage) Refusal() Send {
-	return Send{To: m.From, Msg: Message{Type: msgAnswer, ID: m.Msg.ID, Code: 503, Retry: 1}}
+	request, _ := m.Msg.(protocol.ForwardedRequest)
+	return Send{To: m.From, Msg: protocol.ForwardedAnswer{ID: request.ID, Status: 503, RetryAfter: 1}}
 }
 
 // Drain is the command to end: the node hands over what it leads, stands no more, and
@@ -154,7 +116,7 @@
 // Send is an effect: a message to a peer.
 type Send struct {
 	To  string
-	Msg Message
+	Msg protocol.PeerMessage
 }
 
 // Node is the owner of all state of a controller.
@@ -429,9 +391,11 @@
 	})
 }
 
-func (n *Node) send(to string, m Message) { n.effects = append(n.effects, Send{To: to, Msg: m}) }
+func (n *Node) send(to string, m protocol.PeerMessage) {
+	n.effects = append(n.effects, Send{To: to, Msg: m})
+}
 
-func (n *Node) sendAll(m Message) {
+func (n *Node) sendAll(m protocol.PeerMessage) {
 	for _, k := range n.cfg.Known {
 		n.send(k.Node, m)
 	}
@@ -441,7 +405,7 @@
 func (n *Node) reply(o Origin, status, retry int, body any) {
 	raw := encode(body)
 	if o.Peer != "" {
-		n.send(o.Peer, Message{Type: msgAnswer, ID: o.Ticket, Code: status, Retry: retry, Body: raw})
+		n.send(o.Peer, protocol.ForwardedAnswer{ID: o.Ticket, Status: status, RetryAfter: retry, Body: raw})
 		return
 	}
 	n.effects = append(n.effects, Reply{Ticket: o.Ticket, Status: status, RetryAfter: retry, Body: raw})
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -98,16 +98,16 @@
 // onRequest routes a request of this node's own connections.
 func (n *Node) onRequest(r Request) {
 	switch r.Kind {
-	case ReqHealth:
+	case protocol.RequestHealth:
 		n.onHealth(r)
 		return
-	case ReqReport:
+	case protocol.RequestReport:
 		n.onReport(r)
 		return
-	case ReqStatus:
+	case protocol.RequestStatus:
 		n.onStatus(r)
 		return
-	case ReqMetrics:
+	case protocol.RequestMetrics:
 		n.onMetrics(r)
 		return
 	}
@@ -124,7 +124,7 @@
 		n.unavailable(r.Origin)
 		return
 	}
-	if r.Kind == ReqSubmit {
+	if r.Kind == protocol.RequestSubmit {
 		// The leader need not see it first, as it watches the open jobs.
 		if !n.elect.stateDown() || !n.passOn(r) {
 			n.withoutLeader(r)
@@ -144,11 +144,11 @@
 	n.nextFwd++
 	n.forwards[n.nextFwd] = &forward{req: r, until: n.now + patience}
 	// What was parsed is sent, not what came: a body may hold line breaks.
-	m := Message{Type: msgAsk, ID: n.nextFwd, Kind: r.Kind, Job: r.ID}
+	m := protocol.ForwardedRequest{ID: n.nextFwd, Kind: r.Kind, Job: r.ID}
 	switch r.Kind {
-	case ReqSubmit:
+	case protocol.RequestSubmit:
 		m.Body = storage.Encode(r.Job)
-	case ReqReport:
+	case protocol.RequestReport:
 		m.Body = storage.Encode(r.Report)
 	}
 	n.send(p.name, m)
@@ -183,18 +183,15 @@
 	}
 }
 
-// onAsk takes a request that a peer forwards.
-func (n *Node) onAsk(p *peer, m Message) {
+// onForwarded takes a request that a peer hands on.
+func (n *Node) onForwarded(p *peer, m protocol.ForwardedRequest) {
 	r := Request{Origin: Origin{Ticket: m.ID, Peer: p.name}, Kind: m.Kind, ID: m.Job}
 	var err error
 	switch m.Kind {
-	case ReqSubmit:
+	case protocol.RequestSubmit:
 		r.Job, err = protocol.ParseJob(m.Body)
-	case ReqReport:
+	case protocol.RequestReport:
 		r.Report, err = protocol.ParseReport(m.Body)
-	case ReqQuery, ReqCancel:
-	default:
-		return
 	}
 	if err != nil {
 		n.unavailable(r.Origin)
@@ -203,29 +200,29 @@
 	n.onRequest(r)
 }
 
-func (n *Node) onAnswer(m Message) {
+func (n *Node) onAnswer(m protocol.ForwardedAnswer) {
 	f := n.forwards[m.ID]
 	if f == nil {
 		return
 	}
 	delete(n.forwards, m.ID)
-	if f.req.Kind != ReqReport && (m.Code == 200 || m.Code == 201) {
+	if f.req.Kind != protocol.RequestReport && (m.Status == 200 || m.Status == 201) {
 		n.accepted.put(f.req.ID, true)
 	}
-	if m.Code == 503 && f.req.Kind != ReqReport && f.req.Kind != ReqCancel {
+	if m.Status == 503 && f.req.Kind != protocol.RequestReport && f.req.Kind != protocol.RequestCancel {
 		// The leader can't answer; the state service may.
 		n.withoutLeader(f.req)
 		return
 	}
-	n.reply(f.req.Origin, m.Code, m.Retry, []byte(m.Body))
+	n.reply(f.req.Origin, m.Status, m.RetryAfter, []byte(m.Body))
 }
 
 // withoutLeader serves what can be served from the state service alone.
 func (n *Node) withoutLeader(r Request) {
 	switch r.Kind {
-	case ReqSubmit:
+	case protocol.RequestSubmit:
 		n.submitDirect(r, nil)
-	case ReqQuery:
+	case protocol.RequestQuery:
 		n.queryDirect(r, nil)
 	default:
 		n.unavailable(r.Origin)
--- /dev/null
+++ b/internal/protocol/peers_test.go
@@ -0,0 +1,69 @@
+package protocol
+
+import (
+	"encoding/json"
+	"errors"
+	"reflect"
+	"testing"
+)
+
+// goldenLines were recorded from the version before messages had types of their own.
+var goldenLines = map[string]PeerMessage{
+	`{"type":"beat","term":4,"lead":true,"want":true,"sent":12,"up":13,"run":5,"heard":7,"level":1,"slow":true}`: Heartbeat{
+		Term: 4, Leads: true, WantsGrant: true, Sent: 12, Uptime: 13, Process: 5, Heard: 7, Level: 1, Slowed: true},
+	`{"type":"beat","sent":12,"up":12,"run":18446744073709551615}`: Heartbeat{Sent: 12, Uptime: 12, Process: 1<<64 - 1},
+	`{"type":"promise","term":4,"sent":12}`:                        LeaseGrant{Term: 4, Sent: 12},
+	`{"type":"clear","term":5}`:                                    VoteRequest{Term: 5},
+	`{"type":"cleared","term":5,"ok":true}`:                        Vote{Term: 5, Granted: true},
+	`{"type":"ask","id":9,"kind":"query","job":"j-1"}`:             ForwardedRequest{ID: 9, Kind: RequestQuery, Job: "j-1"},
+	`{"type":"ask","id":9,"kind":"cancel","job":"j-1"}`:            ForwardedRequest{ID: 9, Kind: RequestCancel, Job: "j-1"},
+	`{"type":"ask","id":9,"kind":"submit","job":"j-1","body":{"uid":"j-1"}}`: ForwardedRequest{
+		ID: 9, Kind: RequestSubmit, Job: "j-1", Body: json.RawMessage(`{"uid":"j-1"}`)},
+	`{"type":"ask","id":9,"kind":"report","body":{"maquina":"m-1"}}`: ForwardedRequest{
+		ID: 9, Kind: RequestReport, Body: json.RawMessage(`{"maquina":"m-1"}`)},
+	`{"type":"answer","id":9,"code":503,"retry":1}`: ForwardedAnswer{ID: 9, Status: 503, RetryAfter: 1},
+	`{"type":"answer","id":9,"code":200,"body":{"uid":"j-1"}}`: ForwardedAnswer{
+		ID: 9, Status: 200, Body: json.RawMessage(`{"uid":"j-1"}`)},
+}
+
+// Nodes of the version before read what this one writes, and the other way round.
+func TestPeerLinesAreThoseOfTheVersionBefore(t *testing.T) {
+	for line, message := range goldenLines {
+		raw, err := EncodePeer(message)
+		if err != nil || string(raw) != line {
+			t.Errorf("written as %s, not %s: %v", raw, line, err)
+		}
+		read, err := DecodePeer([]byte(line))
+		if err != nil || !reflect.DeepEqual(read, message) {
+			t.Errorf("%s: read as %+v: %v", line, read, err)
+		}
+	}
+}
+
+// Bad lines are refused with an error that says what is wrong; what a later version may say
+// is told from them.
+func TestBadPeerLines(t *testing.T) {
+	for _, line := range []string{
+		``, `{`, `[]`, `"beat"`, `{"type":7}`, `{"type":"beat","term":-1}`, `{"type":"beat","sent":-1}`,
+		`{"type":"beat","lead":true}`, `{"type":"promise","sent":1}`, `{"type":"promise","term":1,"sent":-1}`,
+		`{"type":"clear"}`, `{"type":"cleared","ok":true}`, `{"type":"ask","kind":"query","job":"j-1"}`,
+		`{"type":"ask","id":1,"kind":"query"}`, `{"type":"ask","id":1,"kind":"submit","job":"j-1"}`,
+		`{"type":"ask","id":1,"kind":"report"}`,
+		`{"type":"answer","id":1}`, `{"type":"answer","code":200}`, `{"type":"answer","id":1,"code":200,"retry":-1}`,
+	} {
+		var bad *PeerLineError
+		if m, err := DecodePeer([]byte(line)); !errors.As(err, &bad) || m != nil {
+			t.Errorf("%s: %+v, %v", line, m, err)
+		}
+	}
+	var unknown *UnknownPeerTypeError
+	if _, err := DecodePeer([]byte(`{"type":"later","term":3}`)); !errors.As(err, &unknown) || unknown.Type != "later" {
+		t.Errorf("a later type: %v", err)
+	}
+	if _, err := DecodePeer([]byte(`{"type":"ask","id":1,"kind":"later"}`)); !errors.As(err, &unknown) || unknown.Kind != "later" {
+		t.Errorf("a later kind of request: %v", err)
+	}
+	if m, err := DecodePeer([]byte(`{"type":"clear","term":5,"new":"x"}`)); err != nil || m != (VoteRequest{Term: 5}) {
+		t.Errorf("a later field: %+v, %v", m, err)
+	}
+}
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"log/slog"
 	"net"
 	"time"
@@ -11,6 +12,7 @@
 
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/coordination"
+	"hitchdoor/internal/protocol"
 )
 
 // maxLine bounds one line between controllers: a forwarded body and its frame.
@@ -29,7 +31,7 @@
 // connection carries lines one way only, from the node that opened it.
 type Peers struct {
 	self  string
-	out   map[string]chan coordination.Message
+	out   map[string]chan protocol.PeerMessage
 	known map[string]bool
 	in    func(coordination.PeerMessage)
 	log   *slog.Logger
@@ -39,10 +41,10 @@
 // NewPeers makes the links to all known peers; in takes what they say. A link
 // that is silent, or can't be written to, for quiet is closed and made anew.
 func NewPeers(self string, known []config.Peer, quiet time.Duration, log *slog.Logger, in func(coordination.PeerMessage)) *Peers {
-	p := &Peers{self: self, out: map[string]chan coordination.Message{}, known: map[string]bool{}, in: in, log: log, quiet: quiet}
+	p := &Peers{self: self, out: map[string]chan protocol.PeerMessage{}, known: map[string]bool{}, in: in, log: log, quiet: quiet}
 	for _, k := range known {
 		p.known[k.Node] = true
-		ch := make(chan coordination.Message, linkQueue)
+		ch := make(chan protocol.PeerMessage, linkQueue)
 		p.out[k.Node] = ch
 		go p.dial(k.PeerAddr, ch)
 	}
@@ -50,14 +52,14 @@
 }
 
 // Send queues a message; if the link is behind, the message is dropped.
-func (p *Peers) Send(to string, m coordination.Message) {
+func (p *Peers) Send(to string, m protocol.PeerMessage) {
 	select {
 	case p.out[to] <- m:
 	default:
 	}
 }
 
-func (p *Peers) dial(addr string, ch chan coordination.Message) {
+func (p *Peers) dial(addr string, ch chan protocol.PeerMessage) {
 	for {
 		conn, err := net.DialTimeout("tcp4", addr, p.quiet)
 		if err == nil {
@@ -72,7 +74,7 @@
 	}
 }
 
-func (p *Peers) write(conn net.Conn, ch chan coordination.Message) {
+func (p *Peers) write(conn net.Conn, ch chan protocol.PeerMessage) {
 	closed := make(chan struct{})
 	go func() {
 		// Nothing is ever said on this side; a read ends when the peer does.
@@ -81,8 +83,7 @@
 		close(closed)
 	}()
 	buf := bytes.Buffer{}
-	enc := json.NewEncoder(&buf)
-	if enc.Encode(hello{p.self}) != nil {
+	if json.NewEncoder(&buf).Encode(hello{p.self}) != nil {
 		return
 	}
 	for {
@@ -95,11 +96,11 @@
 		case <-closed:
 			return
 		case m := <-ch:
-			if enc.Encode(m) != nil {
+			if appendLine(&buf, m) != nil {
 				return
 			}
 			for len(ch) > 0 && buf.Len() < maxLine {
-				if enc.Encode(<-ch) != nil {
+				if appendLine(&buf, <-ch) != nil {
 					return
 				}
 			}
@@ -107,6 +108,16 @@
 	}
 }
 
+// appendLine adds a message and its line break.
+func appendLine(buf *bytes.Buffer, m protocol.PeerMessage) error {
+	raw, err := protocol.EncodePeer(m)
+	if err != nil {
+		return err
+	}
+	buf.Write(raw)
+	return buf.WriteByte('\n')
+}
+
 // PeerConnections bounds the connections between one of so many controllers and the
 // others: one to each, and some from each, as old ones may linger.
 func PeerConnections(nodes int) int { return nodes - 1 + 8*nodes }
@@ -144,11 +155,17 @@
 		return
 	}
 	for next() {
-		var m coordination.Message
-		if err := json.Unmarshal(lines.Bytes(), &m); err != nil {
+		m, err := protocol.DecodePeer(lines.Bytes())
+		var unknown *protocol.UnknownPeerTypeError
+		switch {
+		case errors.As(err, &unknown):
+			// A later version may say more; what this one does not know, it ignores.
+			p.log.Debug("peer's message is ignored", "peer", h.Node, "error", err)
+		case err != nil:
 			p.log.Warn("peer's line can't be read", "peer", h.Node, "error", err)
 			return
+		default:
+			p.in(coordination.PeerMessage{From: h.Node, Msg: m})
 		}
-		p.in(coordination.PeerMessage{From: h.Node, Msg: m})
 	}
 }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -64,8 +64,8 @@
 	s.app.Get("/work/:id", s.query)
 	s.app.Post("/work/:id/cancel", s.cancel)
 	s.app.Post("/v1/report", s.report)
-	s.app.Get("/healthz", s.plain(coordination.ReqHealth))
-	s.app.Get("/status", s.plain(coordination.ReqStatus))
+	s.app.Get("/healthz", s.plain(protocol.RequestHealth))
+	s.app.Get("/status", s.plain(protocol.RequestStatus))
 	s.app.Get("/metrics", s.metrics)
 	return s
 }
@@ -123,15 +123,15 @@
 	if err != nil {
 		return fail(c, fiber.StatusBadRequest, err.Error())
 	}
-	return s.answer(c, coordination.Request{Kind: coordination.ReqSubmit, ID: job.UID, Job: job})
+	return s.answer(c, coordination.Request{Kind: protocol.RequestSubmit, ID: job.UID, Job: job})
 }
 
 func (s *Server) query(c *fiber.Ctx) error {
-	return s.answer(c, coordination.Request{Kind: coordination.ReqQuery, ID: param(c)})
+	return s.answer(c, coordination.Request{Kind: protocol.RequestQuery, ID: param(c)})
 }
 
 func (s *Server) cancel(c *fiber.Ctx) error {
-	return s.answer(c, coordination.Request{Kind: coordination.ReqCancel, ID: param(c)})
+	return s.answer(c, coordination.Request{Kind: protocol.RequestCancel, ID: param(c)})
 }
 
 func param(c *fiber.Ctx) string { return string(append([]byte(nil), c.Params("id")...)) }
@@ -141,15 +141,15 @@
 	if err != nil {
 		return fail(c, fiber.StatusBadRequest, err.Error())
 	}
-	return s.answer(c, coordination.Request{Kind: coordination.ReqReport, Report: rep})
+	return s.answer(c, coordination.Request{Kind: protocol.RequestReport, Report: rep})
 }
 
-func (s *Server) plain(kind string) fiber.Handler {
+func (s *Server) plain(kind protocol.RequestKind) fiber.Handler {
 	return func(c *fiber.Ctx) error { return s.answer(c, coordination.Request{Kind: kind}) }
 }
 
 func (s *Server) metrics(c *fiber.Ctx) error {
-	reply := s.ask.Ask(coordination.Request{Kind: coordination.ReqMetrics}, s.opt.Patience)
+	reply := s.ask.Ask(coordination.Request{Kind: protocol.RequestMetrics}, s.opt.Patience)
 	c.Set(fiber.HeaderContentType, "text/plain; version=0.0.4")
 	return c.Status(reply.Status).Send(reply.Body)
 }
