--- /dev/null
+++ b/internal/coordination/status.go
@@ -0,0 +1,163 @@
+package coordination
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// onHealth is for the load balancer: a node that reaches neither the state
+// service nor another controller has nothing to offer, nor has one that is about to end.
+func (n *Node) onHealth(r Request) {
+	alone := len(n.peers) > 0 && n.peersHeard(n.lease()/4) == 0
+	if n.draining || alone && n.elect.stateDown() && !n.authority() {
+		n.reply(r.Origin, 503, 0, nil)
+		return
+	}
+	n.reply(r.Origin, 200, 0, health{OK: true, Build: n.build, Level: level})
+}
+
+// health is the body of a healthy node's answer.
+type health struct {
+	OK    bool   `json:"ok"`
+	Build string `json:"version"`
+	Level int    `json:"level"`
+}
+
+// status is what the status page shows an operator.
+type status struct {
+	Node      string      `json:"node"`
+	Leads     bool        `json:"leads"`
+	Leader    string      `json:"leader,omitempty"`
+	Term      uint64      `json:"term,omitempty"`
+	StateDown bool        `json:"stateDown"`
+	UptimeS   float64     `json:"uptimeS"`
+	Build     string      `json:"version"`
+	Level     int         `json:"level"`
+	AllNew    bool        `json:"levelOfAll"`
+	Peers     []peerState `json:"peers"`
+	Leading   *leadStatus `json:"leading,omitempty"`
+}
+
+// peerState is what this node has heard of another controller. Level 0 says nothing of
+// its version.
+type peerState struct {
+	Node  string `json:"node"`
+	Heard bool   `json:"heard"`
+	Level int    `json:"level"`
+}
+
+func (n *Node) onStatus(r Request) {
+	s := status{Node: n.cfg.Node, Leads: n.authority(), StateDown: n.elect.stateDown(),
+		UptimeS: n.now.Round(time.Millisecond).Seconds(), Build: n.build, Level: level, AllNew: n.versions.all}
+	for _, k := range n.cfg.Known {
+		p := n.peers[k.Node]
+		s.Peers = append(s.Peers, peerState{Node: p.name, Heard: n.now-p.heard < n.termSpan(), Level: p.level})
+	}
+	if p := n.leaderPeer(); p != nil {
+		s.Leader, s.Term = p.name, p.term
+	}
+	if s.Leads {
+		s.Leader, s.Term = n.cfg.Node, n.lead.term
+		s.Leading = n.lead.status()
+	}
+	n.reply(r.Origin, 200, 0, s)
+}
+
+// onMetrics answers with the figures that an operator would plot.
+func (n *Node) onMetrics(r Request) {
+	var b strings.Builder
+	gauge := func(name, help string, value float64) {
+		fmt.Fprintf(&b, "# HELP hitchdoor_%s %s\n# TYPE hitchdoor_%s gauge\nhitchdoor_%s %g\n", name, help, name, name, value)
+	}
+	flag := func(v bool) float64 {
+		if v {
+			return 1
+		}
+		return 0
+	}
+	gauge("leading", "1 on the node that leads.", flag(n.authority()))
+	gauge("level", "The level of records and messages that this node's version understands.", level)
+	gauge("level_all", "1 once every node is known to have this level.", flag(n.versions.all))
+	gauge("state_slowed", "1 while changes are paced by the lower rate that the settings announce.", flag(n.slowed))
+	gauge("state_down", "1 while the state service can't be reached.", flag(n.elect.stateDown()))
+	if n.authority() {
+		l := n.lead
+		running, pending, up, held := 0, 0, 0, 0.0
+		for _, j := range l.runnable {
+			running += len(j.runs)
+			pending += j.pending
+		}
+		for _, m := range l.machines {
+			if m.up {
+				up++
+			}
+			if m.kind != nil {
+				held += m.kind.Cores
+			}
+		}
+		gauge("term", "The leader's term.", float64(l.term))
+		gauge("jobs_open", "Jobs that are not over.", float64(len(l.jobs)))
+		gauge("jobs_waiting", "Those of them that wait for others to be done.", float64(len(l.jobs)-len(l.runnable)))
+		gauge("tasks_active", "Tasks on machines.", float64(running))
+		gauge("tasks_pending", "Tasks that wait.", float64(pending))
+		gauge("machines", "Machines held.", float64(len(l.machines)))
+		gauge("machines_up", "Machines that report.", float64(up))
+		gauge("cores_held", "Cores of the machines held.", held)
+		gauge("cores_target", "Cores that the fleet aims at.", l.fleet.target)
+		gauge("writes_waiting", "Changes not yet in the state service.", float64(l.writer.Pending()))
+	}
+	n.reply(r.Origin, 200, 0, []byte(b.String()))
+}
+
+// leadStatus is what the status page shows of a leader.
+type leadStatus struct {
+	Loaded    bool            `json:"loaded"`
+	Accounted bool            `json:"accounted"`
+	Writes    int             `json:"writesWaiting"`
+	Jobs      []jobStatus     `json:"jobs"`
+	Machines  []machineStatus `json:"machines"`
+	Target    float64         `json:"targetCores"`
+}
+
+type jobStatus struct {
+	ID      string     `json:"id"`
+	Class   string     `json:"class"`
+	Team    string     `json:"team"`
+	Done    int        `json:"done"`
+	Active  int        `json:"active"`
+	Pending int        `json:"pending"`
+	Waits   waitReason `json:"waitsFor,omitempty"`
+	AgeS    float64    `json:"ageS"`
+}
+
+type machineStatus struct {
+	Name  string  `json:"name"`
+	Type  string  `json:"type"`
+	Zone  string  `json:"zone"`
+	Spot  bool    `json:"spot"`
+	Up    bool    `json:"up"`
+	Tasks int     `json:"tasks"`
+	Cores float64 `json:"coresUsed"`
+	Why   cause   `json:"leaving,omitempty"`
+}
+
+func (l *leadership) status() *leadStatus {
+	s := &leadStatus{Loaded: l.loaded, Accounted: l.accountedAll(), Writes: l.writer.Pending(), Target: l.fleet.target}
+	for _, j := range l.jobs {
+		waits := j.waits
+		if j.awaits > 0 {
+			waits = waitNeeds
+		}
+		s.Jobs = append(s.Jobs, jobStatus{ID: j.spec.UID, Class: j.spec.Class, Team: j.spec.Team, Done: j.done,
+			Active: len(j.runs), Pending: j.pending, Waits: waits, AgeS: (l.n.now - j.at).Round(time.Millisecond).Seconds()})
+	}
+	slices.SortFunc(s.Jobs, func(a, b jobStatus) int { return cmp.Compare(a.ID, b.ID) })
+	for _, m := range l.held() {
+		s.Machines = append(s.Machines, machineStatus{Name: m.name, Type: m.typ, Zone: m.zone, Spot: m.spot, Up: m.up,
+			Tasks: len(m.runs), Cores: m.cores, Why: m.why})
+	}
+	return s
+}
