Reports are spread over the controllers once the leader is short of connections

Ruled out: a connection per report for all (hundreds of connections a second on the leader), and direct commands (they renew no lease). Looked through and left: record keys (four digits sort behind three, which only level 0 minds, above 999 groups), pages, rentals and returns. Change: heartbeats say whether their sender is full and how many workers it takes in. A full leader sends newcomers to the controller with the most room; followers relay for a full leader at once instead of sending workers there first; where all are full, a server closes workers' connections after their answers, so that more workers than sockets are served in turns. An answer older than its worker waits is not passed on. Queues of links and of the owner, and reports that wait for records, go by the settings' connections. Attempts have 32 bits, and a leader that used them up hands over: 24 were used up within hours at this size. Measured: 4,000 machines, 5 nodes with 1,200 connections each, through a takeover and an end of all, no lease lost (simulated cluster, fake clock).

--- a/internal/coordination/durability_test.go
+++ b/internal/coordination/durability_test.go
@@ -281,7 +281,7 @@
 		t.Errorf("back again, %d are sent to the leader, %d of %d relayed", sent, relayed, workers)
 	}
 	w.run(4 * f.lease())
-	if len(f.relays) > 0 {
-		t.Errorf("%d are remembered for good", len(f.relays))
+	if len(f.routes) > 0 {
+		t.Errorf("%d are remembered for good", len(f.routes))
 	}
 }
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -128,7 +128,8 @@
 	e := &n.elect
 	if n.now >= e.heartbeatAt+n.lease()/heartbeatsPerLease || e.heartbeatAt == never {
 		e.heartbeatAt = n.now
-		m := protocol.Heartbeat{Sent: n.now, Uptime: n.now, Process: n.run, Level: level, Slowed: n.slowed}
+		m := protocol.Heartbeat{Sent: n.now, Uptime: n.now, Process: n.run, Level: level, Slowed: n.slowed,
+			Full: n.connections.full, Room: n.connections.room()}
 		if n.lead != nil {
 			m.Term, m.Leads, m.WantsGrant = n.lead.term, n.authority(), e.renewBad
 		}
@@ -424,6 +425,10 @@
 		n.stepDown("authority ran out")
 		return
 	}
+	if n.lead.attempts >= lastAttempt {
+		n.stepDown("its attempts are used up")
+		return
+	}
 	// A leader that hears neither peers nor workers is cut off from everything
 	// but the state service; holding on would stop the service.
 	span := n.lease() / 4
@@ -480,6 +485,7 @@
 
 func (n *Node) onHeartbeat(p *peer, m protocol.Heartbeat) {
 	p.leads, p.term, p.up, p.run, p.level = m.Leads, m.Term, m.Uptime, m.Process, m.Level
+	p.room.heard(m, n.roomSharers(m))
 	if m.Slowed {
 		n.slowDown()
 	}
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -114,8 +114,13 @@
 }
 
 // attemptBits is the counter's share of an attempt; the term is above it, so
-// that an attempt is never used twice. Together they stay under 2^53.
-const attemptBits = 24
+// that an attempt is never used twice. Together they stay under 2^53 for two million terms.
+// Of 24 bits, 4,000 machines with short tasks used up all within hours, and the next ones
+// were those of the term after.
+const attemptBits = 32
+
+// lastAttempt is where a leader hands over to a new term, some passes before its counter ends.
+const lastAttempt = 1<<attemptBits - 1<<24
 
 func (l *leadership) nextAttempt() uint64 {
 	l.attempts++
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -143,8 +143,10 @@
 	peers    map[string]*peer
 	forwards map[uint64]*forward
 	nextFwd  uint64
-	relays   map[string]*relay
-	relaysAt Instant // when those that are over were last dropped
+	routes   map[string]*workerRoute // by worker
+	routesAt Instant                 // when those that are over were last dropped
+
+	connections connections
 
 	catalog     map[string]*protocol.MachineType
 	catalogSure bool // it came from the cloud, not from the record of an earlier leader
@@ -179,6 +181,7 @@
 	leads   bool
 	granted Instant // until when it won't stand against us
 	level   int     // of its version
+	room    peerRoom
 }
 
 // bucket is a token bucket.
@@ -235,7 +238,7 @@
 	n := &Node{
 		cfg: o.Platform, set: o.Settings, log: o.Log, rng: o.Rand, wall: o.Wall, build: o.Build,
 		calls: map[uint64]func(Result){}, oddAnswers: map[Target]Instant{}, missingTypes: map[string]bool{}, peers: map[string]*peer{}, forwards: map[uint64]*forward{},
-		relays: map[string]*relay{}, accepted: newRecent[bool](recentSize),
+		routes: map[string]*workerRoute{}, accepted: newRecent[bool](recentSize),
 		finals:    &finalCache{recent: newRecent[storage.FinalRecord](recentSize)},
 		catalogAt: never, crowdedUntil: never,
 		versions:    versions{at: never},
@@ -298,6 +301,8 @@
 			n.draining = true
 			n.elect.candidate = nil
 			n.stepDown("told to end")
+		case ServerLoad:
+			n.connections.take(c)
 		case nil: // a tick
 		default:
 			panic(fmt.Sprintf("coordination: command %T", c))
@@ -313,7 +318,7 @@
 	n.tickElection()
 	n.tickCatalog()
 	n.tickForwards()
-	n.tickRelays()
+	n.tickRoutes()
 	n.writeSubmissions()
 	n.tickFinals()
 	n.tickVersions()
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -11,7 +11,7 @@
 func (l *leadership) onReport(r Request) {
 	n := l.n
 	if !l.loaded {
-		if len(l.earlyReports) >= n.maxWaiting() || n.elect.stateLost() {
+		if len(l.earlyReports) >= n.maxEarlyReports() || n.elect.stateLost() {
 			n.reply(r.Origin, 503, 1, nil)
 			return
 		}
@@ -44,6 +44,7 @@
 	}
 	unknownTasks := m.unknownTasks
 	m.session, m.seq, m.heard, m.address = rep.Session, rep.Seq, n.now, rep.Address
+	m.direct = r.Origin.Peer == ""
 	forget := l.reconcile(m, rep)
 	if (m.unknownTasks > 0) != (unknownTasks > 0) {
 		l.totalsValid = false
--- a/internal/coordination/routes.go
+++ b/internal/coordination/routes.go
@@ -1,20 +1,105 @@
 package coordination
 
 import (
+	"time"
+
 	"hitchdoor/internal/protocol"
 )
 
-// relay remembers that a worker was sent to the leader and came back.
-type relay struct {
-	sent  Instant // last time the worker was told to go to the leader
-	until Instant // relayed until then
+// A worker's reports go straight to the leader, as long as that has connections to spare.
+// Beyond that they are spread: the leader sends newcomers to the controller with the most
+// room, and the others pass reports and answers on over their link to the leader.
+
+// ServerLoad is a command that tells how many connections of users and workers are open,
+// of how many that the server takes.
+type ServerLoad struct{ Open, Limit int }
+
+// Shares of a server's connections. A node is full at the first one, and has room again
+// below the second: in between nothing changes, so that workers aren't sent to and fro.
+const (
+	fullShare = 13.0 / 16
+	roomShare = 11.0 / 16
+)
+
+// connections is what a node knows of its own server's connections.
+type connections struct {
+	open, limit int // limit 0: not known
+	full        bool
+}
+
+func (c *connections) take(load ServerLoad) {
+	c.open, c.limit = load.Open, load.Limit
+	switch open := float64(c.open); {
+	case c.limit == 0:
+		c.full = false
+	case open >= fullShare*float64(c.limit):
+		c.full = true
+	case open < roomShare*float64(c.limit):
+		c.full = false
+	}
+}
+
+// room is how many more workers the node takes before it is full.
+func (c *connections) room() int {
+	if c.full {
+		return 0
+	}
+	return max(0, int(fullShare*float64(c.limit))-c.open)
+}
+
+// peerRoom is what a peer last said of its connections. A version that says nothing of them
+// takes all that come.
+type peerRoom struct {
+	known bool
+	full  bool
+	left  int // connections that this node may still send it workers for
+}
+
+// heard takes a heartbeat. Its room is shared by so many nodes that may send workers there.
+func (r *peerRoom) heard(m protocol.Heartbeat, sharers int) {
+	r.known = m.Full || m.Room > 0
+	r.full = m.Full
+	r.left = m.Room / max(1, sharers)
+}
+
+// take uses one of the connections left, if there is one.
+func (r *peerRoom) take() bool {
+	if !r.known {
+		return true
+	}
+	if r.full || r.left <= 0 {
+		return false
+	}
+	r.left--
+	return true
+}
+
+// workerRoute is what this node has told a worker that it does not serve by itself.
+type workerRoute struct {
+	redirected Instant // last time the worker was sent to another node
+	relayUntil Instant // its reports are passed on until then
+}
+
+func (n *Node) routeOf(worker string) *workerRoute {
+	route := n.routes[worker]
+	if route == nil {
+		route = &workerRoute{redirected: never, relayUntil: never}
+		n.routes[worker] = route
+	}
+	return route
 }
 
-// onReport answers a worker's report if this node leads, and otherwise sends
-// the worker to the leader. A worker that comes back can't reach the leader, so
-// this node relays for it.
+// cameBack tells whether the worker was sent elsewhere a short while ago, so that it does not
+// get through there.
+func (n *Node) cameBack(route *workerRoute) bool { return n.now-route.redirected < n.lease()/2 }
+
+// onReport answers a worker's report if this node leads, and otherwise passes it on or sends
+// the worker to the leader.
 func (n *Node) onReport(r Request) {
 	if n.authority() {
+		if r.Origin.Peer == "" && n.redirectNewcomer(r) {
+			return
+		}
 		n.lead.onReport(r)
 		return
 	}
@@ -22,39 +107,104 @@
 		n.reply(r.Origin, 503, 0, nil)
 		return
 	}
-	p := n.leaderPeer()
-	if p == nil {
+	leader := n.leaderPeer()
+	if leader == nil {
 		n.reply(r.Origin, 503, 1, nil)
 		return
 	}
-	name := r.Report.Machine
-	rl := n.relays[name]
-	if rl == nil {
-		rl = &relay{sent: never, until: never}
-		n.relays[name] = rl
+	n.relayOrRedirect(r, leader)
+}
+
+// relayOrRedirect serves a worker that reports to a follower. It is relayed for if it can't
+// reach the leader, or the leader has no connection to spare.
+func (n *Node) relayOrRedirect(r Request, leader *peer) {
+	route := n.routeOf(r.Report.Machine)
+	relayed := n.now < route.relayUntil
+	if !relayed && (n.cameBack(route) || !leader.room.take()) {
+		route.relayUntil = n.now + 2*n.lease()
+		relayed = true
 	}
-	if n.now < rl.until || n.now-rl.sent < n.lease()/2 {
-		if n.now >= rl.until {
-			rl.until = n.now + 2*n.lease()
-		}
-		n.forward(p, r, n.lease()/6)
+	if relayed {
+		n.forward(leader, r, n.relayPatience())
 		return
 	}
-	rl.sent = n.now
-	n.reply(r.Origin, 421, 0, protocol.Redirect{ReportTo: p.name})
+	route.redirected = n.now
+	n.reply(r.Origin, 421, 0, protocol.Redirect{ReportTo: leader.name})
 }
 
-// tickRelays forgets the workers that have not come back. Bounded by their number
+// relayPatience is how long the leader's answer to a relayed report is waited for: well
+// within the time after which its worker drops it.
+func (n *Node) relayPatience() time.Duration {
+	return min(n.lease()/6, protocol.ReportTimeout*7/8)
+}
+
+// redirectNewcomer sends a worker that this full leader has not served yet to a controller
+// that has room. Those that are served stay, and so does one that comes back: it can't
+// reach the other node. Without any such node, or where all are full, it is served here,
+// and the server takes its workers in turns.
+func (n *Node) redirectNewcomer(r Request) bool {
+	if !n.connections.full || n.lead.servedHere(r.Report.Machine) {
+		return false
+	}
+	route := n.routeOf(r.Report.Machine)
+	if n.cameBack(route) {
+		return false
+	}
+	to := n.roomiestPeer()
+	if to == nil {
+		return false
+	}
+	to.room.take()
+	route.redirected = n.now
+	n.connections.open-- // it closes its connection; the next count may be some reports away
+	n.reply(r.Origin, 421, 0, protocol.Redirect{ReportTo: to.name})
+	return true
+}
+
+// roomiestPeer is the peer that can take in the most workers, if one says that it can.
+func (n *Node) roomiestPeer() *peer {
+	var best *peer
+	for _, k := range n.cfg.Known {
+		p := n.peers[k.Node]
+		if n.now-p.heard < n.termSpan() && p.room.known && !p.room.full && p.room.left > 0 &&
+			(best == nil || p.room.left > best.room.left) {
+			best = p
+		}
+	}
+	return best
+}
+
+// servedHere tells whether the worker's last report came over a connection of this node's
+// own, within the last lease.
+func (l *leadership) servedHere(worker string) bool {
+	m := l.machines[worker]
+	return m != nil && m.direct && l.n.now-m.heard < l.n.lease()
+}
+
+// tickRoutes forgets the workers that have not come back. Bounded by their number
 // instead, the table was begun anew again and again where there were more machines, so
 // that none was ever relayed for: a leader that workers could not reach lost them all.
-func (n *Node) tickRelays() {
-	if n.now < n.relaysAt+n.lease() {
+func (n *Node) tickRoutes() {
+	if n.now < n.routesAt+n.lease() {
 		return
 	}
-	n.relaysAt = n.now
-	for name, rl := range n.relays {
-		if n.now >= rl.until && n.now-rl.sent >= n.lease()/2 {
-			delete(n.relays, name)
+	n.routesAt = n.now
+	for name, route := range n.routes {
+		if n.now >= route.relayUntil && !n.cameBack(route) {
+			delete(n.routes, name)
 		}
 	}
 }
+
+// roomSharers is how many nodes may send workers to the sender of a heartbeat: all others to a
+// leader, and the leader alone to anybody else.
+func (n *Node) roomSharers(m protocol.Heartbeat) int {
+	if m.Leads {
+		return len(n.peers)
+	}
+	return 1
+}
+
+// maxEarlyReports bounds the reports that wait while a leader reads the records: each has a
+// connection here or at a peer.
+func (n *Node) maxEarlyReports() int { return n.maxWaiting() * n.cfg.Cluster.Count }
--- /dev/null
+++ b/internal/coordination/routes_test.go
@@ -0,0 +1,307 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hitchdoor/internal/protocol"
+)
+
+// withSockets is a simulation of nodes that take so many workers' connections each, with so
+// many machines up.
+func withSockets(t *testing.T, nodes, sockets, machines int) *simulation {
+	t.Helper()
+	w := newSimulationOf(t, nodes, deployments[3])
+	w.sockets = sockets
+	w.runTime = func(string, int) time.Duration { return 10 * time.Minute }
+	w.waitLeader()
+	for i := range machines {
+		w.cloud.rent("c4", []string{"a", "b"}[i%2], true)
+	}
+	w.cloud.capacity, w.cloud.noReturn = machines, true // what is lost shows as a session that has ended
+	if !w.until(30*time.Second, func() bool { return len(w.workers) >= machines }) {
+		t.Fatal("machines did not come up")
+	}
+	return w
+}
+
+// direct counts the machines that have a connection to a node.
+func (w *simulation) direct(node string) int { return w.open[node] }
+
+// sessionsHold checks that no machine's lease has run out.
+func (w *simulation) sessionsHold(when string) {
+	w.t.Helper()
+	lost := 0
+	for _, x := range w.workers {
+		if x.session > 1 {
+			lost++
+		}
+	}
+	if lost > 0 {
+		w.t.Errorf("%s: the leases of %d of %d machines ran out", when, lost, len(w.workers))
+	}
+}
+
+// Four thousand machines, more than three controllers together have connections for: their
+// reports are spread, and their leases hold while the leader is replaced and after an end of
+// all controllers, when all of them connect anew at once.
+func TestFourThousandMachines(t *testing.T) {
+	const machines, sockets = 4000, 1200
+	w := withSockets(t, 5, sockets, machines)
+	c := newUserSimulation(w, 1)
+	jobs := 8
+	for i := range jobs {
+		c.submitUntil(spec(fmt.Sprintf("j-%d", i), 50))
+	}
+	w.run(2 * w.nodes["n0"].lease())
+	w.sessionsHold("all up")
+	if served := w.direct(w.leader()); served > sockets*7/8 {
+		t.Errorf("the leader has %d of %d connections in use", served, sockets)
+	}
+	if l := w.nodes[w.leader()].lead; !l.accountedAll() || len(l.held()) != machines {
+		t.Errorf("%d machines are known", len(l.held()))
+	}
+	started := w.allStarts()
+	if started != jobs*50 {
+		t.Errorf("%d tasks started", started)
+	}
+
+	w.back(w.leader(), 10*time.Second)
+	w.run(2 * w.nodes["n0"].lease())
+	w.waitLeader()
+	w.sessionsHold("after a takeover")
+
+	for _, name := range w.names {
+		w.back(name, 8*time.Second)
+	}
+	w.run(8 * time.Second)
+	w.waitLeader()
+	if !w.until(w.nodes["n0"].lease(), func() bool { l := w.leader(); return l != "" && w.nodes[l].lead.accountedAll() }) {
+		t.Error("not all machines are accounted for within a lease")
+	}
+	w.run(w.nodes["n0"].lease())
+	w.sessionsHold("after an end of all")
+	if again := w.allStarts(); again != started {
+		t.Errorf("%d tasks were started anew", again-started)
+	}
+	w.startedOnce()
+}
+
+// A controller that remains alone has a connection for each fourth machine. It serves all
+// of them in turns: none waits in silence, and no lease runs out.
+func TestLoneControllerTakesTurns(t *testing.T) {
+	const machines, sockets = 400, 100
+	w := withSockets(t, 3, sockets, machines)
+	newUserSimulation(w, 1).submitUntil(spec("j-1", 200))
+	w.run(time.Minute)
+	for _, name := range w.followers() {
+		w.crash(name)
+	}
+	w.run(4 * w.nodes["n0"].lease())
+	if w.leader() == "" {
+		t.Fatal("it does not lead")
+	}
+	w.sessionsHold("alone")
+	w.startedOnce()
+}
+
+// A full leader sends newcomers to the node with the most room, once; one that comes back
+// can't get through there, so it is served.
+func TestFullLeaderRedirectsNewcomers(t *testing.T) {
+	w := newSimulation(t, 3)
+	l := w.waitLeader()
+	for i, name := range w.followers() {
+		l.Step(l.clock(w.now), []any{PeerMessage{From: name, Msg: protocol.Heartbeat{Process: 7, Level: level, Room: 10 * (i + 1)}}})
+	}
+	roomiest := w.followers()[1]
+	report := func(name string, seq uint64) Reply {
+		rep := &protocol.Report{Machine: name, Type: "c4", Zone: "a", Session: 1, Seq: seq}
+		for _, e := range l.Step(l.clock(w.now), []any{Request{Origin: Origin{Ticket: 1}, Kind: protocol.RequestReport, Report: rep}}) {
+			if reply, is := e.(Reply); is {
+				return reply
+			}
+		}
+		t.Fatal("no answer")
+		return Reply{}
+	}
+	if r := report("m-1", 1); r.Status != 200 {
+		t.Errorf("with room: %+v", r)
+	}
+	l.Step(l.clock(w.now), []any{ServerLoad{Open: 90, Limit: 100}})
+	if r := report("m-1", 2); r.Status != 200 {
+		t.Errorf("one that is served: %+v", r)
+	}
+	if r := report("m-2", 1); r.Status != 421 || string(r.Body) != `{"reportaA":"`+roomiest+`"}` {
+		t.Errorf("a newcomer: %d %s", r.Status, r.Body)
+	}
+	if r := report("m-2", 2); r.Status != 200 {
+		t.Errorf("back again: %+v", r)
+	}
+	for _, name := range w.followers() {
+		l.Step(l.clock(w.now), []any{PeerMessage{From: name, Msg: protocol.Heartbeat{Process: 7, Level: level, Full: true}}})
+	}
+	if r := report("m-3", 1); r.Status != 200 {
+		t.Errorf("with all nodes full: %+v", r)
+	}
+}
+
+// Below the mark nothing changes, and a node is full until clearly fewer are open.
+func TestFullAndRoom(t *testing.T) {
+	c := connections{}
+	for _, x := range []struct {
+		open int
+		full bool
+		room int
+	}{{0, false, 81}, {80, false, 1}, {82, true, 0}, {70, true, 0}, {68, false, 13}, {81, false, 0}, {200, true, 0}} {
+		c.take(ServerLoad{Open: x.open, Limit: 100})
+		if c.full != x.full || c.room() != x.room {
+			t.Errorf("%d open: full %v, room %d", x.open, c.full, c.room())
+		}
+	}
+}
+
+// Most machines are relayed for while the controller that relays, or the leader, ends,
+// stands still, or is cut off one way, at any moment of a report: no task runs twice, every
+// job ends, and a worker is never handed an answer older than it waits for.
+func TestRelayingNodeFails(t *testing.T) {
+	troubles := map[string]func(w *simulation, leader, relaying string){
+		"relaying node ends":        func(w *simulation, _, relaying string) { w.back(relaying, 300*time.Millisecond) },
+		"relaying node stands":      func(w *simulation, _, relaying string) { w.nodes[relaying].stall = 6 * time.Second },
+		"leader ends":               func(w *simulation, leader, _ string) { w.back(leader, 300*time.Millisecond) },
+		"leader stands":             func(w *simulation, leader, _ string) { w.nodes[leader].stall = 30 * time.Second },
+		"answers don't get through": func(w *simulation, leader, relaying string) { w.cutOneWay(leader, relaying, 20*time.Second) },
+		"reports don't get through": func(w *simulation, leader, relaying string) { w.cutOneWay(relaying, leader, 20*time.Second) },
+		"held back": func(w *simulation, leader, relaying string) {
+			w.holds = true
+			w.cutOneWay(leader, relaying, 9*time.Second)
+		},
+	}
+	for name, trouble := range troubles {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for offset := range 4 {
+				w := withSockets(t, 3, 8, 12)
+				w.runTime = func(string, int) time.Duration { return 20 * time.Second }
+				c := newUserSimulation(w, uint64(offset))
+				for i := range 6 {
+					c.submitUntil(spec(fmt.Sprintf("j-%d", i), 12))
+				}
+				w.run(15*time.Second + time.Duration(offset)*311*time.Millisecond)
+				leader := w.leader()
+				relaying := w.followers()[offset%2]
+				if w.direct(relaying) == 0 {
+					relaying = w.followers()[(offset+1)%2]
+				}
+				if w.direct(relaying) == 0 {
+					t.Fatal("no machine is relayed for")
+				}
+				trouble(w, leader, relaying)
+				w.run(25 * time.Second)
+				c.settle(5 * time.Minute)
+			}
+		})
+	}
+}
+
+// Where the leader is full, a follower passes reports on without sending their workers there
+// first; where it has room for some, so many are sent, in their share, and no more.
+func TestFollowerRelaysForFullLeader(t *testing.T) {
+	w := newSimulation(t, 3)
+	leader := w.waitLeader()
+	f := w.nodes[w.followers()[0]]
+	counts := func(beat protocol.Heartbeat, workers string) (sent, relayed int) {
+		beat.Term, beat.Leads, beat.Process, beat.Level = leader.lead.term, true, leader.run, level
+		batch := []any{PeerMessage{From: leader.name, Msg: beat}}
+		for i := range 20 {
+			rep := &protocol.Report{Machine: fmt.Sprintf("m-%s-%d", workers, i), Type: "c4", Zone: "a", Session: 1, Seq: 1}
+			batch = append(batch, Request{Origin: Origin{Ticket: uint64(i + 1)}, Kind: protocol.RequestReport, Report: rep})
+		}
+		for _, e := range f.Step(f.clock(w.now), batch) {
+			switch e := e.(type) {
+			case Reply:
+				sent++
+			case Send:
+				if _, forwarded := e.Msg.(protocol.ForwardedRequest); forwarded {
+					relayed++
+				}
+			}
+		}
+		return sent, relayed
+	}
+	for _, x := range []struct {
+		name          string
+		beat          protocol.Heartbeat
+		sent, relayed int
+	}{
+		{"an earlier version", protocol.Heartbeat{}, 20, 0},
+		{"full", protocol.Heartbeat{Full: true}, 0, 20},
+		{"room for ten, of which half", protocol.Heartbeat{Room: 10}, 5, 15},
+	} {
+		if sent, relayed := counts(x.beat, x.name); sent != x.sent || relayed != x.relayed {
+			t.Errorf("%s: %d are sent to the leader, %d relayed", x.name, sent, relayed)
+		}
+	}
+}
+
+// An answer that was held up for longer than its worker waits is not passed on: the
+// controller that relays may have stood still with it in its hands.
+func TestLateAnswerIsNotPassedOn(t *testing.T) {
+	w := newSimulation(t, 3)
+	leader := w.waitLeader()
+	f := w.nodes[w.followers()[0]]
+	rep := &protocol.Report{Machine: "m-1", Type: "c4", Zone: "a", Session: 1, Seq: 1}
+	for _, x := range []struct {
+		after  time.Duration
+		status int
+	}{{f.relayPatience() - step, 200}, {f.relayPatience(), 503}} {
+		f.routeOf("m-1").relayUntil = f.now + time.Hour
+		f.Step(f.clock(w.now), []any{PeerMessage{From: leader.name, Msg: protocol.Heartbeat{Term: leader.lead.term, Leads: true, Process: leader.run}},
+			Request{Origin: Origin{Ticket: 1}, Kind: protocol.RequestReport, Report: rep}})
+		answer := PeerMessage{From: leader.name, Msg: protocol.ForwardedAnswer{ID: f.nextFwd, Status: 200, Body: []byte("{}")}}
+		w.now += x.after
+		got := 0
+		for _, e := range f.Step(f.clock(w.now), []any{answer}) {
+			if reply, is := e.(Reply); is {
+				got = reply.Status
+			}
+		}
+		if got != x.status {
+			t.Errorf("%v after the report: %d, not %d", x.after, got, x.status)
+		}
+	}
+}
+
+// All machines report at once while a leader reads the records. Each has a connection at
+// some node, so none is turned away for their number.
+func TestEarlyReportsOfAllMachines(t *testing.T) {
+	const machines = 4000
+	w := newSimulation(t, 5)
+	w.cfg.Resources.MaxConnections = 1000
+	l := w.waitLeader()
+	l.lead.loaded = false
+	batch := make([]any, 0, machines)
+	for i := range machines {
+		rep := &protocol.Report{Machine: fmt.Sprintf("m-%06d", i), Type: "c4", Zone: "a", Session: 1, Seq: 1}
+		batch = append(batch, Request{Origin: Origin{Ticket: uint64(i + 1)}, Kind: protocol.RequestReport, Report: rep})
+	}
+	for _, e := range l.Step(l.clock(w.now), batch) {
+		if reply, is := e.(Reply); is {
+			t.Fatalf("a report is answered %d", reply.Status)
+		}
+	}
+}
+
+// A leader whose counter of attempts comes to its end hands over to a new term, as its next
+// attempts would be those of the term after.
+func TestAttemptsAreNeverUsedTwice(t *testing.T) {
+	w := newSimulation(t, 3)
+	l := w.waitLeader()
+	term := l.lead.term
+	l.lead.attempts = lastAttempt - 1
+	last := l.lead.nextAttempt()
+	w.run(20 * step)
+	if next := w.waitLeader().lead; next.term <= term || next.nextAttempt() <= last {
+		t.Errorf("term %d goes on after %d", next.term, term)
+	}
+}
--- a/internal/coordination/simulated_cloud_test.go
+++ b/internal/coordination/simulated_cloud_test.go
@@ -67,6 +67,9 @@
 		var m protocol.MachineNames
 		json.Unmarshal(call.Body, &m)
 		for _, name := range m.Machines {
+			if x := c.w.workers[name]; x != nil {
+				x.disconnect()
+			}
 			delete(c.w.workers, name)
 			delete(c.hosts, name)
 		}
@@ -112,6 +115,7 @@
 	session, seq     uint64
 	token            uint64
 	node             string
+	connected        string // the node that its connection goes to, where those are counted
 	tasks            []*simTask
 	renewed          Instant // when the last answered report was sent
 	next             Instant
@@ -202,6 +206,10 @@
 	if w.far[x.node] || (w.reach != nil && !w.reach(x, x.node)) {
 		return // packets vanish
 	}
+	if !x.connect() {
+		w.after(step, func() { finish(Reply{Status: 503, RetryAfter: 1}) })
+		return
+	}
 	w.ask(x.node, Request{Kind: protocol.RequestReport, Report: rep}, func(r Reply) {
 		if !x.silent && !x.dropAnswers {
 			w.after(x.lag, func() { finish(r) })
@@ -209,8 +217,36 @@
 	})
 }
 
+// connect opens a connection to the worker's node, unless that has no free one.
+func (x *worker) connect() bool {
+	w := x.w
+	if w.sockets == 0 || x.connected == x.node {
+		return true
+	}
+	x.disconnect()
+	if w.nodes[x.node].down {
+		return true // refused, and answered so
+	}
+	if w.open[x.node] >= w.sockets {
+		return false
+	}
+	x.connected = x.node
+	w.open[x.node]++
+	return true
+}
+
+func (x *worker) disconnect() {
+	if x.connected != "" {
+		x.w.open[x.connected]--
+		x.connected = ""
+	}
+}
+
 func (x *worker) answer(r Reply, sent Instant, session uint64) {
 	w := x.w
+	if w.sockets > 0 && (r.Status != 200 || w.open[x.connected] > w.sockets-w.sockets/8) {
+		x.disconnect() // it goes elsewhere, or its server takes turns
+	}
 	other := func() {
 		i := slices.Index(w.names, x.node)
 		x.node = w.names[(i+1)%len(w.names)]
--- a/internal/coordination/simulation_test.go
+++ b/internal/coordination/simulation_test.go
@@ -42,6 +42,7 @@
 	events  events
 	planned int
 	cut     map[[2]string]bool // between nodes
+	oneWay  map[[2]string]bool // the same, of messages from the first to the second only
 	holds   bool               // cuts between nodes keep messages, which arrive once they end
 	kept    []event
 	far     map[string]bool                   // nodes that no worker reaches
@@ -54,6 +55,8 @@
 	mistake map[string]bool                               // jobs that fail on every machine
 	old     map[string]bool                               // nodes that start with level 0
 	wallOff map[string]time.Duration                      // by how much nodes' times of day are wrong
+	sockets int                                           // connections that each node takes; 0: any number
+	open    map[string]int                                // by node: workers' connections
 	invariantChecker
 }
 
@@ -81,18 +84,22 @@
 
 type simNode struct {
 	*Node
-	name   string
-	boot   Instant
-	epoch  int
-	inbox  []any
-	asks   map[uint64]func(Reply)
-	ticket uint64
-	down   bool
-	rate   float64       // of its clock; 0: exact
-	frozen bool          // it stands still, while its clocks run on
-	old    bool          // it speaks and writes as level 0 does
-	stall  time.Duration // for how long it will, before it carries out what it next decides
-}
+	name    string
+	boot    Instant
+	epoch   int
+	inbox   []any
+	asks    map[uint64]func(Reply)
+	ticket  uint64
+	down    bool
+	rate    float64       // of its clock; 0: exact
+	frozen  bool          // it stands still, while its clocks run on
+	old     bool          // it speaks and writes as level 0 does
+	stall   time.Duration // for how long it will, before it carries out what it next decides
+	counted Instant       // when it was last told how many connections are open
+}
+
+// loadEvery is how often a node is told how many connections are open.
+const loadEvery = 20 * step
 
 // clock is the node's steady clock.
 func (n *simNode) clock(now Instant) Instant {
@@ -113,7 +120,7 @@
 
 func newSimulationOf(t *testing.T, nodes int, p proportions) *simulation {
 	w := &simulation{t: t, nodes: map[string]*simNode{}, workers: map[string]*worker{}, specs: map[string]protocol.Job{},
-		cut: map[[2]string]bool{}, far: map[string]bool{}, starts: map[string]int{}, mistake: map[string]bool{}, old: map[string]bool{}, invariantChecker: newInvariantChecker(),
+		cut: map[[2]string]bool{}, oneWay: map[[2]string]bool{}, far: map[string]bool{}, starts: map[string]int{}, mistake: map[string]bool{}, old: map[string]bool{}, open: map[string]int{}, invariantChecker: newInvariantChecker(),
 		runTime: func(string, int) time.Duration { return 5 * time.Second }}
 	c := &w.cfg
 	c.Count = nodes
@@ -165,7 +172,15 @@
 	}
 }
 
-func (w *simulation) crash(name string) { w.nodes[name].down = true; w.nodes[name].epoch++ }
+func (w *simulation) crash(name string) {
+	w.nodes[name].down = true
+	w.nodes[name].epoch++
+	for _, x := range w.workers {
+		if x.connected == name {
+			x.disconnect()
+		}
+	}
+}
 
 func (w *simulation) restart(name string) { w.start(name) }
 
@@ -231,6 +246,10 @@
 	}
 	batch := n.inbox
 	n.inbox = nil
+	if w.sockets > 0 && n.clock(w.now) >= n.counted+loadEvery {
+		n.counted = n.clock(w.now)
+		batch = append(batch, ServerLoad{Open: w.open[n.name], Limit: w.sockets})
+	}
 	effects := n.Step(n.clock(w.now), batch)
 	if n.stall > 0 && len(effects) > 0 {
 		w.freeze(n, n.stall, func() { w.carryOut(n, effects) })
@@ -388,7 +407,19 @@
 	return f.State
 }
 
-func (w *simulation) apart(a, b string) bool { return w.cut[[2]string{a, b}] || w.cut[[2]string{b, a}] }
+// apart tells whether messages from one node to another don't arrive.
+func (w *simulation) apart(from, to string) bool {
+	return w.cut[[2]string{from, to}] || w.cut[[2]string{to, from}] || w.oneWay[[2]string{from, to}]
+}
+
+// cutOneWay cuts one node off from another, but not the other way, for a while.
+func (w *simulation) cutOneWay(from, to string, d time.Duration) {
+	w.oneWay[[2]string{from, to}] = true
+	w.after(d, func() {
+		delete(w.oneWay, [2]string{from, to})
+		w.mend()
+	})
+}
 
 // cutOff cuts a node from all others.
 func (w *simulation) cutOff(name string) {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -134,6 +134,11 @@
 		return
 	}
 	delete(n.forwards, m.ID)
+	if f.req.Kind == protocol.RequestReport && n.now >= f.until {
+		// This process stood still, or the answer did on its way: its worker drops it by now.
+		n.withoutLeader(f.req)
+		return
+	}
 	if f.req.Kind != protocol.RequestReport && (m.Status == 200 || m.Status == 201) {
 		n.accepted.put(f.req.ID, true)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,15 +20,18 @@
 
 // Sizes of the owner's queue and batches.
 const (
-	queueSize = 4096
-	batchSize = 256
-	// questionShare is the part of both, one in so many, that questions may fill.
+	// queuePerConnection is the length of the owner's queue, as a ratio to the connections:
+	// all workers may report at once, and some through other controllers.
+	queuePerConnection = 4
+	batchSize          = 256
+	// questionShare is the part of queue and batch, one in so many, that questions may fill.
 	questionShare = 4
 )
 
 type daemon struct {
-	start time.Time
-	queue chan any
+	start  time.Time
+	queue  chan any
+	server *transport.Server
 	// questions wait apart: there may be many times as many as usual, and reports,
 	// heartbeats, renewals, submissions and cancellations must not wait behind them.
 	questions chan any
@@ -50,8 +53,8 @@
 	report := config.Seconds(p.Cluster.Workers.ReportS)
 	d := &daemon{
 		start:     time.Now(),
-		queue:     make(chan any, queueSize),
-		questions: make(chan any, queueSize/questionShare),
+		queue:     make(chan any, queueSize(&p.Cluster)),
+		questions: make(chan any, queueSize(&p.Cluster)/questionShare),
 		tickets:   map[uint64]chan coordination.Reply{},
 	}
 	d.node = coordination.New(coordination.Options{
@@ -76,17 +79,22 @@
 	if err != nil {
 		return fmt.Errorf("peer_bind: %w", err)
 	}
-	d.peers = transport.NewPeers(p.Node, p.Known, lease/8, log, d.fromPeer)
-	server := transport.NewServer(d, transport.ServerOptions{
+	d.peers = transport.NewPeers(p.Node, p.Known, transport.PeerOptions{
+		Quiet: lease / 8, Queue: p.Cluster.Resources.MaxConnections, Log: log,
+	}, d.fromPeer)
+	d.server = transport.NewServer(d, transport.ServerOptions{
 		Connections: conns.server, Idle: 2 * lease, Patience: lease / 4,
 	})
 	failed := make(chan error, 2)
-	go func() { failed <- server.Serve(transport.Steady(users, log)) }()
+	go func() { failed <- d.server.Serve(transport.Steady(users, log)) }()
 	go func() { failed <- d.peers.Serve(transport.Steady(others, log)) }()
 	log.Info("started", "node", p.Node, "users", p.ClientListen, "peers", p.PeerBind)
 	return d.loop(ctx, report/24, failed)
 }
 
+// queueSize is the length of the owner's queue.
+func queueSize(c *config.Cluster) int { return queuePerConnection * c.Resources.MaxConnections }
+
 // answerShare is the part of the memory, one in so many, that one answer of another service
 // may take: several may come at once.
 const answerShare = 16
@@ -130,6 +138,7 @@
 		case c := <-d.questions:
 			batch = append(batch, c)
 		case <-ticker.C:
+			batch = append(batch, d.server.Load())
 		case <-told:
 			told, over = nil, time.After(d.node.HandOver())
 			batch = append(batch, coordination.Drain{})
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -28,11 +28,12 @@
 // A flood of questions, from users and passed on by another controller, keeps neither
 // reports nor heartbeats waiting; what does not fit is refused at once.
 func TestQuestionsWaitBehindTheRest(t *testing.T) {
+	const size = 4096
 	d := &daemon{
-		queue: make(chan any, queueSize), questions: make(chan any, queueSize/questionShare),
+		queue: make(chan any, size), questions: make(chan any, size/questionShare),
 		tickets: map[uint64]chan coordination.Reply{},
 	}
-	answers := make(chan coordination.Reply, 2*queueSize)
+	answers := make(chan coordination.Reply, 2*size)
 	for range 2 * cap(d.questions) {
 		go func() { answers <- d.Ask(coordination.Request{Kind: protocol.RequestQuery, ID: "j-1"}, 0) }()
 	}
--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -25,6 +25,8 @@
 	Heard      uint64        // the receiver's process that the sender has heard last
 	Level      int           // of the sender's version
 	Slowed     bool          // the lower rate of changes holds
+	Full       bool          // the sender has no connection to spare for more workers
+	Room       int           // how many more it takes in; 0 if it does not say
 }
 
 // LeaseGrant answers a heartbeat that asks for it: the sender is bound not to stand or vote.
@@ -87,6 +89,8 @@
 	OK    bool            `json:"ok,omitempty"`
 	Level int             `json:"level,omitempty"`
 	Slow  bool            `json:"slow,omitempty"`
+	Full  bool            `json:"full,omitempty"`
+	Room  int             `json:"room,omitempty"`
 	ID    uint64          `json:"id,omitempty"`
 	Kind  RequestKind     `json:"kind,omitempty"`
 	Job   string          `json:"job,omitempty"`
@@ -109,7 +113,7 @@
 
 func (m Heartbeat) line() peerLine {
 	return peerLine{Type: typeHeartbeat, Term: m.Term, Lead: m.Leads, Want: m.WantsGrant, Sent: int64(m.Sent), Up: int64(m.Uptime),
-		Run: m.Process, Heard: m.Heard, Level: m.Level, Slow: m.Slowed}
+		Run: m.Process, Heard: m.Heard, Level: m.Level, Slow: m.Slowed, Full: m.Full, Room: m.Room}
 }
 
 func (m LeaseGrant) line() peerLine {
@@ -194,11 +198,11 @@
 }
 
 func (l *peerLine) heartbeat() (m PeerMessage, reason string) {
-	if l.Sent < 0 || l.Up < 0 || l.Level < 0 || (l.Lead && l.Term == 0) {
+	if l.Sent < 0 || l.Up < 0 || l.Level < 0 || l.Room < 0 || (l.Lead && l.Term == 0) {
 		return nil, "a negative amount, or a leader without a term"
 	}
 	return Heartbeat{Term: l.Term, Leads: l.Lead, WantsGrant: l.Want, Sent: time.Duration(l.Sent), Uptime: time.Duration(l.Up),
-		Process: l.Run, Heard: l.Heard, Level: l.Level, Slowed: l.Slow}, ""
+		Process: l.Run, Heard: l.Heard, Level: l.Level, Slowed: l.Slow, Full: l.Full, Room: l.Room}, ""
 }
 
 func (l *peerLine) request() (m PeerMessage, reason string) {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -5,6 +5,7 @@
 	"errors"
 	"regexp"
 	"slices"
+	"time"
 
 	"github.com/segmentio/encoding/json"
 )
@@ -13,6 +14,8 @@
 const (
 	MaxBody  = 64 << 10
 	MaxTasks = 100_000
+	// ReportTimeout is how long a worker waits for the answer to a report; it drops a later one.
+	ReportTimeout = 4 * time.Second
 )
 
 // States of a job.
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -18,10 +18,6 @@
 // maxLine bounds one line between controllers: a forwarded body and its frame.
 const maxLine = 256 << 10
 
-// linkQueue is how many messages may wait for a link: the answers to some seconds of
-// relayed reports, as come at once after an interruption.
-const linkQueue = 1024
-
 // hello is the first line of a connection between controllers.
 type hello struct {
 	Node string `json:"node"`
@@ -38,13 +34,22 @@
 	quiet time.Duration
 }
 
-// NewPeers makes the links to all known peers; in takes what they say. A link
-// that is silent, or can't be written to, for quiet is closed and made anew.
-func NewPeers(self string, known []config.Peer, quiet time.Duration, log *slog.Logger, in func(coordination.PeerMessage)) *Peers {
-	p := &Peers{self: self, out: map[string]chan protocol.PeerMessage{}, known: map[string]bool{}, in: in, log: log, quiet: quiet}
+// PeerOptions bound the links between controllers.
+type PeerOptions struct {
+	// Quiet is after what silence a link is closed and made anew.
+	Quiet time.Duration
+	// Queue is how many messages may wait for a link: reports of all workers of a node, and
+	// the answers to them, come at once after an interruption.
+	Queue int
+	Log   *slog.Logger
+}
+
+// NewPeers makes the links to all known peers; in takes what they say.
+func NewPeers(self string, known []config.Peer, opt PeerOptions, in func(coordination.PeerMessage)) *Peers {
+	p := &Peers{self: self, out: map[string]chan protocol.PeerMessage{}, known: map[string]bool{}, in: in, log: opt.Log, quiet: opt.Quiet}
 	for _, k := range known {
 		p.known[k.Node] = true
-		ch := make(chan protocol.PeerMessage, linkQueue)
+		ch := make(chan protocol.PeerMessage, opt.Queue)
 		p.out[k.Node] = ch
 		go p.dial(k.PeerAddr, ch)
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -70,6 +70,23 @@
 	return s
 }
 
+// turnsShare is the part of the connections, one in so many, that is kept free by closing
+// workers' connections after each answer. Where no other controller has room, more workers
+// than there are connections are served in turns: none waits in silence.
+const turnsShare = 8
+
+// Load tells how many connections are open, of how many.
+func (s *Server) Load() coordination.ServerLoad {
+	return coordination.ServerLoad{Open: int(s.app.Server().GetOpenConnectionsCount()), Limit: s.opt.Connections}
+}
+
+// takeTurns closes a worker's connection after its answer if few are left.
+func (s *Server) takeTurns(c *fiber.Ctx) {
+	if load := s.Load(); load.Open > load.Limit-max(1, load.Limit/turnsShare) {
+		c.Context().SetConnectionClose()
+	}
+}
+
 // spareShare is the part of the connections, one in so many, that are taken for one
 // question about the node's health only.
 const spareShare = 32
@@ -78,8 +95,8 @@
 // when to come back. Connections that are served go on, and the load balancer hears
 // that the node is well: cut off by a full server, it would reset all of them.
 func (s *Server) admit(c *fiber.Ctx) error {
-	if c.Context().ConnRequestNum() > 1 || c.Path() == "/healthz" ||
-		int(s.app.Server().GetOpenConnectionsCount()) <= s.opt.Connections-max(1, s.opt.Connections/spareShare) {
+	load := s.Load()
+	if c.Context().ConnRequestNum() > 1 || c.Path() == "/healthz" || load.Open <= load.Limit-max(1, load.Limit/spareShare) {
 		return c.Next()
 	}
 	c.Context().SetConnectionClose()
@@ -141,6 +158,7 @@
 	if err != nil {
 		return fail(c, fiber.StatusBadRequest, err.Error())
 	}
+	s.takeTurns(c)
 	return s.answer(c, coordination.Request{Kind: protocol.RequestReport, Report: rep})
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bufio"
 	"io"
 	"log/slog"
 	"net"
@@ -163,9 +164,9 @@
 	defer ln.Close()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	got := make(chan coordination.PeerMessage, 16)
-	b := NewPeers("b", []config.Peer{{Node: "a", PeerAddr: "127.0.0.1:1"}}, time.Second, log, func(m coordination.PeerMessage) { got <- m })
+	b := NewPeers("b", []config.Peer{{Node: "a", PeerAddr: "127.0.0.1:1"}}, PeerOptions{Quiet: time.Second, Queue: 64, Log: log}, func(m coordination.PeerMessage) { got <- m })
 	go b.Serve(ln)
-	a := NewPeers("a", []config.Peer{{Node: "b", PeerAddr: ln.Addr().String()}}, time.Second, log, func(coordination.PeerMessage) {})
+	a := NewPeers("a", []config.Peer{{Node: "b", PeerAddr: ln.Addr().String()}}, PeerOptions{Quiet: time.Second, Queue: 64, Log: log}, func(coordination.PeerMessage) {})
 	deadline := time.After(10 * time.Second)
 	tick := time.NewTicker(20 * time.Millisecond)
 	defer tick.Stop()
@@ -317,7 +318,7 @@
 	})
 	server := NewServer(ask, ServerOptions{Connections: 16, Idle: 5 * time.Second, Patience: time.Second})
 	go func() { ended <- server.Serve(users) }()
-	links := NewPeers("a", []config.Peer{{Node: "b", PeerAddr: "127.0.0.1:1"}}, time.Second, log, func(coordination.PeerMessage) {})
+	links := NewPeers("a", []config.Peer{{Node: "b", PeerAddr: "127.0.0.1:1"}}, PeerOptions{Quiet: time.Second, Queue: 64, Log: log}, func(coordination.PeerMessage) {})
 	go func() { ended <- links.Serve(peers) }()
 	client := http.Client{Timeout: 5 * time.Second}
 	resp, err := client.Get("http://" + users.Addr().String() + "/healthz")
@@ -337,3 +338,39 @@
 		t.Error("a listener that is closed does not end its server")
 	}
 }
+
+// With few connections left, a worker's connection is closed after its answer, so that more
+// workers than there are connections are served in turns; below that it stays open.
+func TestServerTakesWorkersInTurns(t *testing.T) {
+	url := serve(t, func(coordination.Request) coordination.Reply {
+		return coordination.Reply{Status: 200, Body: []byte(`{"bastao":1,"ordens":[]}`)}
+	})
+	report := "POST /v1/report HTTP/1.1\r\nHost: x\r\nContent-Length: 29\r\n\r\n" + `{"maquina":"m-1","turno":1  }`
+	ask := func(conn net.Conn) *http.Response {
+		t.Helper()
+		if _, err := io.WriteString(conn, report); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp
+	}
+	const connections, kept = 16, 14
+	for i := range 3 * connections {
+		conn, err := net.Dial("tcp4", strings.TrimPrefix(url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if resp := ask(conn); resp.StatusCode != 200 || resp.Close != (i >= kept) {
+			t.Fatalf("worker %d: %d, closed %v", i, resp.StatusCode, resp.Close)
+		}
+		conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if i >= kept {
+			io.Copy(io.Discard, conn) // until it is closed
+		}
+	}
+}
