Admission by policy: one verdict on every controller while more comes than can be taken

Need: under overload, whichever controller answered first decided who waits. Urgent work had no way ahead, and a team that offers nearly all got nearly all. Ruled out: a sequencer at the leader (every submission through it, none without it) and fixed shares of the rate per controller (verdicts differ by the controller that one reaches). Change: package admission, pure. A hash of the job's id (XXH64) places it on a ring; the leader publishes, once more comes than an epoch takes, which arc of each group (team, class, priority) is admitted, and moves the arcs on with each epoch. Refusals say when the turn comes. The transaction that accepts a job is conditioned on the policy's record. Nodes tell the leader what they had to turn away; what an arc lets in tells it how much waits. Level 2 of the versions; switched on by fair_admission, off by default. Found on the way: small submissions of several nodes starve the leader's larger transactions, the first policy's among them; with fair_admission on, a refused record makes all nodes share the rate for a lease. Counted while a policy was on its way, loads made the demand seem four times as large; loads now name the policy that they were judged by.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -29,6 +29,9 @@
 	Thrift *float64 `yaml:"thrift"`
 	// LoadSteps is how finely machine loads are told apart in placement.
 	LoadSteps int `yaml:"load_steps"`
+	// FairAdmission lets the leader publish admission policies while more is submitted than
+	// can be taken.
+	FairAdmission bool `yaml:"fair_admission"`
 	// MemoryRatio of mem_mb is the soft limit given to the garbage collector.
 	MemoryRatio float64 `yaml:"memory_ratio"`
 }
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -129,8 +129,9 @@
 	if n.now >= e.heartbeatAt+n.lease()/heartbeatsPerLease || e.heartbeatAt == never {
 		e.heartbeatAt = n.now
 		m := protocol.Heartbeat{Sent: n.now, Uptime: n.now, Process: n.run, Level: level, Slowed: n.slowed,
-			Full: n.connections.full, Room: n.connections.room()}
+			Full: n.connections.full, Room: n.connections.room(), Policy: n.policy.revision}
 		if n.lead != nil {
+			m.Crowded = n.lead.admission.crowded()
 			m.Term, m.Leads, m.WantsGrant = n.lead.term, n.authority(), e.renewBad
 		}
 		for _, k := range n.cfg.Known {
@@ -476,6 +477,10 @@
 		n.onVoteRequest(p, m)
 	case protocol.Vote:
 		n.onVote(p, m)
+	case protocol.AdmissionLoad:
+		if n.authority() {
+			n.lead.admission.take(m)
+		}
 	case protocol.ForwardedRequest:
 		n.onForwarded(p, m)
 	case protocol.ForwardedAnswer:
@@ -485,6 +490,10 @@
 
 func (n *Node) onHeartbeat(p *peer, m protocol.Heartbeat) {
 	p.leads, p.term, p.up, p.run, p.level = m.Leads, m.Term, m.Uptime, m.Process, m.Level
+	p.policy = max(p.policy, m.Policy)
+	if m.Crowded {
+		n.crowdedUntil = n.now + n.lease()
+	}
 	p.room.heard(m, n.roomSharers(m))
 	if m.Slowed {
 		n.slowDown()
--- a/internal/coordination/invariants_test.go
+++ b/internal/coordination/invariants_test.go
@@ -10,8 +10,10 @@
 
 	"github.com/segmentio/encoding/json"
 
+	"hitchdoor/internal/admission"
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
 )
 
 // invariantChecker is the part of the simulation that knows the rules. It hears every answer that a
@@ -31,13 +33,14 @@
 	waits     map[string]Instant // since when a job waits though there is room for it
 	lookedAt  Instant
 	told      func(id, state string) // is told what users are told for the first time
+	judged    map[uint64]int         // jobs accepted under a policy, by epoch
 	caught    map[string]int         // by rule, instead of failing the test: to test the checker itself
 }
 
 func newInvariantChecker() invariantChecker {
 	return invariantChecker{submitted: map[string]bool{}, accepted: map[string]Instant{}, over: map[string]string{},
 		overAt: map[string]Instant{}, asked: map[string]bool{}, answered: map[string]Instant{},
-		finished: map[string]bool{}, begun: map[string]Instant{}, calm: never, waits: map[string]Instant{}}
+		finished: map[string]bool{}, begun: map[string]Instant{}, judged: map[uint64]int{}, calm: never, waits: map[string]Instant{}}
 }
 
 // broken reports that a rule is broken.
@@ -418,3 +421,27 @@
 		})
 	}
 }
+
+// checkPolicy judges a transaction that is about to be carried out: no job is accepted that
+// the policy in force does not admit, unless its writer knows of no policies.
+func (w *simulation) checkPolicy(t storage.Txn) {
+	w.t.Helper()
+	record, exists := w.state.keys[storage.PolicyKey]
+	if !exists || !slices.ContainsFunc(t.If, func(c storage.Cond) bool { return c.Key == storage.PolicyKey }) {
+		return
+	}
+	policy := &admission.Policy{}
+	if json.Unmarshal(record.Value, policy) != nil {
+		policy = &admission.Policy{Rest: admission.Share{Steps: []uint64{0}}} // nobody
+	}
+	for _, wr := range t.Writes {
+		var job storage.JobRecord
+		if !strings.HasPrefix(wr.Set, storage.JobPrefix) || json.Unmarshal(wr.Value, &job) != nil {
+			continue
+		}
+		w.judged[policy.Epoch]++
+		if !policy.Judge(groupOf(&job.Spec), job.Spec.UID).Admit {
+			w.broken("policy", "%s is accepted in epoch %d", job.Spec.UID, policy.Epoch)
+		}
+	}
+}
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -262,6 +262,9 @@
 	l.jobs[id] = j
 	l.writer.Know(storage.JobKey(id), version)
 	l.await(j)
+	if l.loaded {
+		l.admission.accepted(&rec.Spec)
+	}
 	return j
 }
 
@@ -286,7 +289,7 @@
 	switch {
 	case j.spec.Tasks <= size:
 		key = func(int) string { return storage.BitsKey(id, 0) }
-	case !l.n.versions.all:
+	case !l.n.allUnderstand(levelPipelines):
 		size, key = l.widePart, func(part int) string { return storage.BitsKey(id, part) }
 	}
 	j.partTasks, j.parts = size, nil
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -69,6 +69,7 @@
 	preemptedAt   Instant
 	timers        []timer
 	fleet         fleet
+	admission     admissionControl
 }
 
 // usage is what a team's tasks hold, from command to confirmed end.
@@ -110,6 +111,7 @@
 		l.usage[t.Name] = &usage{}
 	}
 	l.fleet.init(l)
+	l.admission.init(l)
 	return l
 }
 
@@ -161,6 +163,7 @@
 		{storage.RentPrefix, l.loadRentals},
 		{storage.FlowKey, l.fleet.loadFlows},
 		{storage.CatalogKey, l.knowAll},
+		{storage.PolicyKey, l.admission.load},
 	}
 	var next func(int)
 	next = func(i int) {
@@ -410,6 +413,7 @@
 	l.tickLookups()
 	l.checkMachines()
 	l.fleet.tick()
+	l.admission.tick()
 	if n.now >= l.scheduled+n.report()/passesPerReport && (l.dirty || n.now >= l.scheduled+n.report()) {
 		// Without any change, too: what waits may not wait any longer.
 		l.schedule()
@@ -457,6 +461,9 @@
 			if r.Status == 0 || r.Status == 504 {
 				l.writer.Unclear()
 			}
+			if r.Status == 429 {
+				l.admission.recordsRefused()
+			}
 			l.again()
 		}
 	})
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/segmentio/encoding/json"
 
+	"hitchdoor/internal/admission"
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
@@ -51,7 +52,8 @@
 
 // IsQuestion tells whether a request changes nothing and may wait behind all that does.
 func (r Request) IsQuestion() bool {
-	return r.Kind == protocol.RequestQuery || r.Kind == protocol.RequestStatus || r.Kind == protocol.RequestMetrics
+	return r.Kind == protocol.RequestQuery || r.Kind == protocol.RequestStatus || r.Kind == protocol.RequestMetrics ||
+		r.Kind == protocol.RequestAdmission
 }
 
 // IsQuestion tells the same of a message that passes a request on.
@@ -148,6 +150,12 @@
 
 	connections connections
 
+	policy       policyState
+	loads        map[admission.Group]*protocol.GroupLoad // submissions turned away, not yet told to the leader
+	loadsAt      Instant                                 // when that was told last
+	turnedAway   map[string]bool                         // jobs turned away in this epoch
+	turnedAwayAt Instant                                 // since when
+
 	catalog     map[string]*protocol.MachineType
 	catalogSure bool // it came from the cloud, not from the record of an earlier leader
 	catalogAt   Instant
@@ -182,6 +190,7 @@
 	granted Instant // until when it won't stand against us
 	level   int     // of its version
 	room    peerRoom
+	policy  uint64 // revision of the last change of the admission policy that it knows
 }
 
 // bucket is a token bucket.
@@ -238,7 +247,7 @@
 	n := &Node{
 		cfg: o.Platform, set: o.Settings, log: o.Log, rng: o.Rand, wall: o.Wall, build: o.Build,
 		calls: map[uint64]func(Result){}, oddAnswers: map[Target]Instant{}, missingTypes: map[string]bool{}, peers: map[string]*peer{}, forwards: map[uint64]*forward{},
-		routes: map[string]*workerRoute{}, accepted: newRecent[bool](recentSize),
+		routes: map[string]*workerRoute{}, loads: map[admission.Group]*protocol.GroupLoad{}, turnedAway: map[string]bool{}, accepted: newRecent[bool](recentSize),
 		finals:    &finalCache{recent: newRecent[storage.FinalRecord](recentSize)},
 		catalogAt: never, crowdedUntil: never,
 		versions:    versions{at: never},
@@ -322,6 +331,7 @@
 	n.writeSubmissions()
 	n.tickFinals()
 	n.tickVersions()
+	n.tickAdmission()
 	if n.lead != nil && n.authority() {
 		n.lead.tick()
 	}
--- a/internal/coordination/simulated_state_test.go
+++ b/internal/coordination/simulated_state_test.go
@@ -269,6 +269,7 @@
 	if len(t.Writes) > s.w.cfg.State.TxnOps {
 		s.w.t.Fatalf("transaction of %d writes", len(t.Writes))
 	}
+	s.w.checkPolicy(t)
 	s.rev++
 	for _, wr := range t.Writes {
 		if wr.Set == "" {
--- a/internal/coordination/simulation_test.go
+++ b/internal/coordination/simulation_test.go
@@ -55,6 +55,7 @@
 	mistake map[string]bool                               // jobs that fail on every machine
 	old     map[string]bool                               // nodes that start with level 0
 	wallOff map[string]time.Duration                      // by how much nodes' times of day are wrong
+	fair    bool                                          // admission by policy is switched on
 	sockets int                                           // connections that each node takes; 0: any number
 	open    map[string]int                                // by node: workers' connections
 	invariantChecker
@@ -165,6 +166,7 @@
 	}
 	set := config.Defaults()
 	set.IdleKeep = 4 // so that machines stay for the races
+	set.FairAdmission = w.fair
 	w.nodes[name] = &simNode{
 		Node: New(Options{Platform: p, Settings: set, Log: testLog().With("node", name),
 			Rand: rand.New(rand.NewPCG(uint64(len(name)), uint64(name[1]))), Wall: time.Unix(1_000_000, 0).Add(w.now + w.wallOff[name])}),
@@ -392,7 +394,7 @@
 // allNew waits until every node that is up knows that all are of this version.
 func (w *simulation) allNew() {
 	w.t.Helper()
-	known := func(name string) bool { n := w.nodes[name]; return n.down || n.versions.all }
+	known := func(name string) bool { n := w.nodes[name]; return n.down || n.allUnderstand(level) }
 	if !w.until(30*time.Second, func() bool { return !slices.ContainsFunc(w.names, func(s string) bool { return !known(s) }) }) {
 		w.t.Fatal("not all nodes are known to be new")
 	}
--- a/internal/coordination/status.go
+++ b/internal/coordination/status.go
@@ -51,7 +51,7 @@
 
 func (n *Node) onStatus(r Request) {
 	s := status{Node: n.cfg.Node, Leads: n.authority(), StateDown: n.elect.stateDown(),
-		UptimeS: n.now.Round(time.Millisecond).Seconds(), Build: n.build, Level: level, AllNew: n.versions.all}
+		UptimeS: n.now.Round(time.Millisecond).Seconds(), Build: n.build, Level: level, AllNew: n.allUnderstand(level)}
 	for _, k := range n.cfg.Known {
 		p := n.peers[k.Node]
 		s.Peers = append(s.Peers, peerState{Node: p.name, Heard: n.now-p.heard < n.termSpan(), Level: p.level})
@@ -80,7 +80,7 @@
 	}
 	gauge("leading", "1 on the node that leads.", flag(n.authority()))
 	gauge("level", "The level of records and messages that this node's version understands.", level)
-	gauge("level_all", "1 once every node is known to have this level.", flag(n.versions.all))
+	gauge("level_all", "1 once every node is known to have this level.", flag(n.allUnderstand(level)))
 	gauge("state_slowed", "1 while changes are paced by the lower rate that the settings announce.", flag(n.slowed))
 	gauge("state_down", "1 while the state service can't be reached.", flag(n.elect.stateDown()))
 	if n.authority() {
--- a/internal/coordination/submissions.go
+++ b/internal/coordination/submissions.go
@@ -11,18 +11,24 @@
 
 // denial is what a user is told of a job that the state service does not know.
 type denial struct {
-	status int
-	Error  string `json:"error"`
+	status     int
+	retryAfter int    // in seconds; 0: for good
+	Error      string `json:"error"`
 }
 
 var (
-	noSuchJob    = denial{404, "no such job"}
-	tooLarge     = denial{400, "the job is too large to be stored"}
-	neverRuns    = denial{422, "unknown team, or a task that fits no machine type or the team's limit"}
-	needsNobodys = denial{422, "aguarda: names a job that was never accepted"}
-	comeBack     = denial{503, ""}
+	noSuchJob    = denial{404, 0, "no such job"}
+	tooLarge     = denial{400, 0, "the job is too large to be stored"}
+	neverRuns    = denial{422, 0, "unknown team, or a task that fits no machine type or the team's limit"}
+	needsNobodys = denial{422, 0, "aguarda: names a job that was never accepted"}
+	comeBack     = denial{503, 1, "can't be taken now"}
 )
 
+// notYet is said of a job whose turn comes in some seconds.
+func notYet(retryAfter int) denial {
+	return denial{503, retryAfter, "more is submitted than can be taken"}
+}
+
 // canRun tells whether some machine type could ever run a task of the job, and
 // whether its team exists and has room for one task.
 func (n *Node) canRun(j *protocol.Job) bool {
@@ -49,6 +55,8 @@
 	lead   *leadership     // that took it, if any
 	until  Instant         // when its user is told to come back instead
 	tries  int
+	// policyVersion is that of the record by which it was admitted.
+	policyVersion uint64
 }
 
 // submitDirect writes a submission, conditioned on the job being unknown, and
@@ -78,7 +86,7 @@
 	case slices.Contains(r.Job.Needs, r.Job.UID):
 		n.answerKnown(r, lead, needsNobodys)
 		return
-	case len(r.Job.Needs) > 0 && !n.versions.all:
+	case len(r.Job.Needs) > 0 && !n.allUnderstand(levelPipelines):
 		// A node of the version before would start it at once. Nothing says that all are
 		// new until each has written so.
 		n.answerKnown(r, lead, comeBack)
@@ -96,7 +104,7 @@
 		case !all:
 			n.answerKnown(r, lead, needsNobodys)
 		default:
-			n.queueSubmission(s)
+			n.judgeSubmission(s)
 		}
 	})
 }
@@ -105,7 +113,7 @@
 // the state service takes only so many changes a second.
 func (n *Node) queueSubmission(s submission) {
 	if len(n.submits) >= n.maxWaiting() {
-		n.unavailable(s.r.Origin)
+		n.turnAway(s)
 		return
 	}
 	n.submits = append(n.submits, s)
@@ -141,7 +149,7 @@
 	for _, s := range queue {
 		switch {
 		case n.now >= s.until || n.elect.stateLost():
-			n.unavailable(s.r.Origin)
+			n.turnAway(s)
 		case n.submitBudget.take(n.now, min(n.submitBudget.burst, float64(len(s.writes)))):
 			n.writeSubmission(s)
 		default:
@@ -153,7 +161,8 @@
 func (n *Node) writeSubmission(s submission) {
 	id := s.rec.Spec.UID
 	txn := storage.Txn{
-		If:     []storage.Cond{{Key: storage.JobKey(id)}, {Key: storage.FinalKey(id)}},
+		If: []storage.Cond{{Key: storage.JobKey(id)}, {Key: storage.FinalKey(id)},
+			{Key: storage.PolicyKey, Version: s.policyVersion}},
 		Writes: s.writes,
 	}
 	n.stateCall("POST", "/multi", txn, func(res Result) {
@@ -168,6 +177,10 @@
 				s.lead.addJob(s.rec, out.Revision)
 			}
 			n.reply(s.r.Origin, 201, 0, protocol.JobState{UID: id, State: protocol.Queued})
+		case res.Status == 409 && s.tries < submitTries && json.Unmarshal(res.Body, &out) == nil && policyMoved(out.Failed, id):
+			// Admitted by the policy of another epoch.
+			s.tries++
+			n.readPolicy(func() { n.judgeSubmission(s) })
 		case res.Status == 409:
 			n.answerKnown(s.r, s.lead, comeBack)
 		case res.Status == 400:
@@ -183,6 +196,8 @@
 			}
 			n.queueSubmission(s)
 		case res.Status == 503 && s.lead == nil && n.passOn(s.r):
+		case res.Status == 429:
+			n.turnAway(s)
 		default:
 			n.unavailable(s.r.Origin)
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -38,6 +38,9 @@
 	case protocol.RequestMetrics:
 		n.onMetrics(r)
 		return
+	case protocol.RequestAdmission:
+		n.onAdmission(r)
+		return
 	}
 	if f, ok := n.finals.byID[r.ID]; ok {
 		n.reply(r.Origin, 200, 0, finalState(r.ID, f)) // it never changes, so any node may say so
@@ -221,8 +224,10 @@
 func (n *Node) answerKnown(r Request, lead *leadership, otherwise denial) {
 	n.readTruth(r.ID, func(ok bool, open *storage.Item, final *storage.FinalRecord) {
 		switch {
-		case !ok || (open == nil && final == nil && otherwise == comeBack):
+		case !ok && otherwise.retryAfter == 0:
 			n.unavailable(r.Origin)
+		case !ok || (open == nil && final == nil && otherwise.retryAfter > 0):
+			n.reply(r.Origin, 503, otherwise.retryAfter, otherwise)
 		case final != nil:
 			n.reply(r.Origin, 200, 0, finalState(r.ID, *final))
 		case open != nil:
--- a/internal/coordination/versions.go
+++ b/internal/coordination/versions.go
@@ -8,10 +8,13 @@
 	"hitchdoor/internal/storage"
 )
 
-// level is that of the records and messages which this version understands. Level 0,
-// which says nothing of itself, knows no jobs that need others, and names the parts of a
-// bitmap by their numbers.
-const level = 1
+// Levels of the records and messages that a version understands. Level 0, which says nothing
+// of itself, knows no jobs that need others, and names the parts of a bitmap by their numbers.
+const (
+	levelPipelines = 1
+	levelAdmission = 2 // admission policies
+	level          = levelAdmission
+)
 
 // versions is what a node knows of the versions of all of them. Each node writes its
 // own, once. What level 0 can't bear is written only when every configured node has
@@ -19,15 +22,18 @@
 // so what was read once goes on to hold, whatever late messages and late writes of
 // earlier processes still arrive.
 type versions struct {
-	all  bool // every node is known to be of this level at least
-	busy bool
-	at   Instant // when they were last read
+	least int // every node is known to be of this level at least
+	busy  bool
+	at    Instant // when they were last read
 }
 
-// tickVersions reads the versions until all are known to be new.
+// allUnderstand tells whether every node is known to be of a level at least.
+func (n *Node) allUnderstand(level int) bool { return n.versions.least >= level }
+
+// tickVersions reads the versions until all are known to be as new as this one.
 func (n *Node) tickVersions() {
 	v := &n.versions
-	if v.all || v.busy || n.now < v.at+n.lease()/probesPerLease || n.elect.stateDown() || n.elect.stateOK == never {
+	if v.least >= level || v.busy || n.now < v.at+n.lease()/probesPerLease || n.elect.stateDown() || n.elect.stateOK == never {
 		return
 	}
 	n.readVersions()
@@ -48,7 +54,7 @@
 
 // takeVersions learns from the records of the nodes' versions.
 func (n *Node) takeVersions(items []storage.Item) {
-	if n.versions.all {
+	if n.versions.least >= level {
 		return
 	}
 	known := map[string]int{}
@@ -69,14 +75,17 @@
 		}
 		return
 	}
+	least := level
 	for _, k := range n.cfg.Known {
-		if known[k.Node] < level {
-			return
-		}
+		least = min(least, known[k.Node])
+	}
+	was := n.versions.least
+	if least <= was {
+		return
 	}
-	n.versions.all = true
-	n.log.Info("all nodes are of this version or later", "level", level)
-	if n.lead != nil {
+	n.versions.least = least
+	n.log.Info("all nodes are of this level or later", "level", least)
+	if n.lead != nil && was < levelPipelines {
 		n.lead.levelRaised()
 	}
 }
--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -8,7 +8,7 @@
 )
 
 // PeerMessage is a message between controllers, one JSON line on the wire: Heartbeat,
-// LeaseGrant, VoteRequest, Vote, ForwardedRequest or ForwardedAnswer.
+// LeaseGrant, VoteRequest, Vote, ForwardedRequest, ForwardedAnswer or AdmissionLoad.
 type PeerMessage interface {
 	// line is the message as it stands on the wire.
 	line() peerLine
@@ -27,6 +27,8 @@
 	Slowed     bool          // the lower rate of changes holds
 	Full       bool          // the sender has no connection to spare for more workers
 	Room       int           // how many more it takes in; 0 if it does not say
+	Crowded    bool          // the leader's records don't get through, for the rate of changes
+	Policy     uint64        // revision of the last change of the admission policy that it knows
 }
 
 // LeaseGrant answers a heartbeat that asks for it: the sender is bound not to stand or vote.
@@ -58,6 +60,8 @@
 	RequestStatus  RequestKind = "status"
 	RequestHealth  RequestKind = "health"
 	RequestMetrics RequestKind = "metrics"
+	// RequestAdmission asks for the policy by which a node judges.
+	RequestAdmission RequestKind = "admission"
 )
 
 // ForwardedRequest is a request that a node hands to the leader.
@@ -76,6 +80,25 @@
 	Body       json.RawMessage
 }
 
+// MaxGroupLoads bounds the groups of jobs that a message, or a node, counts submissions of.
+const MaxGroupLoads = 512
+
+// GroupLoad is what a node had to turn away of the submissions of a group of jobs.
+type GroupLoad struct {
+	Team       string `json:"team"`
+	Class      string `json:"class"`
+	Rank       int    `json:"rank"`
+	TurnedAway int    `json:"away,omitempty"`    // jobs that were admitted, but there was no room
+	Refused    int    `json:"refused,omitempty"` // attempts that were not admitted
+}
+
+// AdmissionLoad tells the leader of submissions that its sender had to turn away since it
+// said so last, all of them judged by the policy of one version.
+type AdmissionLoad struct {
+	Version uint64 // of the policy's record; 0: there was none
+	Groups  []GroupLoad
+}
+
 // peerLine is the wire form of all of them. Its words are those of earlier versions.
 type peerLine struct {
 	Type  peerType        `json:"type"`
@@ -91,6 +114,9 @@
 	Slow  bool            `json:"slow,omitempty"`
 	Full  bool            `json:"full,omitempty"`
 	Room  int             `json:"room,omitempty"`
+	Crowd bool            `json:"crowded,omitempty"`
+	Rev   uint64          `json:"policy,omitempty"`
+	Loads []GroupLoad     `json:"loads,omitempty"`
 	ID    uint64          `json:"id,omitempty"`
 	Kind  RequestKind     `json:"kind,omitempty"`
 	Job   string          `json:"job,omitempty"`
@@ -109,11 +135,12 @@
 	typeVote        peerType = "cleared"
 	typeRequest     peerType = "ask"
 	typeAnswer      peerType = "answer"
+	typeLoad        peerType = "load"
 )
 
 func (m Heartbeat) line() peerLine {
 	return peerLine{Type: typeHeartbeat, Term: m.Term, Lead: m.Leads, Want: m.WantsGrant, Sent: int64(m.Sent), Up: int64(m.Uptime),
-		Run: m.Process, Heard: m.Heard, Level: m.Level, Slow: m.Slowed, Full: m.Full, Room: m.Room}
+		Run: m.Process, Heard: m.Heard, Level: m.Level, Slow: m.Slowed, Full: m.Full, Room: m.Room, Crowd: m.Crowded, Rev: m.Policy}
 }
 
 func (m LeaseGrant) line() peerLine {
@@ -132,6 +159,10 @@
 	return peerLine{Type: typeAnswer, ID: m.ID, Code: m.Status, Retry: m.RetryAfter, Body: m.Body}
 }
 
+func (m AdmissionLoad) line() peerLine {
+	return peerLine{Type: typeLoad, Rev: m.Version, Loads: m.Groups}
+}
+
 // PeerLineError says why a line of another controller can't be read.
 type PeerLineError struct{ Reason string }
 
@@ -188,6 +219,8 @@
 		return Vote{Term: l.Term, Granted: l.OK}, ""
 	case typeRequest:
 		return l.request()
+	case typeLoad:
+		return l.admissionLoad()
 	case typeAnswer:
 		if l.ID == 0 || l.Code < 100 || l.Code > 599 || l.Retry < 0 {
 			return nil, "without a number or a status"
@@ -202,7 +235,7 @@
 		return nil, "a negative amount, or a leader without a term"
 	}
 	return Heartbeat{Term: l.Term, Leads: l.Lead, WantsGrant: l.Want, Sent: time.Duration(l.Sent), Uptime: time.Duration(l.Up),
-		Process: l.Run, Heard: l.Heard, Level: l.Level, Slowed: l.Slow, Full: l.Full, Room: l.Room}, ""
+		Process: l.Run, Heard: l.Heard, Level: l.Level, Slowed: l.Slow, Full: l.Full, Room: l.Room, Crowded: l.Crowd, Policy: l.Rev}, ""
 }
 
 func (l *peerLine) request() (m PeerMessage, reason string) {
@@ -223,3 +256,15 @@
 	}
 	return ForwardedRequest{ID: l.ID, Kind: l.Kind, Job: l.Job, Body: l.Body}, ""
 }
+
+func (l *peerLine) admissionLoad() (m PeerMessage, reason string) {
+	if len(l.Loads) == 0 || len(l.Loads) > MaxGroupLoads {
+		return nil, "no groups, or too many"
+	}
+	for _, g := range l.Loads {
+		if g.TurnedAway < 0 || g.Refused < 0 || g.Rank < 0 {
+			return nil, "a negative amount"
+		}
+	}
+	return AdmissionLoad{Version: l.Rev, Groups: l.Loads}, ""
+}
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -29,6 +29,7 @@
 	CatalogKey    = "catalog"
 	VersionPrefix = "version/"
 	NeedsPrefix   = "needs/"
+	PolicyKey     = "admission"
 )
 
 // JobKey is the key of an open job.
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -43,6 +43,7 @@
 	LeaderVer uint64
 
 	versions map[string]uint64
+	last     uint64 // revision of the last transaction
 	queues   [priorities][]Unit
 	maxBytes int
 
@@ -65,6 +66,9 @@
 // Version tells the last known version of a key.
 func (w *Writer) Version(key string) uint64 { return w.versions[key] }
 
+// LastRevision is that of the last transaction that was written, as far as it is known.
+func (w *Writer) LastRevision() uint64 { return w.last }
+
 // Add queues a change.
 func (w *Writer) Add(p Priority, u Unit) {
 	u.priority = p
@@ -226,6 +230,7 @@
 // Applied ends the transaction under way as written at a revision, which does
 // not matter when it held drops alone.
 func (w *Writer) Applied(revision uint64) {
+	w.last = max(w.last, revision)
 	for _, wr := range w.writes {
 		if wr.Set != "" {
 			w.versions[wr.Set] = revision
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -67,6 +67,7 @@
 	s.app.Get("/healthz", s.plain(protocol.RequestHealth))
 	s.app.Get("/status", s.plain(protocol.RequestStatus))
 	s.app.Get("/metrics", s.metrics)
+	s.app.Get("/admission", s.plain(protocol.RequestAdmission))
 	return s
 }
 
