Traces of submissions, admission status of a node; a guard less for admission

Need: operators are to see why a job was refused, when its turn comes, and what became of it across controllers. Change: OpenTelemetry spans in a bounded ring per node (trace_steps, off by default; the trace's id follows from the job's), GET /trace/ID, GET /admission[/ID]. Guards taken out one at a time: each is red in admission_test.go.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -32,6 +32,8 @@
 	// FairAdmission lets the leader publish admission policies while more is submitted than
 	// can be taken.
 	FairAdmission bool `yaml:"fair_admission"`
+	// TraceSteps is how many steps of submissions a node keeps for operators; 0: none.
+	TraceSteps int `yaml:"trace_steps"`
 	// MemoryRatio of mem_mb is the soft limit given to the garbage collector.
 	MemoryRatio float64 `yaml:"memory_ratio"`
 }
@@ -93,6 +95,7 @@
 		{"idle_keep", s.IdleKeep, 0, 1000},
 		{"load_steps", float64(s.LoadSteps), 1, 1000},
 		{"memory_ratio", s.MemoryRatio, 0.1, 1},
+		{"trace_steps", float64(s.TraceSteps), 0, 100_000},
 	} {
 		if !(f.value >= f.lo && f.value <= f.top) {
 			return fmt.Errorf("%s: must be within %v..%v, is %v", f.name, f.lo, f.top, f.value)
--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -42,12 +42,14 @@
 	}
 	group := groupOf(s.r.Job)
 	verdict := n.policy.policy.Judge(group, s.r.Job.UID)
+	n.trace(s.r.Job.UID, stepVerdict, verdictNote(verdict))
 	if verdict.Admit {
 		s.policyVersion = n.policy.version
 		n.queueSubmission(s)
 		return
 	}
 	n.countLoad(group, func(l *protocol.GroupLoad) { l.Refused++ })
+	n.refused.put(s.r.Job.UID, group)
 	n.refuse(s, notYet(n.retryAfter(verdict)))
 }
 
@@ -62,10 +64,17 @@
 	n.answerKnown(s.r, s.lead, why)
 }
 
+// Bounds of what a policy can make users wait for, so that no record overflows a duration.
+const (
+	maxEpochsAhead = 1 << 16
+	maxEpochMS     = 3_600_000
+)
+
 // retryAfter is in how many seconds a job's turn comes.
 func (n *Node) retryAfter(v admission.Verdict) int {
 	p := &n.policy
-	turn := p.since + time.Duration(v.Epochs)*time.Duration(p.policy.LengthMS)*time.Millisecond
+	epochs := time.Duration(min(v.Epochs, maxEpochsAhead))
+	turn := p.since + epochs*time.Duration(min(p.policy.LengthMS, maxEpochMS))*time.Millisecond
 	return max(1, int((turn-n.now+time.Second-1)/time.Second))
 }
 
@@ -79,6 +88,7 @@
 		}
 		n.countLoad(groupOf(s.r.Job), func(l *protocol.GroupLoad) { l.TurnedAway++ })
 	}
+	n.trace(id, stepTurnedAway, "")
 	n.unavailable(s.r.Origin)
 }
 
@@ -224,27 +234,10 @@
 		!slices.Contains(failed, storage.JobKey(id)) && !slices.Contains(failed, storage.FinalKey(id))
 }
 
-// admissionStatus is what a node shows of the policy that it judges by.
-type admissionStatus struct {
-	Node     string            `json:"node"`
-	Leads    bool              `json:"leads"`
-	Enabled  bool              `json:"enabled"` // by this node's settings
-	Version  uint64            `json:"version"`
-	Invalid  bool              `json:"invalid,omitempty"`
-	AgeS     float64           `json:"ageS"` // since this node knows of it
-	Policy   *admission.Policy `json:"policy"`
-	Capacity float64           `json:"capacity,omitempty"` // jobs per epoch, on the leader
-	Waiting  []waitingGroup    `json:"waiting,omitempty"`  // open jobs, on the leader
-}
-
-// waitingGroup is what the leader has accepted of a group and not begun.
-type waitingGroup struct {
-	admission.Group
-	Jobs int `json:"jobs"`
-}
-
+// onAdmission tells an operator by which policy this node judges, and of a job what it made
+// of it.
 func (n *Node) onAdmission(r Request) {
-	s := admissionStatus{Node: n.cfg.Node, Leads: n.authority(), Enabled: n.set.FairAdmission, Version: n.policy.version,
+	s := admission.NodeStatus{Node: n.cfg.Node, Leads: n.authority(), Enabled: n.set.FairAdmission, Version: n.policy.version,
 		Invalid: n.policy.invalid, Policy: n.policy.policy}
 	if n.policy.version != 0 {
 		s.AgeS = (n.now - n.policy.since).Round(time.Millisecond).Seconds()
@@ -253,11 +246,32 @@
 		s.Capacity = n.lead.admission.capacity().Jobs
 		s.Waiting = n.lead.waitingGroups()
 	}
+	if r.ID != "" {
+		s.Job = n.admissionOf(r.ID)
+	}
 	n.reply(r.Origin, 200, 0, s)
 }
 
+// admissionOf is what this node knows of a job's admission.
+func (n *Node) admissionOf(id string) *admission.JobStatus {
+	s := &admission.JobStatus{ID: id, Accepted: n.accepted.byID[id]}
+	if _, over := n.finals.byID[id]; over || n.lead != nil && n.lead.jobs[id] != nil {
+		s.Accepted = true
+	}
+	group, refused := n.refused.byID[id]
+	if s.Accepted || !refused {
+		return s
+	}
+	s.Refused = &group
+	verdict := n.policy.policy.Judge(group, id)
+	if s.Admit = verdict.Admit && !n.policy.invalid; !s.Admit {
+		s.TurnInS = n.retryAfter(verdict)
+	}
+	return s
+}
+
 // waitingGroups counts the accepted jobs that have not begun, by group.
-func (l *leadership) waitingGroups() []waitingGroup {
+func (l *leadership) waitingGroups() []admission.WaitingGroup {
 	counts := map[admission.Group]int{}
 	for _, j := range l.runnable {
 		if j.firstStart == 0 && j.done == 0 && len(j.runs) == 0 {
@@ -267,9 +281,9 @@
 	groups := slices.SortedFunc(maps.Keys(counts), func(a, b admission.Group) int {
 		return cmp.Or(a.Rank-b.Rank, cmp.Compare(a.Team, b.Team), cmp.Compare(a.Class, b.Class))
 	})
-	out := make([]waitingGroup, len(groups))
+	out := make([]admission.WaitingGroup, len(groups))
 	for i, g := range groups {
-		out[i] = waitingGroup{g, counts[g]}
+		out[i] = admission.WaitingGroup{Group: g, Jobs: counts[g]}
 	}
 	return out
 }
--- a/internal/coordination/admission_control.go
+++ b/internal/coordination/admission_control.go
@@ -16,7 +16,6 @@
 	loads     map[admission.Group]*admission.Load // of the epoch that runs
 	epochAt   Instant                             // when it began
 	writing   bool                                // the last policy is not yet durable
-	refusedAt Instant                             // when the leader's records were last refused for the rate
 	maxShares int
 }
 
@@ -40,30 +39,9 @@
 
 func (a *admissionControl) init(l *leadership) {
 	a.l, a.loads, a.epochAt = l, map[admission.Group]*admission.Load{}, l.n.now
-	a.refusedAt = never
 	a.maxShares = max(1, (l.n.cfg.Cluster.State.ValueBytes()-shareBytes)/shareBytes)
 }
 
-// crowded tells whether records were refused for the rate within the last epoch. Then all nodes
-// share the rate of submissions: each by itself may use all of it, and the leader's larger
-// transactions found no room between their small ones, that of the first policy included.
-func (a *admissionControl) crowded() bool {
-	return a.l.n.set.FairAdmission && a.l.n.now < a.refusedAt+a.l.n.epochLength()
-}
-
-// recordsRefused notes that the leader's records were refused for the rate.
-func (a *admissionControl) recordsRefused() {
-	n := a.l.n
-	if !n.set.FairAdmission {
-		return
-	}
-	if !a.crowded() {
-		n.elect.heartbeatAt = never // others are to know at once
-	}
-	a.refusedAt = n.now
-	n.crowdedUntil = n.now + n.lease()
-}
-
 // settings bound the policies.
 func (a *admissionControl) settings() admission.Settings {
 	n := a.l.n
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -131,7 +131,6 @@
 		m := protocol.Heartbeat{Sent: n.now, Uptime: n.now, Process: n.run, Level: level, Slowed: n.slowed,
 			Full: n.connections.full, Room: n.connections.room(), Policy: n.policy.revision}
 		if n.lead != nil {
-			m.Crowded = n.lead.admission.crowded()
 			m.Term, m.Leads, m.WantsGrant = n.lead.term, n.authority(), e.renewBad
 		}
 		for _, k := range n.cfg.Known {
@@ -491,9 +490,6 @@
 func (n *Node) onHeartbeat(p *peer, m protocol.Heartbeat) {
 	p.leads, p.term, p.up, p.run, p.level = m.Leads, m.Term, m.Uptime, m.Process, m.Level
 	p.policy = max(p.policy, m.Policy)
-	if m.Crowded {
-		n.crowdedUntil = n.now + n.lease()
-	}
 	p.room.heard(m, n.roomSharers(m))
 	if m.Slowed {
 		n.slowDown()
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -72,6 +72,7 @@
 	waits                 waitReason // which check stopped it last
 	waiting               Instant    // since when it has had pending tasks
 	firstStart, lastStart Instant    // of its tasks, for the log
+	commanded             bool       // some task was given to a machine in this term
 }
 
 // failureHistory is that of a task that failed.
@@ -264,6 +265,7 @@
 	l.await(j)
 	if l.loaded {
 		l.admission.accepted(&rec.Spec)
+		l.n.trace(id, stepKnown, "")
 	}
 	return j
 }
@@ -428,6 +430,7 @@
 		Done: func() {
 			l.n.log.Debug("job over", "job", id, "state", state, "class", j.spec.Class, "tasks", j.spec.Tasks,
 				"after", l.n.now-j.at, "waited", j.from-j.at, "firstStart", j.firstStart-j.at, "lastStart", j.lastStart-j.at, "expected", l.expected(j))
+			l.n.trace(id, stepOver, state+" after "+l.sinceAccepted(j))
 			l.n.finals.put(id, final)
 			l.over[id] = true
 			delete(l.jobs, id)
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -461,9 +461,6 @@
 			if r.Status == 0 || r.Status == 504 {
 				l.writer.Unclear()
 			}
-			if r.Status == 429 {
-				l.admission.recordsRefused()
-			}
 			l.again()
 		}
 	})
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -151,6 +151,7 @@
 	connections connections
 
 	policy       policyState
+	refused      recent[admission.Group]                 // jobs that this node refused by a policy
 	loads        map[admission.Group]*protocol.GroupLoad // submissions turned away, not yet told to the leader
 	loadsAt      Instant                                 // when that was told last
 	turnedAway   map[string]bool                         // jobs turned away in this epoch
@@ -247,7 +248,7 @@
 	n := &Node{
 		cfg: o.Platform, set: o.Settings, log: o.Log, rng: o.Rand, wall: o.Wall, build: o.Build,
 		calls: map[uint64]func(Result){}, oddAnswers: map[Target]Instant{}, missingTypes: map[string]bool{}, peers: map[string]*peer{}, forwards: map[uint64]*forward{},
-		routes: map[string]*workerRoute{}, loads: map[admission.Group]*protocol.GroupLoad{}, turnedAway: map[string]bool{}, accepted: newRecent[bool](recentSize),
+		routes: map[string]*workerRoute{}, loads: map[admission.Group]*protocol.GroupLoad{}, turnedAway: map[string]bool{}, accepted: newRecent[bool](recentSize), refused: newRecent[admission.Group](recentSize),
 		finals:    &finalCache{recent: newRecent[storage.FinalRecord](recentSize)},
 		catalogAt: never, crowdedUntil: never,
 		versions:    versions{at: never},
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -231,6 +231,10 @@
 			commands = append(commands, protocol.Command{Op: protocol.OpStop, Task: r.key(), Attempt: r.attempt, GraceS: r.stop})
 		case r.phase == phaseAssigned && m.shown && m.used:
 			r.phase = phaseSent
+			if !r.job.commanded {
+				r.job.commanded = true
+				l.n.trace(r.job.spec.UID, stepStart, r.key()+" on "+m.name)
+			}
 			commands = append(commands, protocol.Command{Op: protocol.OpStart, Task: r.key(), Attempt: r.attempt})
 		}
 	}
@@ -318,6 +322,7 @@
 			r.job.lastStart = l.n.now
 			if r.job.firstStart == 0 {
 				r.job.firstStart = l.n.now
+				l.n.trace(r.job.spec.UID, stepRuns, r.key()+" on "+m.name+" after "+l.sinceAccepted(r.job))
 				l.n.log.Debug("job's first task runs", "job", r.job.spec.UID, "class", r.job.spec.Class, "tasks", r.job.spec.Tasks,
 					"after", l.n.now-r.job.from)
 			}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -366,7 +366,9 @@
 					if r.rank == rankOverdue {
 						most = j.spec.Tasks/beginShare + 1 - len(j.runs)
 					}
+					was := j.waits
 					j.waits = l.admit(j, p, fetch, most)
+					l.traceWait(j, was)
 				}
 			}
 		}
--- a/internal/coordination/submissions.go
+++ b/internal/coordination/submissions.go
@@ -170,6 +170,7 @@
 		switch {
 		case res.Status == 200 && json.Unmarshal(res.Body, &out) == nil:
 			n.accepted.put(id, true)
+			n.trace(id, stepStored, "")
 			if s.lead != nil && n.lead == s.lead {
 				for _, w := range s.writes {
 					s.lead.writer.Know(w.Key(), out.Revision)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/coordination"
+	"hitchdoor/internal/tracing"
 	"hitchdoor/internal/transport"
 )
 
@@ -38,6 +39,7 @@
 	node      *coordination.Node
 	clients   map[coordination.Target]*transport.Client
 	peers     *transport.Peers
+	traces    *tracing.Recorder // nil: off
 
 	mu      sync.Mutex
 	tickets map[uint64]chan coordination.Reply
@@ -61,6 +63,9 @@
 		Platform: p, Settings: set, Build: build, Log: log, Wall: d.start,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
+	if set.TraceSteps > 0 {
+		d.traces = tracing.NewRecorder(p.Node, set.TraceSteps)
+	}
 	conns := shareSockets(&p.Cluster)
 	opt := transport.ClientOptions{Dial: lease / 8, Idle: lease / 2, MaxBody: maxAnswer(&p.Cluster)}
 	client := func(addr string, connections int) *transport.Client {
@@ -196,7 +201,19 @@
 		}
 	case coordination.Send:
 		d.peers.Send(e.To, e.Msg)
+	case coordination.TraceStep:
+		if d.traces != nil {
+			d.traces.Record(e.Step)
+		}
+	}
+}
+
+// Trace lists the steps of a job that are kept here.
+func (d *daemon) Trace(job string) []tracing.Step {
+	if d.traces == nil {
+		return nil
 	}
+	return d.traces.Of(job)
 }
 
 // Ask hands a request to the owner. A full queue, or an owner that does not
--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -27,7 +27,6 @@
 	Slowed     bool          // the lower rate of changes holds
 	Full       bool          // the sender has no connection to spare for more workers
 	Room       int           // how many more it takes in; 0 if it does not say
-	Crowded    bool          // the leader's records don't get through, for the rate of changes
 	Policy     uint64        // revision of the last change of the admission policy that it knows
 }
 
@@ -114,7 +113,6 @@
 	Slow  bool            `json:"slow,omitempty"`
 	Full  bool            `json:"full,omitempty"`
 	Room  int             `json:"room,omitempty"`
-	Crowd bool            `json:"crowded,omitempty"`
 	Rev   uint64          `json:"policy,omitempty"`
 	Loads []GroupLoad     `json:"loads,omitempty"`
 	ID    uint64          `json:"id,omitempty"`
@@ -140,7 +138,7 @@
 
 func (m Heartbeat) line() peerLine {
 	return peerLine{Type: typeHeartbeat, Term: m.Term, Lead: m.Leads, Want: m.WantsGrant, Sent: int64(m.Sent), Up: int64(m.Uptime),
-		Run: m.Process, Heard: m.Heard, Level: m.Level, Slow: m.Slowed, Full: m.Full, Room: m.Room, Crowd: m.Crowded, Rev: m.Policy}
+		Run: m.Process, Heard: m.Heard, Level: m.Level, Slow: m.Slowed, Full: m.Full, Room: m.Room, Rev: m.Policy}
 }
 
 func (m LeaseGrant) line() peerLine {
@@ -235,7 +233,7 @@
 		return nil, "a negative amount, or a leader without a term"
 	}
 	return Heartbeat{Term: l.Term, Leads: l.Lead, WantsGrant: l.Want, Sent: time.Duration(l.Sent), Uptime: time.Duration(l.Up),
-		Process: l.Run, Heard: l.Heard, Level: l.Level, Slowed: l.Slow, Full: l.Full, Room: l.Room, Crowded: l.Crowd, Policy: l.Rev}, ""
+		Process: l.Run, Heard: l.Heard, Level: l.Level, Slowed: l.Slow, Full: l.Full, Room: l.Room, Policy: l.Rev}, ""
 }
 
 func (l *peerLine) request() (m PeerMessage, reason string) {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -13,11 +13,14 @@
 
 	"hitchdoor/internal/coordination"
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/tracing"
 )
 
 // Asker hands a request to the owner and waits for its answer.
 type Asker interface {
 	Ask(r coordination.Request, patience time.Duration) coordination.Reply
+	// Trace lists the steps of a job that this node keeps.
+	Trace(job string) []tracing.Step
 }
 
 // ServerOptions bound a server.
@@ -68,6 +71,8 @@
 	s.app.Get("/status", s.plain(protocol.RequestStatus))
 	s.app.Get("/metrics", s.metrics)
 	s.app.Get("/admission", s.plain(protocol.RequestAdmission))
+	s.app.Get("/admission/:id", s.admissionOf)
+	s.app.Get("/trace/:id", s.trace)
 	return s
 }
 
@@ -172,3 +177,16 @@
 	c.Set(fiber.HeaderContentType, "text/plain; version=0.0.4")
 	return c.Status(reply.Status).Send(reply.Body)
 }
+
+func (s *Server) admissionOf(c *fiber.Ctx) error {
+	return s.answer(c, coordination.Request{Kind: protocol.RequestAdmission, ID: param(c)})
+}
+
+func (s *Server) trace(c *fiber.Ctx) error {
+	raw, err := json.Marshal(s.ask.Trace(param(c)))
+	if err != nil {
+		return err
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Send(raw)
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -15,12 +15,15 @@
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/coordination"
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/tracing"
 )
 
 type asker func(coordination.Request) coordination.Reply
 
 func (f asker) Ask(r coordination.Request, _ time.Duration) coordination.Reply { return f(r) }
 
+func (f asker) Trace(string) []tracing.Step { return nil }
+
 func serve(t *testing.T, f asker) string {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
