--- a/cmd/hitchdoor/main.go
+++ b/cmd/hitchdoor/main.go
@@ -76,6 +76,7 @@
 		Args:  cobra.NoArgs,
 		Run:   func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "hitchdoor", buildVersion()) },
 	})
+	cmd.AddCommand(tools()...)
 	return cmd
 }
 
--- /dev/null
+++ b/cmd/hitchdoor/tools.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"hitchdoor/internal/toolbox"
+)
+
+// tools are the operators' subcommands, which ask all controllers and change nothing.
+func tools() []*cobra.Command {
+	var options toolbox.Options
+	var job string
+	admission := &cobra.Command{
+		Use:   "admission --nodes HOST:PORT,... [--job ID]",
+		Short: "Show what is admitted under overload, and why a job was refused",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := options.Check(); err != nil {
+				return err
+			}
+			return toolbox.Admission(c.OutOrStdout(), options, job)
+		},
+	}
+	admission.Flags().StringVar(&job, "job", "", "a job to tell about")
+	trace := &cobra.Command{
+		Use:   "trace --nodes HOST:PORT,... JOB",
+		Short: "Show what the controllers did with a job (see trace_steps)",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if err := options.Check(); err != nil {
+				return err
+			}
+			return toolbox.Trace(c.OutOrStdout(), options, args[0])
+		},
+	}
+	commands := []*cobra.Command{admission, trace}
+	for _, c := range commands {
+		c.Flags().StringSliceVar(&options.Nodes, "nodes", nil, "the client addresses of all controllers")
+		c.Flags().DurationVar(&options.Timeout, "timeout", 2*time.Second, "how long to wait for each of them")
+	}
+	return commands
+}
--- /dev/null
+++ b/internal/daemon/overload_bench_test.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"hitchdoor/internal/config"
+	"hitchdoor/internal/protocol"
+)
+
+// BenchmarkOverload measures a flood of several times what three controllers can take, over
+// real connections: how long the users of each class wait, how many give up, and what the
+// controllers and the stand-ins in this process spend. By hand only:
+//
+//	go test -run '^$' -bench Overload -benchtime 1x ./internal/daemon
+func BenchmarkOverload(b *testing.B) {
+	for _, fair := range []bool{false, true} {
+		b.Run(fmt.Sprintf("by policy %v", fair), func(b *testing.B) {
+			for b.Loop() {
+				measureOverload(b, fair)
+			}
+		})
+	}
+}
+
+func measureOverload(b *testing.B, fair bool) {
+	set := config.Defaults()
+	set.FairAdmission = fair
+	t := &testing.T{}
+	l := newLoopback(t, 3, 24, set)
+	l.ready()
+	began, spent := time.Now(), processorTime()
+	flood := &flood{waits: map[string]*hdrhistogram.Histogram{}, gaveUp: map[string]int{}}
+	// Some 7 a second are taken, or 22 if no controller knows of the others' submissions.
+	for i := range 1500 {
+		class := []string{"urgent", "standard", "low", "low", "low"}[i%5]
+		job := smallJob(fmt.Sprintf("j-%s-%d", class, i), "a", class, class)
+		after := time.Duration(i) * 20 * time.Millisecond
+		flood.wait.Go(func() {
+			time.Sleep(after)
+			flood.submit(l, job)
+		})
+	}
+	flood.wait.Wait()
+	took := time.Since(began)
+	accepted := 0
+	for _, class := range []string{"urgent", "standard", "low"} {
+		h := flood.waits[class]
+		accepted += int(h.TotalCount())
+		b.Logf("%-8s accepted %4d, gave up %4d; waited ms p50 %d, p90 %d, p99 %d, max %d", class, h.TotalCount(), flood.gaveUp[class],
+			h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.ValueAtQuantile(99), h.Max())
+	}
+	b.Logf("%.1f accepted a second, processor %.3f s a second", float64(accepted)/took.Seconds(), (processorTime()-spent).Seconds()/took.Seconds())
+	for _, stop := range l.stop {
+		stop()
+	}
+	l.fleet.Close()
+	l.wait.Wait()
+}
+
+// processorTime is what this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// flood is users, and how long they waited.
+type flood struct {
+	wait   sync.WaitGroup
+	mu     sync.Mutex
+	waits  map[string]*hdrhistogram.Histogram // by class, in milliseconds
+	gaveUp map[string]int
+}
+
+// submit submits a job as a user does: at any node, again after Retry-After, for a minute.
+func (f *flood) submit(l *loopback, job protocol.Job) {
+	began := time.Now()
+	for {
+		status, retryAfter := l.submit(l.names[rand.IntN(len(l.names))], job)
+		if status == 200 || status == 201 {
+			f.note(job.Class, time.Since(began), true)
+			return
+		}
+		if time.Since(began) > protocol.RetrySpan {
+			f.note(job.Class, 0, false)
+			return
+		}
+		time.Sleep(min(30*time.Second, max(time.Second, retryAfter)))
+	}
+}
+
+func (f *flood) note(class string, waited time.Duration, accepted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.waits[class] == nil {
+		f.waits[class] = hdrhistogram.New(1, 120_000, 3)
+	}
+	if !accepted {
+		f.gaveUp[class]++
+		return
+	}
+	f.waits[class].RecordValue(max(1, waited.Milliseconds()))
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -88,6 +88,16 @@
 // Ranks of the priorities, most pressing first.
 var ranks = map[string]int{"prod": 0, "urgent": 1, "standard": 2, "low": 3}
 
+// PriorityOf names the priority of a rank.
+func PriorityOf(rank int) string {
+	for priority, r := range ranks {
+		if r == rank {
+			return priority
+		}
+	}
+	return "unknown"
+}
+
 // Rank orders priorities; a smaller rank passes ahead.
 func (j *Job) Rank() int { return ranks[j.Priority] }
 
