--- a/internal/coordination/admission_test.go
+++ b/internal/coordination/admission_test.go
@@ -426,3 +426,20 @@
 		}
 	}
 }
+
+// With many jobs open, the memory limits what an epoch takes before any node turns a job away.
+func TestCapacityFollowsMemory(t *testing.T) {
+	w := newSimulation(t, 1)
+	l := w.waitLeader().lead
+	free := l.admission.capacity()
+	if free.Short || free.Jobs <= 0 {
+		t.Errorf("without jobs: %+v", free)
+	}
+	most := int(openJobsShare * w.cfg.Resources.MemMB * (1 << 20) / openJobBytes)
+	for i := range most - 20 {
+		l.jobs[fmt.Sprintf("j-%d", i)] = nil
+	}
+	if c := l.admission.capacity(); !c.Short || c.Jobs >= free.Jobs || c.Jobs < 1 {
+		t.Errorf("with %d jobs: %+v", most-20, c)
+	}
+}
--- a/internal/protocol/peers_test.go
+++ b/internal/protocol/peers_test.go
@@ -40,6 +40,24 @@
 	}
 }
 
+// What this version adds comes back as it was sent.
+func TestAddedPeerLines(t *testing.T) {
+	for _, message := range []PeerMessage{
+		Heartbeat{Sent: 1, Uptime: 1, Process: 5, Full: true, Policy: 77},
+		Heartbeat{Sent: 1, Uptime: 1, Process: 5, Room: 31},
+		AdmissionLoad{Groups: []GroupLoad{{Team: "a", Class: "c", Rank: 3, TurnedAway: 7, Refused: 9}}},
+		AdmissionLoad{Version: 12, Groups: []GroupLoad{{Class: "c"}}},
+	} {
+		raw, err := EncodePeer(message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if read, err := DecodePeer(raw); err != nil || !reflect.DeepEqual(read, message) {
+			t.Errorf("%s: read as %+v: %v", raw, read, err)
+		}
+	}
+}
+
 // Bad lines are refused with an error that says what is wrong; what a later version may say
 // is told from them.
 func TestBadPeerLines(t *testing.T) {
@@ -49,6 +67,7 @@
 		`{"type":"clear"}`, `{"type":"cleared","ok":true}`, `{"type":"ask","kind":"query","job":"j-1"}`,
 		`{"type":"ask","id":1,"kind":"query"}`, `{"type":"ask","id":1,"kind":"submit","job":"j-1"}`,
 		`{"type":"ask","id":1,"kind":"report"}`,
+		`{"type":"beat","room":-1}`, `{"type":"load"}`, `{"type":"load","loads":[{"away":-1}]}`, `{"type":"load","loads":[{"rank":-1}]}`,
 		`{"type":"answer","id":1}`, `{"type":"answer","code":200}`, `{"type":"answer","id":1,"code":200,"retry":-1}`,
 	} {
 		var bad *PeerLineError
