Half-open cuts: leaders go by which direction of which link works

Ruled out: an accrual detector (heartbeats come 32 times a lease; one time-out tells) and a message to a successor: where it could arrive, relays work and nothing need be handed over. Change: package reachability, a directed matrix from what heartbeats say; a leader that has served no worker for a lease resigns if workers come to another node or nobody hears it, and leaves it to others for a growing pause; one that no worker reaches has the others relay at once; nodes without a peer in both directions vote through the state service; a worker that may have tried all nodes is known to have come back. hitchdoor links shows all of it. Found on the way: a machine that had missed an answer and had nothing to do got no command, so it never showed a sign of hearing again, and no work for good. That it stays with its node is the sign now.

--- a/cmd/hitchdoor/tools.go
+++ b/cmd/hitchdoor/tools.go
@@ -35,7 +35,18 @@
 			return toolbox.Trace(c.OutOrStdout(), options, args[0])
 		},
 	}
-	commands := []*cobra.Command{admission, trace}
+	links := &cobra.Command{
+		Use:   "links --nodes HOST:PORT,...",
+		Short: "Show which controllers hear each other, and who leads by whose word",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := options.Check(); err != nil {
+				return err
+			}
+			return toolbox.Links(c.OutOrStdout(), options)
+		},
+	}
+	commands := []*cobra.Command{admission, trace, links}
 	for _, c := range commands {
 		c.Flags().StringSliceVar(&options.Nodes, "nodes", nil, "the client addresses of all controllers")
 		c.Flags().DurationVar(&options.Timeout, "timeout", 2*time.Second, "how long to wait for each of them")
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -32,6 +32,9 @@
 	// FairAdmission lets the leader publish admission policies while more is submitted than
 	// can be taken.
 	FairAdmission bool `yaml:"fair_admission"`
+	// LinkDecisions lets leaders resign, ask others to relay, and nodes vote through the state
+	// service, by what is known of half-open links.
+	LinkDecisions bool `yaml:"link_decisions"`
 	// TraceSteps is how many steps of submissions a node keeps for operators; 0: none.
 	TraceSteps int `yaml:"trace_steps"`
 	// MemoryRatio of mem_mb is the soft limit given to the garbage collector.
@@ -42,7 +45,7 @@
 func Defaults() Settings {
 	return Settings{
 		SlotsPerCore: 2, SlotsBase: 6, ClassShare: 0.5, BorrowWaitS: 30,
-		Headroom: 0.8, IdleKeep: 0.2, LoadSteps: 1, MemoryRatio: 0.6,
+		Headroom: 0.8, IdleKeep: 0.2, LoadSteps: 1, MemoryRatio: 0.6, LinkDecisions: true,
 	}
 }
 
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -129,9 +129,12 @@
 	if n.now >= e.heartbeatAt+n.lease()/heartbeatsPerLease || e.heartbeatAt == never {
 		e.heartbeatAt = n.now
 		m := protocol.Heartbeat{Sent: n.now, Uptime: n.now, Process: n.run, Level: level, Slowed: n.slowed,
-			Full: n.connections.full, Room: n.connections.room(), Policy: n.policy.revision}
+			Full: n.connections.full, Room: n.connections.room(), Links: n.linkReport(), Policy: n.policy.revision}
 		if n.lead != nil {
 			m.Term, m.Leads, m.WantsGrant = n.lead.term, n.authority(), e.renewBad
+			if n.lead.wantsRelays() {
+				m.Full, m.Room = true, 0
+			}
 		}
 		for _, k := range n.cfg.Known {
 			m.Heard = n.peers[k.Node].run
@@ -167,14 +170,17 @@
 			if json.Unmarshal(r.Body, &item) != nil || json.Unmarshal(item.Value, &l) != nil {
 				return
 			}
-			e.standAt = never
+			e.standAt, n.links.leaderless = never, never
 			if l.Node == n.cfg.Node && item.Lease != 0 {
 				// An earlier process of this node held the key and is gone, as a
 				// node runs one process: end its lease rather than wait for it.
 				n.stateCall("DELETE", "/holds/"+utoa(item.Lease), nil, func(Result) { e.probeAt = never })
 			}
 		case 404:
-			if n.peersHeard(n.termSpan()) < n.cfg.Cluster.Count/2 {
+			if n.links.leaderless == never {
+				n.links.leaderless = n.now
+			}
+			if n.twoWayPeers() < n.cfg.Cluster.Count/2 {
 				n.voteByState()
 				return
 			}
@@ -187,6 +193,9 @@
 // those that restarted later go first: in a rolling restart their turn is over.
 func (n *Node) standInTurn() {
 	e := &n.elect
+	if n.pausing() {
+		return
+	}
 	if e.abstain {
 		if n.peersHeard(n.termSpan()) == 0 {
 			return
@@ -399,6 +408,7 @@
 		p.granted = never
 	}
 	n.log.Info("leading", "term", term)
+	n.links.leaderless = never
 	n.lead = newLeadership(n, term, leaderVer)
 	n.lead.load()
 	e.heartbeatAt = never
@@ -437,6 +447,9 @@
 		n.stepDown("cut off from peers and workers")
 		return
 	}
+	if n.adviseLeader(); n.lead == nil {
+		return
+	}
 	if e.renewing || n.now < e.renewAt+n.termSpan()/4 {
 		return
 	}
@@ -490,6 +503,7 @@
 func (n *Node) onHeartbeat(p *peer, m protocol.Heartbeat) {
 	p.leads, p.term, p.up, p.run, p.level = m.Leads, m.Term, m.Uptime, m.Process, m.Level
 	p.policy = max(p.policy, m.Policy)
+	n.onLinkReport(p, m.Links)
 	p.room.heard(m, n.roomSharers(m))
 	if m.Slowed {
 		n.slowDown()
--- /dev/null
+++ b/internal/coordination/halfopen_bench_test.go
@@ -0,0 +1,57 @@
+package coordination
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// BenchmarkHalfOpenCuts measures, in simulated time, what each cut and each pair of them costs:
+// how long nothing begins, how many terms there are, and how many leases with their tasks are
+// lost. By hand only:
+//
+//	go test -run '^$' -bench HalfOpenCuts -benchtime 1x ./internal/coordination
+func BenchmarkHalfOpenCuts(b *testing.B) {
+	const longest = 100 * time.Second
+	names := slices.Sorted(maps.Keys(halfOpenCuts))
+	for b.Loop() {
+		for _, nodes := range []int{3, 5, 7} {
+			pause, terms, lost := hdrhistogram.New(1, longest.Milliseconds(), 3), hdrhistogram.New(1, 1000, 3), hdrhistogram.New(1, 1000, 3)
+			never := 0
+			for i, first := range names {
+				for _, second := range names[i:] {
+					if !reachable(first, second) {
+						continue
+					}
+					w, l := running(&testing.T{}, nodes, 20*time.Second, 4, 8)
+					leader, term, from := l.name, l.lead.term, w.now
+					halfOpenCuts[first](w, leader, true)
+					halfOpenCuts[second](w, leader, true)
+					newUserSimulation(w, uint64(nodes)).submitUntil(spec("j-2", 2))
+					if !w.until(longest, func() bool { return w.begun["j-2"] != 0 }) {
+						never++
+					}
+					pause.RecordValue(max(1, (w.now - from).Milliseconds()))
+					w.run(longest - (w.now - from))
+					highest, sessions := term, 0
+					for _, n := range w.nodes {
+						if n.lead != nil {
+							highest = max(highest, n.lead.term)
+						}
+					}
+					for _, x := range w.workers {
+						sessions += int(x.session - 1)
+					}
+					terms.RecordValue(int64(highest - term))
+					lost.RecordValue(int64(sessions))
+				}
+			}
+			b.Logf("%d nodes, %d pairs: nothing begins for ms p50 %d, p90 %d, max %d, in %d pairs for %v; terms p50 %d, p90 %d, max %d; leases lost p50 %d, p90 %d, max %d",
+				nodes, pause.TotalCount(), pause.ValueAtQuantile(50), pause.ValueAtQuantile(90), pause.Max(), never, longest,
+				terms.ValueAtQuantile(50), terms.ValueAtQuantile(90), terms.Max(), lost.ValueAtQuantile(50), lost.ValueAtQuantile(90), lost.Max())
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/halfopen_test.go
@@ -0,0 +1,254 @@
+package coordination
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/reachability"
+)
+
+// A half-open cut stops one direction of some links. It can be begun and ended again.
+type halfOpenCut func(w *simulation, leader string, on bool)
+
+// halfOpenCuts are those between a leader, the other nodes, the state service and workers.
+var halfOpenCuts = map[string]halfOpenCut{
+	"leader to nodes": func(w *simulation, leader string, on bool) {
+		for _, other := range w.names {
+			w.setOneWay(leader, other, on)
+		}
+	},
+	"nodes to leader": func(w *simulation, leader string, on bool) {
+		for _, other := range w.names {
+			w.setOneWay(other, leader, on)
+		}
+	},
+	"leader to a node":  func(w *simulation, leader string, on bool) { w.setOneWay(leader, w.after1(leader), on) },
+	"a node to leader":  func(w *simulation, leader string, on bool) { w.setOneWay(w.after1(leader), leader, on) },
+	"leader to state":   func(w *simulation, leader string, on bool) { w.state.lost[leader] = on },
+	"state to leader":   func(w *simulation, leader string, on bool) { w.state.mute[leader] = on },
+	"workers to leader": func(w *simulation, leader string, on bool) { w.noReports[leader] = on },
+	"leader to workers": func(w *simulation, leader string, on bool) { w.noAnswers[leader] = on },
+	"workers to all nodes but leader": func(w *simulation, leader string, on bool) {
+		for _, other := range w.names {
+			if other != leader {
+				w.noReports[other] = on
+			}
+		}
+	},
+	"nodes from each other": func(w *simulation, leader string, on bool) {
+		for _, a := range w.names {
+			for _, b := range w.names {
+				if a != leader && b != leader {
+					w.setOneWay(a, b, on)
+				}
+			}
+		}
+	},
+	"a ring": func(w *simulation, _ string, on bool) {
+		for i, a := range w.names {
+			for k, b := range w.names {
+				if k != (i+1)%len(w.names) {
+					w.setOneWay(a, b, on)
+				}
+			}
+		}
+	},
+}
+
+func (w *simulation) setOneWay(from, to string, on bool) {
+	if from == to {
+		return
+	}
+	if on {
+		w.oneWay[[2]string{from, to}] = true
+	} else {
+		delete(w.oneWay, [2]string{from, to})
+	}
+}
+
+// after1 is the node after another, by name.
+func (w *simulation) after1(name string) string {
+	return w.names[(slices.Index(w.names, name)+1)%len(w.names)]
+}
+
+// reachable tells whether some node has all that a leader needs: with a pair of cuts after
+// which every worker lacks a node that it both reaches and hears, nothing can go on.
+func reachable(a, b string) bool {
+	workers := []string{"workers to leader", "leader to workers"}
+	const others = "workers to all nodes but leader"
+	return !(a == others && slices.Contains(workers, b) || b == others && slices.Contains(workers, a))
+}
+
+// cutSpan is within how many leases work begins again, whatever is cut.
+const cutSpan = 4
+
+// Each cut alone and each pair of them, for three, five and seven nodes with drifting clocks:
+// no task starts twice, and a job that is submitted two seconds after the cut begins within
+// four leases, though the cut goes on. Once it heals everything is done.
+func TestHalfOpenCuts(t *testing.T) {
+	names := slices.Sorted(maps.Keys(halfOpenCuts))
+	for _, nodes := range []int{3, 5, 7} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			t.Parallel()
+			for i, a := range names {
+				for _, b := range names[i:] {
+					testHalfOpenCut(t, nodes, a, b)
+				}
+			}
+		})
+	}
+}
+
+func testHalfOpenCut(t *testing.T, nodes int, a, b string) {
+	t.Helper()
+	w, l := running(t, nodes, 20*time.Second, 4, 8)
+	w.what = a + ", " + b
+	c := newUserSimulation(w, uint64(nodes))
+	c.driftClocks()
+	leader, from := l.name, w.now
+	halfOpenCuts[a](w, leader, true)
+	halfOpenCuts[b](w, leader, true)
+	w.run(2 * time.Second)
+	c.submitUntil(spec("j-2", 2))
+	began := w.until(cutSpan*l.lease(), func() bool { return w.begun["j-2"] != 0 })
+	if !began && reachable(a, b) {
+		t.Errorf("%d nodes, %s, %s: nothing begins within %v; %s", nodes, a, b, w.now-from, w.noLeader())
+	}
+	w.run(l.lease())
+	halfOpenCuts[a](w, leader, false)
+	halfOpenCuts[b](w, leader, false)
+	c.settle(5 * time.Minute)
+}
+
+// Cuts that flap, at periods around the heartbeat, half of the lease and the lease: work goes
+// on, and there is one new leader in a lease at most.
+func TestFlappingCuts(t *testing.T) {
+	names := slices.Sorted(maps.Keys(halfOpenCuts))
+	for _, name := range names {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for _, period := range []float64{1.0 / heartbeatsPerLease, 0.2, 0.5, 1.1} {
+				w, l := running(t, 3, 3*time.Second, 4, 4)
+				c := newUserSimulation(w, 3)
+				leader, lease := l.name, l.lease()
+				half := max(2*step, time.Duration(period*float64(lease))/2)
+				const leases = 12
+				end := w.now + leases*lease
+				on := false
+				var flap func()
+				flap = func() {
+					if on = !on && w.now < end; on || w.now < end+half {
+						halfOpenCuts[name](w, leader, on)
+						w.after(half, flap)
+					}
+				}
+				flap()
+				first := l.lead.term
+				for i := range 2 * leases {
+					c.submitUntil(spec(fmt.Sprintf("j-f%d", i), 1))
+					w.run(lease / 2)
+				}
+				w.run(2 * half)
+				halfOpenCuts[name](w, leader, false)
+				c.settle(5 * time.Minute)
+				if terms := w.waitLeader().lead.term - first; terms > leases+2 {
+					t.Errorf("period of %.2f leases: %d terms in %d leases", period, terms, leases)
+				}
+			}
+		})
+	}
+}
+
+// A cut that heals in the middle of things: at any moment after it began, with what it held
+// back delivered then, while jobs are submitted and cancelled.
+func TestCutHealsInBetween(t *testing.T) {
+	names := slices.Sorted(maps.Keys(halfOpenCuts))
+	for _, name := range names {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for moment := range 6 {
+				w, l := running(t, 3, 6*time.Second, 4, 6)
+				c := newUserSimulation(w, uint64(moment))
+				w.holds = true
+				leader := l.name
+				halfOpenCuts[name](w, leader, true)
+				for i := range 5 {
+					c.submitUntil(spec(fmt.Sprintf("j-h%d", i), 2))
+				}
+				c.after(time.Second, func() { c.cancelUntil("j-1") })
+				w.run(time.Duration(float64(moment+1) * 0.37 * float64(l.lease())))
+				halfOpenCuts[name](w, leader, false)
+				w.mend()
+				c.settle(5 * time.Minute)
+			}
+		})
+	}
+}
+
+// Workers come to one node alone, which does not hear the leader: that resigns, and another is
+// elected that can serve them, whatever meets the change.
+func TestHandOverMeetsTroubles(t *testing.T) {
+	for name, trouble := range map[string]func(w *simulation, leader, stranded string){
+		"nothing":         func(*simulation, string, string) {},
+		"that node ends":  func(w *simulation, _, stranded string) { w.back(stranded, 3*time.Second) },
+		"the leader ends": func(w *simulation, leader, _ string) { w.back(leader, 200*time.Millisecond) },
+		"an outage": func(w *simulation, _, _ string) {
+			w.state.setDown(true)
+			w.after(5*time.Second, func() { w.state.setDown(false) })
+		},
+		"the leader stands": func(w *simulation, leader, _ string) { w.nodes[leader].stall = 9 * time.Second },
+		"that node is slow": func(w *simulation, _, stranded string) { w.nodes[stranded].stall = 3 * time.Second },
+		"the cut turns over": func(w *simulation, leader, stranded string) {
+			w.setOneWay(leader, stranded, false)
+			w.setOneWay(stranded, leader, true)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for moment := range 5 {
+				w, l := running(t, 3, 20*time.Second, 4, 8)
+				c := newUserSimulation(w, uint64(moment))
+				leader := l.name
+				stranded, third := w.after1(leader), w.after1(w.after1(leader))
+				w.noReports[leader], w.noReports[third] = true, true
+				w.setOneWay(leader, stranded, true)
+				c.submitUntil(spec("j-2", 2))
+				w.run(time.Duration(moment+1) * l.leases(handOverAfter) / 4)
+				trouble(w, leader, stranded)
+				if !w.until(cutSpan*l.lease(), func() bool { return w.begun["j-2"] != 0 }) {
+					t.Errorf("moment %d: nothing begins: %s", moment, w.noLeader())
+				}
+				w.oneWay, w.noReports = map[[2]string]bool{}, map[string]bool{}
+				c.settle(5 * time.Minute)
+			}
+		})
+	}
+}
+
+// What a peer says of links and can't be true changes nothing and is named once; a message
+// of an earlier version, without any of it, leaves the links unknown.
+func TestImpossibleLinkReports(t *testing.T) {
+	w := newSimulation(t, 3)
+	l := w.waitLeader()
+	peer := w.followers()[0]
+	before := l.hearsUs(peer)
+	for _, bad := range []*protocol.LinkReport{
+		{Hears: []reachability.Heard{{Node: "nobody"}}}, {Hears: []reachability.Heard{{Node: peer}}},
+		{Hears: []reachability.Heard{{Node: l.name, AgeMS: -1}}}, {Workers: -1},
+	} {
+		l.Step(l.clock(w.now), []any{PeerMessage{From: peer, Msg: protocol.Heartbeat{Process: 3, Links: bad}}})
+	}
+	if l.hearsUs(peer) != before || before != reachability.Works || len(l.links.refusedLog) != 1 {
+		t.Errorf("link %v after %v", l.hearsUs(peer), before)
+	}
+	fresh := w.nodes[w.followers()[1]]
+	fresh.links = newLinkState(fresh.name, fresh.peers)
+	fresh.Step(fresh.clock(w.now), []any{PeerMessage{From: peer, Msg: protocol.Heartbeat{Process: 3}}})
+	if got := fresh.hearsUs(peer); got != reachability.Unknown || fresh.twoWayPeers() == 0 {
+		t.Errorf("an earlier version: %v, %d two ways", got, fresh.twoWayPeers())
+	}
+}
--- a/internal/coordination/invariants_test.go
+++ b/internal/coordination/invariants_test.go
@@ -34,6 +34,7 @@
 	lookedAt  Instant
 	told      func(id, state string) // is told what users are told for the first time
 	judged    map[uint64]int         // jobs accepted under a policy, by epoch
+	what      string                 // what is tested, for the messages
 	caught    map[string]int         // by rule, instead of failing the test: to test the checker itself
 }
 
@@ -50,7 +51,7 @@
 		w.caught[rule]++
 		return
 	}
-	w.t.Fatalf("at %v: %s: %s", w.now, rule, fmt.Sprintf(format, args...))
+	w.t.Fatalf("%s at %v: %s: %s", w.what, w.now, rule, fmt.Sprintf(format, args...))
 }
 
 // hears judges the answer to a user's request that was sent at some moment.
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -24,7 +24,7 @@
 
 	up            bool
 	address       string // whence it reports; empty: not known
-	direct        bool   // its last report came over a connection of this node's own
+	via           string // the peer that passed its last report on; empty: none
 	session, seq  uint64
 	lost          uint64                 // the highest session declared lost
 	heard         Instant                // last report in order
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -53,7 +53,7 @@
 // IsQuestion tells whether a request changes nothing and may wait behind all that does.
 func (r Request) IsQuestion() bool {
 	return r.Kind == protocol.RequestQuery || r.Kind == protocol.RequestStatus || r.Kind == protocol.RequestMetrics ||
-		r.Kind == protocol.RequestAdmission
+		r.Kind == protocol.RequestAdmission || r.Kind == protocol.RequestLinks
 }
 
 // IsQuestion tells the same of a message that passes a request on.
@@ -149,6 +149,7 @@
 	routesAt Instant                 // when those that are over were last dropped
 
 	connections connections
+	links       linkState
 
 	policy       policyState
 	refused      recent[admission.Group]                 // jobs that this node refused by a policy
@@ -260,6 +261,7 @@
 		n.peers[k.Node] = &peer{name: k.Node, heard: never, granted: never}
 	}
 	n.elect = newElection()
+	n.links = newLinkState(n.cfg.Node, n.peers)
 	n.run = n.rng.Uint64() ^ uint64(n.wall.UnixNano()) | 1 // 0: not heard yet
 	// An answer to an earlier process of this node may still come, as the leader keeps a
 	// cancellation until it is written. Numbered from one by each process, it was handed
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -35,16 +35,20 @@
 	if rep.Session > m.session && m.session != 0 {
 		l.beginSession(m)
 	}
-	l.hears(m, rep, shown)
+	stayed := m.stayed(rep, r.Origin.Peer)
+	if stayed {
+		l.served(r.Origin.Peer)
+	}
+	l.hears(m, rep, shown, stayed)
 	if m.shown != shown {
 		m.shown, l.dirty, l.totalsValid = shown, true, false
 	}
 	if !m.up {
 		m.up, l.dirty, l.totalsValid = true, true, false
 	}
+	m.via = r.Origin.Peer
 	unknownTasks := m.unknownTasks
 	m.session, m.seq, m.heard, m.address = rep.Session, rep.Seq, n.now, rep.Address
-	m.direct = r.Origin.Peer == ""
 	forget := l.reconcile(m, rep)
 	if (m.unknownTasks > 0) != (unknownTasks > 0) {
 		l.totalsValid = false
@@ -153,8 +157,11 @@
 const deafAnswers = 3
 
 // hears looks in a report for signs that the last answer reached the machine: our
-// token, or what it was told first, as commands are executed in their order.
-func (l *leadership) hears(m *machine, rep *protocol.Report, shown bool) {
+// token, or what it was told first, as commands are executed in their order. An answer
+// without commands shows by the worker's staying with its node. Without that, a machine that
+// had missed an answer and had nothing to do got no command, so it never showed a sign again,
+// and no work for good.
+func (l *leadership) hears(m *machine, rep *protocol.Report, shown, stayed bool) {
 	last := m.last
 	m.last = nil
 	switch {
@@ -167,7 +174,7 @@
 			return
 		}
 		m.missedAnswers, m.restarted = 0, false
-	case !m.shown:
+	case !m.shown || stayed:
 		m.missedAnswers, m.restarted = 0, false
 	}
 }
--- a/internal/coordination/routes.go
+++ b/internal/coordination/routes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/reachability"
 )
 
 // A worker's reports go straight to the leader, as long as that has connections to spare.
@@ -78,20 +79,36 @@
 type workerRoute struct {
 	redirected Instant // last time the worker was sent to another node
 	relayUntil Instant // its reports are passed on until then
+	to         string  // the node that it was sent to
+	came       Instant // last time that it came here
+	stranded   Instant // last time that it could not be served here
 }
 
 func (n *Node) routeOf(worker string) *workerRoute {
 	route := n.routes[worker]
 	if route == nil {
-		route = &workerRoute{redirected: never, relayUntil: never}
+		route = &workerRoute{redirected: never, relayUntil: never, came: never, stranded: never}
 		n.routes[worker] = route
 	}
 	return route
 }
 
-// cameBack tells whether the worker was sent elsewhere a short while ago, so that it does not
-// get through there.
-func (n *Node) cameBack(route *workerRoute) bool { return n.now-route.redirected < n.lease()/2 }
+// searchSpan is how long a worker may take to try all nodes, the last of which it reaches.
+func (n *Node) searchSpan() time.Duration {
+	return time.Duration(n.cfg.Cluster.Count) * (protocol.ReportTimeout + protocol.NextNodePause)
+}
+
+// cameBack tells whether the worker was sent to a node a short while ago, so that it does not
+// get through there. On its way back it may have tried all others.
+func (n *Node) cameBack(route *workerRoute, to string) bool {
+	return route.to == to && n.now-route.redirected < n.searchSpan()
+}
+
+// redirect sends a worker to another node.
+func (n *Node) redirect(r Request, route *workerRoute, to string) {
+	route.redirected, route.to = n.now, to
+	n.reply(r.Origin, 421, 0, protocol.Redirect{ReportTo: to})
+}
 
 // onReport answers a worker's report if this node leads, and otherwise passes it on or sends
 // the worker to the leader.
@@ -107,29 +124,39 @@
 		n.reply(r.Origin, 503, 0, nil)
 		return
 	}
+	route := n.routeOf(r.Report.Machine)
+	route.came = n.now
 	leader := n.leaderPeer()
 	if leader == nil {
+		route.stranded = n.now
 		n.reply(r.Origin, 503, 1, nil)
 		return
 	}
-	n.relayOrRedirect(r, leader)
+	n.relayOrRedirect(r, route, leader)
 }
 
 // relayOrRedirect serves a worker that reports to a follower. It is relayed for if it can't
 // reach the leader, or the leader has no connection to spare.
-func (n *Node) relayOrRedirect(r Request, leader *peer) {
-	route := n.routeOf(r.Report.Machine)
+func (n *Node) relayOrRedirect(r Request, route *workerRoute, leader *peer) {
 	relayed := n.now < route.relayUntil
-	if !relayed && (n.cameBack(route) || !leader.room.take()) {
+	if !relayed && (n.cameBack(route, leader.name) || !leader.room.take()) {
 		route.relayUntil = n.now + 2*n.lease()
 		relayed = true
 	}
-	if relayed {
-		n.forward(leader, r, n.relayPatience())
+	if !relayed {
+		n.redirect(r, route, leader.name)
 		return
 	}
-	route.redirected = n.now
-	n.reply(r.Origin, 421, 0, protocol.Redirect{ReportTo: leader.name})
+	if n.hearsUs(leader.name) == reachability.Cut {
+		// What is passed on from here does not arrive.
+		other := n.relayingPeer(leader.name)
+		if other != "" && !n.cameBack(route, other) {
+			n.redirect(r, route, other)
+			return
+		}
+		route.stranded = n.now
+	}
+	n.forward(leader, r, n.relayPatience())
 }
 
 // relayPatience is how long the leader's answer to a relayed report is waited for: well
@@ -147,17 +174,13 @@
 		return false
 	}
 	route := n.routeOf(r.Report.Machine)
-	if n.cameBack(route) {
-		return false
-	}
 	to := n.roomiestPeer()
-	if to == nil {
+	if to == nil || n.cameBack(route, route.to) {
 		return false
 	}
 	to.room.take()
-	route.redirected = n.now
 	n.connections.open-- // it closes its connection; the next count may be some reports away
-	n.reply(r.Origin, 421, 0, protocol.Redirect{ReportTo: to.name})
+	n.redirect(r, route, to.name)
 	return true
 }
 
@@ -178,7 +201,7 @@
 // own, within the last lease.
 func (l *leadership) servedHere(worker string) bool {
 	m := l.machines[worker]
-	return m != nil && m.direct && l.n.now-m.heard < l.n.lease()
+	return m != nil && m.via == "" && l.n.now-m.heard < l.n.lease()
 }
 
 // tickRoutes forgets the workers that have not come back. Bounded by their number
@@ -190,7 +213,7 @@
 	}
 	n.routesAt = n.now
 	for name, route := range n.routes {
-		if n.now >= route.relayUntil && !n.cameBack(route) {
+		if n.now >= route.relayUntil && !n.cameBack(route, route.to) && n.now-route.came >= n.searchSpan() {
 			delete(n.routes, name)
 		}
 	}
--- a/internal/coordination/simulated_cloud_test.go
+++ b/internal/coordination/simulated_cloud_test.go
@@ -203,15 +203,16 @@
 		x.answer(r, sent, session)
 	}
 	w.after(4*time.Second, func() { finish(Reply{}) })
-	if w.far[x.node] || (w.reach != nil && !w.reach(x, x.node)) {
+	if w.far[x.node] || w.noReports[x.node] || (w.reach != nil && !w.reach(x, x.node)) {
 		return // packets vanish
 	}
 	if !x.connect() {
 		w.after(step, func() { finish(Reply{Status: 503, RetryAfter: 1}) })
 		return
 	}
-	w.ask(x.node, Request{Kind: protocol.RequestReport, Report: rep}, func(r Reply) {
-		if !x.silent && !x.dropAnswers {
+	node := x.node
+	w.ask(node, Request{Kind: protocol.RequestReport, Report: rep}, func(r Reply) {
+		if !x.silent && !x.dropAnswers && !w.noAnswers[node] {
 			w.after(x.lag, func() { finish(r) })
 		}
 	})
--- a/internal/coordination/simulated_state_test.go
+++ b/internal/coordination/simulated_state_test.go
@@ -25,6 +25,7 @@
 	down      bool
 	refuse    map[string]bool
 	lost      map[string]bool        // nodes whose calls vanish
+	mute      map[string]bool        // nodes that get no answers, though their calls are carried out
 	limited   bool                   // enforce the changes per second
 	lowered   bool                   // the limits that the settings announce hold
 	refused   []string               // keys of transactions that were too large for those
@@ -93,6 +94,9 @@
 			return
 		}
 	}
+	if s.mute[node] {
+		back = func(int, any) {}
+	}
 	s.carryOut(node, c, back)
 }
 
--- a/internal/coordination/status.go
+++ b/internal/coordination/status.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"hitchdoor/internal/reachability"
 	"slices"
 	"strings"
 	"time"
@@ -161,3 +162,19 @@
 	}
 	return s
 }
+func (n *Node) onLinks(r Request) {
+	report := n.linkReport()
+	s := reachability.NodeStatus{Node: n.cfg.Node, Leads: n.authority(), State: report.State, Hears: report.Hears,
+		Workers: report.Workers, Stranded: report.Stranded, FreshMS: n.termSpan().Milliseconds(), Pausing: n.pausing()}
+	for _, k := range n.cfg.Known {
+		s.Known = append(s.Known, k.Node)
+	}
+	if leader := n.leaderPeer(); leader != nil {
+		s.Follows, s.Term = leader.name, leader.term
+	}
+	if n.lead != nil {
+		s.Term, s.Workers = n.lead.term, len(n.lead.machines)
+		s.ServedAgoS = (n.now - n.lead.servedAt).Round(time.Millisecond).Seconds()
+	}
+	n.reply(r.Origin, 200, 0, s)
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -41,6 +41,9 @@
 	case protocol.RequestAdmission:
 		n.onAdmission(r)
 		return
+	case protocol.RequestLinks:
+		n.onLinks(r)
+		return
 	}
 	if f, ok := n.finals.byID[r.ID]; ok {
 		n.reply(r.Origin, 200, 0, finalState(r.ID, f)) // it never changes, so any node may say so
@@ -137,6 +140,9 @@
 		return
 	}
 	delete(n.forwards, m.ID)
+	if f.req.Kind == protocol.RequestReport && m.Status == 200 {
+		n.routeOf(f.req.Report.Machine).stranded = never
+	}
 	if f.req.Kind == protocol.RequestReport && n.now >= f.until {
 		// This process stood still, or the answer did on its way: its worker drops it by now.
 		n.withoutLeader(f.req)
@@ -160,6 +166,9 @@
 		n.submitDirect(r, nil)
 	case protocol.RequestQuery:
 		n.queryDirect(r, nil)
+	case protocol.RequestReport:
+		n.routeOf(r.Report.Machine).stranded = n.now
+		n.unavailable(r.Origin)
 	default:
 		n.unavailable(r.Origin)
 	}
--- a/internal/daemon/loopback_test.go
+++ b/internal/daemon/loopback_test.go
@@ -31,15 +31,16 @@
 	state   *standin.State
 	fleet   *standin.Fleet
 	names   []string
-	clients map[string]string // addresses for users, by node
-	peers   map[string]string // addresses for other controllers
+	clients map[string]string            // addresses for users, by node
+	peers   map[string]string            // addresses for other controllers
+	relays  map[[2]string]*standin.Relay // between a node, or workers, and a node or the state service
 	stop    map[string]context.CancelFunc
 	wait    sync.WaitGroup
 }
 
 func newLoopback(t *testing.T, nodes int, writeRPS float64, set config.Settings) *loopback {
 	t.Helper()
-	l := &loopback{t: t, set: set, state: standin.NewState(writeRPS), clients: map[string]string{}, peers: map[string]string{},
+	l := &loopback{t: t, set: set, state: standin.NewState(writeRPS), clients: map[string]string{}, peers: map[string]string{}, relays: map[[2]string]*standin.Relay{},
 		stop: map[string]context.CancelFunc{}}
 	c := &l.cluster
 	c.Count, c.Zones = nodes, []string{"a"}
@@ -53,7 +54,11 @@
 		l.names = append(l.names, name)
 		l.clients[name], l.peers[name] = freeAddress(t), freeAddress(t)
 	}
-	l.fleet = standin.NewFleet(standin.FleetSettings{Nodes: l.clients, Report: 500 * time.Millisecond, Lease: 6 * time.Second,
+	reports := map[string]string{}
+	for _, name := range l.names {
+		reports[name] = l.relay(workers, name, l.clients[name])
+	}
+	l.fleet = standin.NewFleet(standin.FleetSettings{Nodes: reports, Report: 500 * time.Millisecond, Lease: 6 * time.Second,
 		Boot: 200 * time.Millisecond, RunTime: 300 * time.Millisecond, Most: 12})
 	for _, name := range l.names {
 		l.start(name)
@@ -63,6 +68,9 @@
 			stop()
 		}
 		l.fleet.Close()
+		for _, relay := range l.relays {
+			relay.Close()
+		}
 		l.wait.Wait()
 		l.state.Server.CloseClientConnections()
 		l.state.Server.Close()
@@ -70,6 +78,38 @@
 	return l
 }
 
+// Ends of relays that are no nodes.
+const (
+	workers      = "workers"
+	stateService = "state service"
+)
+
+// relay is the address of a relay between two ends.
+func (l *loopback) relay(from, to, address string) string {
+	l.t.Helper()
+	ends := [2]string{from, to}
+	if l.relays[ends] == nil {
+		relay, err := standin.NewRelay(address)
+		if err != nil {
+			l.t.Fatal(err)
+		}
+		l.relays[ends] = relay
+	}
+	return l.relays[ends].Address()
+}
+
+// stopLink stops what passes from one end to another: towards the one that listens, and back.
+func (l *loopback) stopLink(from, to string, there, back bool) {
+	l.relays[[2]string{from, to}].Stop(there, back)
+}
+
+// heal lets everything pass again.
+func (l *loopback) heal() {
+	for _, relay := range l.relays {
+		relay.Stop(false, false)
+	}
+}
+
 // freeAddress is an address that nobody listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
@@ -83,11 +123,11 @@
 
 func (l *loopback) start(name string) {
 	p := &config.Platform{Node: name, ClientListen: l.clients[name], PeerBind: l.peers[name], Cluster: l.cluster}
-	p.Outside.State = strings.TrimPrefix(l.state.Server.URL, "http://")
+	p.Outside.State = l.relay(name, stateService, strings.TrimPrefix(l.state.Server.URL, "http://"))
 	p.Outside.Cloud = strings.TrimPrefix(l.fleet.Server.URL, "http://")
 	for _, other := range l.names {
 		if other != name {
-			p.Known = append(p.Known, config.Peer{Node: other, PeerAddr: l.peers[other]})
+			p.Known = append(p.Known, config.Peer{Node: other, PeerAddr: l.relay(name, other, l.peers[other])})
 		}
 	}
 	out := io.Discard
--- a/internal/daemon/overload_bench_test.go
+++ b/internal/daemon/overload_bench_test.go
@@ -12,6 +12,7 @@
 
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/storage"
 )
 
 // BenchmarkOverload measures a flood of several times what three controllers can take, over
@@ -56,6 +57,7 @@
 		b.Logf("%-8s accepted %4d, gave up %4d; waited ms p50 %d, p90 %d, p99 %d, max %d", class, h.TotalCount(), flood.gaveUp[class],
 			h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.ValueAtQuantile(99), h.Max())
 	}
+	b.Logf("%d of %d accepted jobs were over by then", l.state.Count(storage.FinalPrefix), accepted)
 	b.Logf("%.1f accepted a second, processor %.3f s a second", float64(accepted)/took.Seconds(), (processorTime()-spent).Seconds()/took.Seconds())
 	for _, stop := range l.stop {
 		stop()
--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/reachability"
 )
 
 // PeerMessage is a message between controllers, one JSON line on the wire: Heartbeat,
@@ -27,6 +29,7 @@
 	Slowed     bool          // the lower rate of changes holds
 	Full       bool          // the sender has no connection to spare for more workers
 	Room       int           // how many more it takes in; 0 if it does not say
+	Links      *LinkReport   // what the sender sees of the links; nil if it does not say
 	Policy     uint64        // revision of the last change of the admission policy that it knows
 }
 
@@ -61,6 +64,8 @@
 	RequestMetrics RequestKind = "metrics"
 	// RequestAdmission asks for the policy by which a node judges.
 	RequestAdmission RequestKind = "admission"
+	// RequestLinks asks for what a node sees of the links.
+	RequestLinks RequestKind = "links"
 )
 
 // ForwardedRequest is a request that a node hands to the leader.
@@ -98,6 +103,25 @@
 	Groups  []GroupLoad
 }
 
+// LinkReport is what a node sees of the links between controllers and to workers.
+type LinkReport struct {
+	Hears    []reachability.Heard `json:"hears"`
+	State    bool                 `json:"state"`              // the state service answers it
+	Workers  int                  `json:"workers,omitempty"`  // that came to it within the last lease
+	Stranded int                  `json:"stranded,omitempty"` // of these, that it could not serve
+	// Worst is the node with the most stranded workers that the sender has heard of.
+	Worst *reachability.Elsewhere `json:"worst,omitempty"`
+}
+
+// Report is the same for a matrix of links.
+func (r *LinkReport) Report() reachability.Report {
+	report := reachability.Report{Hears: r.Hears, State: r.State, Workers: r.Workers, Stranded: r.Stranded}
+	if r.Worst != nil {
+		report.Worst = *r.Worst
+	}
+	return report
+}
+
 // peerLine is the wire form of all of them. Its words are those of earlier versions.
 type peerLine struct {
 	Type  peerType        `json:"type"`
@@ -113,6 +137,7 @@
 	Slow  bool            `json:"slow,omitempty"`
 	Full  bool            `json:"full,omitempty"`
 	Room  int             `json:"room,omitempty"`
+	Links *LinkReport     `json:"links,omitempty"`
 	Rev   uint64          `json:"policy,omitempty"`
 	Loads []GroupLoad     `json:"loads,omitempty"`
 	ID    uint64          `json:"id,omitempty"`
@@ -138,7 +163,7 @@
 
 func (m Heartbeat) line() peerLine {
 	return peerLine{Type: typeHeartbeat, Term: m.Term, Lead: m.Leads, Want: m.WantsGrant, Sent: int64(m.Sent), Up: int64(m.Uptime),
-		Run: m.Process, Heard: m.Heard, Level: m.Level, Slow: m.Slowed, Full: m.Full, Room: m.Room, Rev: m.Policy}
+		Run: m.Process, Heard: m.Heard, Level: m.Level, Slow: m.Slowed, Full: m.Full, Room: m.Room, Links: m.Links, Rev: m.Policy}
 }
 
 func (m LeaseGrant) line() peerLine {
@@ -233,7 +258,7 @@
 		return nil, "a negative amount, or a leader without a term"
 	}
 	return Heartbeat{Term: l.Term, Leads: l.Lead, WantsGrant: l.Want, Sent: time.Duration(l.Sent), Uptime: time.Duration(l.Up),
-		Process: l.Run, Heard: l.Heard, Level: l.Level, Slowed: l.Slow, Full: l.Full, Room: l.Room, Policy: l.Rev}, ""
+		Process: l.Run, Heard: l.Heard, Level: l.Level, Slowed: l.Slow, Full: l.Full, Room: l.Room, Links: l.Links, Policy: l.Rev}, ""
 }
 
 func (l *peerLine) request() (m PeerMessage, reason string) {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -16,6 +16,8 @@
 	MaxTasks = 100_000
 	// ReportTimeout is how long a worker waits for the answer to a report; it drops a later one.
 	ReportTimeout = 4 * time.Second
+	// NextNodePause is after what time a worker that got no answer tries the next node.
+	NextNodePause = time.Second
 	// RetrySpan is for how long users repeat a submission that was not taken.
 	RetrySpan = 60 * time.Second
 )
