A slow machine before none; relays are probed by a few; no check-quorum

After a cut had healed, relayed workers hardly ever met the moment at which the leader was tried again. Change: tasks that have waited for a minute may go to a slow machine, after all others; relays for a full leader are decided anew with each report; a few workers at a time try the leader.

--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -134,6 +134,9 @@
 			m.Term, m.Leads, m.WantsGrant = n.lead.term, n.authority(), e.renewBad
 			if n.lead.wantsRelays() {
 				m.Full, m.Room = true, 0
+				if n.lead.probesRelays() {
+					m.Full, m.Room = false, len(n.peers) // one for each
+				}
 			}
 		}
 		for _, k := range n.cfg.Known {
@@ -447,7 +450,7 @@
 		n.stepDown("cut off from peers and workers")
 		return
 	}
-	if n.adviseLeader(); n.lead == nil {
+	if n.handOver(); n.lead == nil {
 		return
 	}
 	if e.renewing || n.now < e.renewAt+n.termSpan()/4 {
--- a/internal/coordination/halfopen_test.go
+++ b/internal/coordination/halfopen_test.go
@@ -252,3 +252,27 @@
 		t.Errorf("an earlier version: %v, %d two ways", got, fresh.twoWayPeers())
 	}
 }
+
+// While no worker reaches the leader the others relay; it is tried again from time to time
+// whether they do, so once the cut has healed they are served directly.
+func TestRelaysEndAfterTheCut(t *testing.T) {
+	w, l := running(t, 3, time.Hour, 4, 8)
+	w.noReports[l.name] = true
+	w.run(3 * l.lease())
+	direct := func() int {
+		count := 0
+		for _, m := range l.lead.machines {
+			if m.up && m.via == "" {
+				count++
+			}
+		}
+		return count
+	}
+	if l.lead == nil || direct() > 0 || !l.lead.wantsRelays() {
+		t.Fatal("the leader does not have others relay")
+	}
+	w.noReports[l.name] = false
+	if !w.until(8*l.lease(), func() bool { return l.lead != nil && direct() == len(l.lead.machines) }) {
+		t.Errorf("%d of %d are served directly", direct(), len(l.lead.machines))
+	}
+}
--- a/internal/coordination/links.go
+++ b/internal/coordination/links.go
@@ -109,9 +109,9 @@
 }
 
 // stayed tells whether a report came the same way as the one before it: then the answer to
-// that has reached its worker, which would have gone to another node otherwise.
-func (m *machine) stayed(rep *protocol.Report, via string) bool {
-	return m.heard != never && m.via == via && rep.Session == m.session && rep.Seq == m.seq+1
+// that has reached its worker, which would have gone to another node, if there is one, otherwise.
+func (l *leadership) stayed(m *machine, rep *protocol.Report, via string) bool {
+	return len(l.n.peers) > 0 && m.heard != never && m.via == via && rep.Session == m.session && rep.Seq == m.seq+1
 }
 
 // served notes that an answer has reached its worker.
@@ -125,16 +125,26 @@
 // wantsRelays tells whether workers come to other nodes while none is served directly: then
 // they don't get through, and sending them here costs each of them seconds of its lease.
 func (l *leadership) wantsRelays() bool {
+	return l.alone() > l.n.leases(relaysAfter)
+}
+
+// probesRelays tells whether a few workers are to be tried now all the same: whether they get
+// through again shows in no other way.
+func (l *leadership) probesRelays() bool {
+	return l.alone()%l.n.leases(probeRelaysEvery) < l.n.leases(probeRelaysFor)
+}
+
+// alone is for how long workers have come to other nodes while none was served directly.
+func (l *leadership) alone() time.Duration {
 	n := l.n
 	if !n.set.LinkDecisions || !l.workersElsewhere() {
 		l.elsewhereSince = never
-		return false
+		return 0
 	}
 	if l.elsewhereSince == never {
 		l.elsewhereSince = n.now
 	}
-	alone := n.now - max(l.elsewhereSince, l.servedDirectAt)
-	return alone > n.leases(relaysAfter) && alone%n.leases(probeRelaysEvery) > n.leases(probeRelaysFor)
+	return n.now - max(l.elsewhereSince, l.servedDirectAt)
 }
 
 // workersElsewhere tells whether some peer says that workers come to it.
@@ -147,18 +157,14 @@
 	return false
 }
 
-// adviseLeader lets a leader go that can't serve any worker while others could, or that
-// nobody hears.
-func (n *Node) adviseLeader() {
+// handOver lets a leader go that can't serve any worker while another node could.
+func (n *Node) handOver() {
 	l := n.lead
 	if !n.set.LinkDecisions || n.now-l.servedAt < n.leases(handOverAfter) {
 		return
 	}
-	switch advice := n.links.matrix.AdviseLeader(n.cfg.Node, n.now, n.termSpan()); advice.Action {
-	case reachability.Resign:
-		n.resign("no node hears it, and no worker is served")
-	case reachability.HandOver:
-		n.resign("no worker is served, but they come to " + advice.Successor)
+	if to := n.links.matrix.Successor(n.cfg.Node, n.now, n.termSpan()); to != "" {
+		n.resign("no worker is served, but they come to " + to)
 	}
 }
 
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -35,7 +35,7 @@
 	if rep.Session > m.session && m.session != 0 {
 		l.beginSession(m)
 	}
-	stayed := m.stayed(rep, r.Origin.Peer)
+	stayed := l.stayed(m, rep, r.Origin.Peer)
 	if stayed {
 		l.served(r.Origin.Peer)
 	}
--- a/internal/coordination/routes.go
+++ b/internal/coordination/routes.go
@@ -138,12 +138,10 @@
 // relayOrRedirect serves a worker that reports to a follower. It is relayed for if it can't
 // reach the leader, or the leader has no connection to spare.
 func (n *Node) relayOrRedirect(r Request, route *workerRoute, leader *peer) {
-	relayed := n.now < route.relayUntil
-	if !relayed && (n.cameBack(route, leader.name) || !leader.room.take()) {
+	if n.now >= route.relayUntil && n.cameBack(route, leader.name) {
 		route.relayUntil = n.now + 2*n.lease()
-		relayed = true
 	}
-	if !relayed {
+	if n.now >= route.relayUntil && leader.room.take() {
 		n.redirect(r, route, leader.name)
 		return
 	}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -48,10 +48,23 @@
 
 // ready tells whether a machine takes tasks: it has heard this leader, so that no
 // late copy of a report makes room where there is none.
-func (m *machine) ready() bool {
-	return m.up && m.shown && (m.missedAnswers == 0 || m.restarted) && m.accounted && m.used && (!m.emptying || m.why == surplus) && !m.returning && m.kind != nil
+func (m *machine) ready() bool { return m.usable() && (!m.emptying || m.why == surplus) }
+
+// lastResort tells whether a machine takes tasks only of jobs that would be left waiting: it
+// does nothing wrong but that it is slow.
+func (m *machine) lastResort() bool { return m.usable() && m.emptying && m.why == slow }
+
+// usable tells whether a task that is given to the machine gets there and is known of.
+func (m *machine) usable() bool {
+	return m.up && m.shown && (m.missedAnswers == 0 || m.restarted) && m.accounted && m.used && !m.returning && m.kind != nil
 }
 
+// leftWaiting tells whether tasks of the job have waited for so long that a slow machine is
+// better than none: no job may be left waiting for 90 s beside a machine with room.
+func (l *leadership) leftWaiting(j *job) bool { return l.n.now-j.waiting > leftWaitingAfter }
+
+const leftWaitingAfter = mustBegin / 4
+
 const slack = 1e-6 // of sums of decimal amounts
 
 // slots counts the scheduler slots: of all machines up, and those taken, by
@@ -325,7 +338,7 @@
 		n.log.Info("all machines accounted for", "after", n.now-l.since)
 	}
 	for _, m := range l.held() {
-		if m.ready() && m.hasSpace() {
+		if (m.ready() || m.lastResort()) && m.hasSpace() {
 			p.machines = append(p.machines, m)
 		}
 	}
@@ -446,7 +459,7 @@
 			}
 			return waitRoom
 		}
-		if m.emptying {
+		if m.emptying && m.why == surplus {
 			l.keep(m)
 		}
 		l.place(&run{job: j, index: index, attempt: l.nextAttempt(), m: m, phase: phaseAssigned, since: n.now})
@@ -536,7 +549,7 @@
 		if elsewhere && j.failedOn[m.name] {
 			continue
 		}
-		if m.ready() && l.mayPlace(j, m) && allowed(&j.spec, m) &&
+		if (m.ready() || m.lastResort() && l.leftWaiting(j)) && l.mayPlace(j, m) && allowed(&j.spec, m) &&
 			(m.hasImage(j.spec.Image) || (fetch && j.spec.ImageGB/m.kind.PullGBPerS <= quick)) {
 			c.list = append(c.list, c.rate(m))
 		}
@@ -587,6 +600,9 @@
 	}
 	if m.emptying {
 		x.spare = 1 // surplus machines are to empty, unless no other has room
+		if m.why == slow {
+			x.spare = 2
+		}
 	}
 	return x
 }
--- a/internal/reachability/matrix.go
+++ b/internal/reachability/matrix.go
@@ -116,52 +116,24 @@
 	return said.report, ok && now-said.at < span
 }
 
-// Advice is what a leader should do.
-type Advice struct {
-	Action    Action
-	Successor string // of HandOver
-}
-
-// Action is a kind of advice.
-type Action int
-
-// Actions.
-const (
-	Stay     Action = iota
-	Resign          // no other node hears this leader, and it serves no worker
-	HandOver        // workers come to another node and can't be served there, nor by this leader
-)
-
-// AdviseLeader tells what a leader should do that has served no worker for longer than it may.
-// Nodes that have said nothing within the span count for nothing: unknown is not cut.
-func (m *Matrix) AdviseLeader(self string, now, span time.Duration) Advice {
+// Successor is the node to which a leader that has served no worker for longer than it may
+// should leave the lead: workers come to that node, and neither serves them. It is empty if
+// there is none. Nodes that have said nothing within the span count for nothing.
+func (m *Matrix) Successor(self string, now, span time.Duration) string {
 	best, most := "", 0
-	cut, works := 0, 0
 	for _, node := range slices.Sorted(maps.Keys(m.nodes)) {
-		if node == self {
+		said, ok := m.Latest(node, now, span)
+		if node == self || !ok {
 			continue
 		}
-		switch m.Link(self, node, now, span) {
-		case Works:
-			works++
-		case Cut:
-			cut++
-		}
-		said, ok := m.Latest(node, now, span)
-		if ok && said.State && said.Stranded > most {
+		if said.State && said.Stranded > most {
 			best, most = node, said.Stranded
 		}
-		if ok && said.Worst.Node != self && said.Worst.Stranded > most {
+		if said.Worst.Node != self && said.Worst.Stranded > most {
 			best, most = said.Worst.Node, said.Worst.Stranded
 		}
 	}
-	switch {
-	case best != "":
-		return Advice{HandOver, best}
-	case cut > 0 && works == 0:
-		return Advice{Action: Resign}
-	}
-	return Advice{}
+	return best
 }
 
 // WorstElsewhere is the node other than this one that has said lately that it has the most
