--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -9,46 +9,71 @@
 
 // onReport takes a worker's report and answers it.
 func (l *leadership) onReport(r Request) {
-	n := l.n
+	n, rep := l.n, r.Report
 	if !l.loaded {
-		if len(l.earlyReports) >= n.maxEarlyReports() || n.elect.stateLost() {
-			n.reply(r.Origin, 503, 1, nil)
-			return
-		}
-		l.earlyReports = append(l.earlyReports, r)
+		l.keepEarlyReport(r)
 		return
 	}
-	rep := r.Report
 	l.heardWorker = n.now
 	if rep.FencingToken > l.term {
 		// The worker has seen a newer leader: our answers would be dropped.
-		n.reply(r.Origin, 503, 1, nil)
+		n.unavailable(r.Origin)
 		n.stepDown("a worker has seen a higher token")
 		return
 	}
-	shown := rep.FencingToken == l.term
 	m := l.reporter(rep)
-	if m == nil || l.outdated(m, rep, shown) {
-		n.reply(r.Origin, 503, 1, nil)
+	if m == nil || l.outdated(m, rep) {
+		n.unavailable(r.Origin)
+		return
+	}
+	forget := l.takeReport(m, rep, r.Origin.Peer)
+	if l.deaf(m) {
+		// Whatever we say is lost, and a 200 would only put off the moment at which
+		// its lease is surely over.
+		n.unavailable(r.Origin)
+		return
+	}
+	l.keepIfHeardAgain(m)
+	l.takeNotice(m, rep.NoticeS)
+	if !m.used {
+		l.record(m, true)
+	}
+	l.fill(m)
+	l.pump()
+	if n.lead != l || !n.authority() {
+		n.unavailable(r.Origin)
+		return
+	}
+	m.answered, m.last = n.now, &protocol.ReportAnswer{FencingToken: l.term, Commands: l.commands(m, forget)}
+	n.reply(r.Origin, 200, 0, m.last)
+}
+
+// keepEarlyReport lets a report wait until the records are read.
+func (l *leadership) keepEarlyReport(r Request) {
+	if len(l.earlyReports) >= l.n.maxEarlyReports() || l.n.elect.stateLost() {
+		l.n.unavailable(r.Origin)
 		return
 	}
+	l.earlyReports = append(l.earlyReports, r)
+}
+
+// takeReport brings what is known of a machine up to its report, and returns the commands that
+// end what should not be there.
+func (l *leadership) takeReport(m *machine, rep *protocol.Report, via string) []protocol.Command {
+	shown := l.shows(rep)
 	if rep.Session > m.session && m.session != 0 {
 		l.beginSession(m)
 	}
-	stayed := l.stayed(m, rep, r.Origin.Peer)
+	stayed := l.stayed(m, rep, via)
 	if stayed {
-		l.served(r.Origin.Peer)
+		l.served(via)
 	}
 	l.hears(m, rep, shown, stayed)
-	if m.shown != shown {
-		m.shown, l.dirty, l.totalsValid = shown, true, false
-	}
-	if !m.up {
-		m.up, l.dirty, l.totalsValid = true, true, false
+	if m.shown != shown || !m.up {
+		m.shown, m.up, l.dirty, l.totalsValid = shown, true, true, false
 	}
-	m.via = r.Origin.Peer
+	m.session, m.seq, m.heard, m.address, m.via = rep.Session, rep.Seq, l.n.now, rep.Address, via
 	unknownTasks := m.unknownTasks
-	m.session, m.seq, m.heard, m.address = rep.Session, rep.Seq, n.now, rep.Address
 	forget := l.reconcile(m, rep)
 	if (m.unknownTasks > 0) != (unknownTasks > 0) {
 		l.totalsValid = false
@@ -56,33 +81,24 @@
 	if shown && !m.accounted {
 		m.accounted, l.dirty, l.totalsValid = true, true, false
 	}
-	if l.deaf(m) {
-		// Whatever we say is lost, and a 200 would only put off the moment at which
-		// its lease is surely over.
-		n.reply(r.Origin, 503, 1, nil)
+	return forget
+}
+
+// shows tells whether a report shows the present term's token.
+func (l *leadership) shows(rep *protocol.Report) bool { return rep.FencingToken == l.term }
+
+// keepIfHeardAgain takes a machine back that was to be returned for its silence: it was cut
+// off, or we were, and the cloud has not been asked yet. Where its interface is down, a
+// thousand such machines were returned once it was back, though all of them had been running
+// tasks again for half a minute.
+func (l *leadership) keepIfHeardAgain(m *machine) {
+	if m.why != silent || m.asked {
 		return
 	}
-	if m.why == silent && !m.asked {
-		// It was cut off, or we were, and the cloud has not been asked yet. Where its
-		// interface is down, a thousand such machines were returned once it was back,
-		// though all of them had been running tasks again for half a minute.
-		l.keep(m)
-		if m.sick {
-			l.leave(m, sick)
-		}
+	l.keep(m)
+	if m.sick {
+		l.leave(m, sick)
 	}
-	l.takeNotice(m, rep.NoticeS)
-	if !m.used {
-		l.record(m, true)
-	}
-	l.fill(m)
-	l.pump()
-	if n.lead != l || !n.authority() {
-		n.reply(r.Origin, 503, 1, nil)
-		return
-	}
-	m.answered, m.last = n.now, &protocol.ReportAnswer{FencingToken: l.term, Commands: l.commands(m, forget)}
-	n.reply(r.Origin, 200, 0, m.last)
 }
 
 // reporter finds the machine that a report is of, or takes it in; nil for one that is gone.
@@ -110,7 +126,7 @@
 
 // outdated tells whether a report must not be acted upon: it is of another worker, late, or
 // a copy.
-func (l *leadership) outdated(m *machine, rep *protocol.Report, shown bool) bool {
+func (l *leadership) outdated(m *machine, rep *protocol.Report) bool {
 	if m.address != "" && rep.Address != "" && rep.Address != m.address {
 		// Two workers under one name, or a copy that somebody altered. The one that spoke
 		// first is heard until its lease is surely over: a new session of the other would be
@@ -127,7 +143,7 @@
 	// Nothing of an earlier leader is on a machine that is accounted for, by its record or
 	// because its lease has surely run out unanswered; whatever is started from now on comes
 	// with our token. So tasks without it are a copy of what was on it once.
-	return m.accounted && !shown && len(rep.Tasks) > 0
+	return m.accounted && !l.shows(rep) && len(rep.Tasks) > 0
 }
 
 // beginSession takes the first report of a worker's new session: it has killed everything.
--- a/internal/coordination/status.go
+++ b/internal/coordination/status.go
@@ -67,50 +67,65 @@
 	n.reply(r.Origin, 200, 0, s)
 }
 
+// metricsPage is Prometheus text.
+type metricsPage struct{ strings.Builder }
+
+func (p *metricsPage) gauge(name, help string, value float64) {
+	fmt.Fprintf(p, "# HELP hitchdoor_%s %s\n# TYPE hitchdoor_%s gauge\nhitchdoor_%s %g\n", name, help, name, name, value)
+}
+
+func (p *metricsPage) flag(name, help string, value bool) {
+	if value {
+		p.gauge(name, help, 1)
+		return
+	}
+	p.gauge(name, help, 0)
+}
+
 // onMetrics answers with the figures that an operator would plot.
 func (n *Node) onMetrics(r Request) {
-	var b strings.Builder
-	gauge := func(name, help string, value float64) {
-		fmt.Fprintf(&b, "# HELP hitchdoor_%s %s\n# TYPE hitchdoor_%s gauge\nhitchdoor_%s %g\n", name, help, name, name, value)
+	p := &metricsPage{}
+	p.flag("leading", "1 on the node that leads.", n.authority())
+	p.gauge("level", "The level of records and messages that this node's version understands.", level)
+	p.flag("level_all", "1 once every node is known to have this level.", n.allUnderstand(level))
+	p.flag("state_slowed", "1 while changes are paced by the lower rate that the settings announce.", n.slowed)
+	p.flag("state_down", "1 while the state service can't be reached.", n.elect.stateDown())
+	p.gauge("connections_open", "Connections of users and workers.", float64(n.connections.open))
+	p.flag("connections_full", "1 while no more workers are taken in.", n.connections.full)
+	p.gauge("workers_stranded", "Workers that came here lately and could not be served.", float64(n.linkReport().Stranded))
+	p.flag("admission_policy", "1 while submissions are admitted by a policy.", n.policy.policy != nil)
+	if n.authority() {
+		n.lead.metrics(p)
 	}
-	flag := func(v bool) float64 {
-		if v {
-			return 1
-		}
-		return 0
+	n.reply(r.Origin, 200, 0, []byte(p.String()))
+}
+
+// metrics adds the leader's figures.
+func (l *leadership) metrics(p *metricsPage) {
+	running, pending := 0, 0
+	for _, j := range l.runnable {
+		running += len(j.runs)
+		pending += j.pending
 	}
-	gauge("leading", "1 on the node that leads.", flag(n.authority()))
-	gauge("level", "The level of records and messages that this node's version understands.", level)
-	gauge("level_all", "1 once every node is known to have this level.", flag(n.allUnderstand(level)))
-	gauge("state_slowed", "1 while changes are paced by the lower rate that the settings announce.", flag(n.slowed))
-	gauge("state_down", "1 while the state service can't be reached.", flag(n.elect.stateDown()))
-	if n.authority() {
-		l := n.lead
-		running, pending, up, held := 0, 0, 0, 0.0
-		for _, j := range l.runnable {
-			running += len(j.runs)
-			pending += j.pending
+	up, held := 0, 0.0
+	for _, m := range l.machines {
+		if m.up {
+			up++
 		}
-		for _, m := range l.machines {
-			if m.up {
-				up++
-			}
-			if m.kind != nil {
-				held += m.kind.Cores
-			}
+		if m.kind != nil {
+			held += m.kind.Cores
 		}
-		gauge("term", "The leader's term.", float64(l.term))
-		gauge("jobs_open", "Jobs that are not over.", float64(len(l.jobs)))
-		gauge("jobs_waiting", "Those of them that wait for others to be done.", float64(len(l.jobs)-len(l.runnable)))
-		gauge("tasks_active", "Tasks on machines.", float64(running))
-		gauge("tasks_pending", "Tasks that wait.", float64(pending))
-		gauge("machines", "Machines held.", float64(len(l.machines)))
-		gauge("machines_up", "Machines that report.", float64(up))
-		gauge("cores_held", "Cores of the machines held.", held)
-		gauge("cores_target", "Cores that the fleet aims at.", l.fleet.target)
-		gauge("writes_waiting", "Changes not yet in the state service.", float64(l.writer.Pending()))
 	}
-	n.reply(r.Origin, 200, 0, []byte(b.String()))
+	p.gauge("term", "The leader's term.", float64(l.term))
+	p.gauge("jobs_open", "Jobs that are not over.", float64(len(l.jobs)))
+	p.gauge("jobs_waiting", "Those of them that wait for others to be done.", float64(len(l.jobs)-len(l.runnable)))
+	p.gauge("tasks_active", "Tasks on machines.", float64(running))
+	p.gauge("tasks_pending", "Tasks that wait.", float64(pending))
+	p.gauge("machines", "Machines held.", float64(len(l.machines)))
+	p.gauge("machines_up", "Machines that report.", float64(up))
+	p.gauge("cores_held", "Cores of the machines held.", held)
+	p.gauge("cores_target", "Cores that the fleet aims at.", l.fleet.target)
+	p.gauge("writes_waiting", "Changes not yet in the state service.", float64(l.writer.Pending()))
 }
 
 // leadStatus is what the status page shows of a leader.
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -23,26 +23,21 @@
 	until Instant
 }
 
-// onRequest routes a request of this node's own connections.
+// ownAnswers are the requests that a node answers, or passes on, in a way of their own; all
+// others are of users about a job.
+var ownAnswers = map[protocol.RequestKind]func(*Node, Request){
+	protocol.RequestHealth:    (*Node).onHealth,
+	protocol.RequestReport:    (*Node).onReport,
+	protocol.RequestStatus:    (*Node).onStatus,
+	protocol.RequestMetrics:   (*Node).onMetrics,
+	protocol.RequestAdmission: (*Node).onAdmission,
+	protocol.RequestLinks:     (*Node).onLinks,
+}
+
+// onRequest routes a request of this node's own connections, or one that a peer passes on.
 func (n *Node) onRequest(r Request) {
-	switch r.Kind {
-	case protocol.RequestHealth:
-		n.onHealth(r)
-		return
-	case protocol.RequestReport:
-		n.onReport(r)
-		return
-	case protocol.RequestStatus:
-		n.onStatus(r)
-		return
-	case protocol.RequestMetrics:
-		n.onMetrics(r)
-		return
-	case protocol.RequestAdmission:
-		n.onAdmission(r)
-		return
-	case protocol.RequestLinks:
-		n.onLinks(r)
+	if answer := ownAnswers[r.Kind]; answer != nil {
+		answer(n, r)
 		return
 	}
 	if f, ok := n.finals.byID[r.ID]; ok {
