Half-open links between controllers are found by acknowledgements; tests of the tools

Need: on a connection on which bytes leave and nothing returns a controller noticed nothing until the operating system did. Change: a node that opens a link says that it takes acknowledgements, and the other sends one now and then; silence after the first ends the connection. To earlier versions, which take any byte for the end, none is sent. Links are made anew after a pause with luck in it. The tools have tests of what they could not find out.

--- /dev/null
+++ b/internal/toolbox/toolbox_test.go
@@ -0,0 +1,92 @@
+package toolbox
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/admission"
+	"hitchdoor/internal/reachability"
+)
+
+// nodes starts a stand-in for each node that answers every question with a value.
+func nodes[T any](t *testing.T, values ...T) Options {
+	t.Helper()
+	o := Options{Timeout: time.Second}
+	for _, value := range values {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if err := json.NewEncoder(w).Encode(value); err != nil {
+				t.Error(err)
+			}
+		}))
+		t.Cleanup(server.Close)
+		o.Nodes = append(o.Nodes, strings.TrimPrefix(server.URL, "http://"))
+	}
+	return o
+}
+
+// Each tool says what it could not find out, and names the node.
+func TestToolsNameWhatTheyCouldNotFindOut(t *testing.T) {
+	policy := &admission.Policy{Epoch: 7, LengthMS: 3500, Rest: admission.Everybody(admission.Group{})}
+	group := admission.Group{Team: "a", Class: "c", Rank: 3}
+	hears := func(names ...string) (heard []reachability.Heard) {
+		for _, name := range names {
+			heard = append(heard, reachability.Heard{Node: name, AgeMS: 5})
+		}
+		return heard
+	}
+	admissionOf := func(values ...admission.NodeStatus) func(*bytes.Buffer) error {
+		return func(out *bytes.Buffer) error { return Admission(out, nodes(t, values...), "j-1") }
+	}
+	linksOf := func(values ...reachability.NodeStatus) func(*bytes.Buffer) error {
+		return func(out *bytes.Buffer) error { return Links(out, nodes(t, values...)) }
+	}
+	link := func(name string, leads bool, follows string, heard ...string) reachability.NodeStatus {
+		return reachability.NodeStatus{Node: name, Known: []string{"n0", "n1"}, Hears: hears(heard...), FreshMS: 1000, Leads: leads, Follows: follows, State: true}
+	}
+	for name, x := range map[string]struct {
+		ask          func(*bytes.Buffer) error
+		prints, lack string // lack: of the error; empty: none
+	}{
+		"admission agrees": {admissionOf(admission.NodeStatus{Node: "n0", Leads: true, Version: 4, Policy: policy},
+			admission.NodeStatus{Node: "n1", Version: 4, Policy: policy, Job: &admission.JobStatus{ID: "j-1", Refused: &group, TurnInS: 12}}),
+			"its turn comes in 12 s", ""},
+		"admission disagrees": {admissionOf(admission.NodeStatus{Node: "n0", Leads: true, Version: 4, Policy: policy}, admission.NodeStatus{Node: "n1"}),
+			"none: all are admitted", "n1 judges by another policy than n0"},
+		"admission unreadable": {admissionOf(admission.NodeStatus{Node: "n0", Leads: true, Version: 4, Invalid: true}), "can't be read", "n0: the stored policy can't be read"},
+		"admission two lead":   {admissionOf(admission.NodeStatus{Node: "n0", Leads: true}, admission.NodeStatus{Node: "n1", Leads: true}), "", "2 nodes say that they lead"},
+		"links fine":           {linksOf(link("n0", true, "", "n1"), link("n1", false, "n0", "n0")), "follows n0", ""},
+		"links half-open":      {linksOf(link("n0", true, "", "n1"), link("n1", false, "n0")), "cut", "half-open: n0 and n1"},
+		"links one silent":     {linksOf(link("n0", true, "", "n1")), "unknown", "what n1 hears is unknown"},
+		"links two lead":       {linksOf(link("n0", true, "", "n1"), link("n1", true, "", "n0")), "leads", "different leaders: n0, n1"},
+		"links none lead":      {linksOf(link("n0", false, "", "n1"), link("n1", false, "", "n0")), "follows nobody", "nobody leads"},
+		"links one name twice": {linksOf(link("n0", true, "", "n1"), link("n0", true, "", "n1")), "", "calls itself n0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			out := &bytes.Buffer{}
+			err := x.ask(out)
+			if !strings.Contains(out.String(), x.prints) {
+				t.Errorf("prints\n%s", out)
+			}
+			if (err == nil) != (x.lack == "") || err != nil && !strings.Contains(err.Error(), x.lack) {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
+// Nobody is asked with options that make no sense; the error names the one that is wrong.
+func TestOptions(t *testing.T) {
+	for want, o := range map[string]Options{
+		"--nodes: missing": {Timeout: 1}, `--nodes: "x" is not`: {Nodes: []string{"x"}, Timeout: 1}, "--timeout:": {Nodes: []string{"x:1"}},
+	} {
+		if err := o.Check(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+}
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -18,13 +19,20 @@
 // maxLine bounds one line between controllers: a forwarded body and its frame.
 const maxLine = 256 << 10
 
-// hello is the first line of a connection between controllers.
+// hello is the first line of a connection between controllers. Acks tells that the node that
+// opened it takes acknowledgements; one of an earlier version takes any byte for its end.
 type hello struct {
 	Node string `json:"node"`
+	Acks bool   `json:"acks,omitempty"`
 }
 
+// ack is what the other side says, now and then, of lines that it has read, if it is asked to.
+// So a connection on which bytes leave and nothing returns is found without the operating system.
+const ack = '\n'
+
 // Peers keeps a connection to each other controller and takes theirs. Each
-// connection carries lines one way only, from the node that opened it.
+// connection carries lines one way only, from the node that opened it, and
+// acknowledgements back.
 type Peers struct {
 	self  string
 	out   map[string]chan protocol.PeerMessage
@@ -75,20 +83,31 @@
 		for len(ch) > 0 {
 			<-ch
 		}
-		time.Sleep(p.quiet / 8)
+		// Nodes that lost each other at once don't come back at once.
+		time.Sleep(p.quiet/16 + rand.N(p.quiet/8))
+	}
+}
+
+// watchAcks reads acknowledgements until the connection ends, or none comes for too long. An
+// earlier version sends none, so silence counts only after the first.
+func (p *Peers) watchAcks(conn net.Conn) {
+	acks := make([]byte, 256)
+	for {
+		if _, err := conn.Read(acks); err != nil {
+			return
+		}
+		conn.SetReadDeadline(time.Now().Add(p.quiet))
 	}
 }
 
 func (p *Peers) write(conn net.Conn, ch chan protocol.PeerMessage) {
 	closed := make(chan struct{})
 	go func() {
-		// Nothing is ever said on this side; a read ends when the peer does.
-		var b [1]byte
-		conn.Read(b[:])
+		p.watchAcks(conn)
 		close(closed)
 	}()
 	buf := bytes.Buffer{}
-	if json.NewEncoder(&buf).Encode(hello{p.self}) != nil {
+	if json.NewEncoder(&buf).Encode(hello{Node: p.self, Acks: true}) != nil {
 		return
 	}
 	for {
@@ -159,7 +178,15 @@
 	if !next() || json.Unmarshal(lines.Bytes(), &h) != nil || !p.known[h.Node] {
 		return
 	}
+	var acked time.Time
 	for next() {
+		if now := time.Now(); h.Acks && now.Sub(acked) > p.quiet/8 {
+			acked = now
+			conn.SetWriteDeadline(now.Add(p.quiet))
+			if _, err := conn.Write([]byte{ack}); err != nil {
+				return
+			}
+		}
 		m, err := protocol.DecodePeer(lines.Bytes())
 		var unknown *protocol.UnknownPeerTypeError
 		switch {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -397,3 +397,73 @@
 		}
 	}
 }
+
+// A connection between controllers on which bytes leave and nothing returns is given up after
+// the time for which a link may be silent, and made anew; a node of an earlier version, which
+// acknowledges nothing, is left alone.
+func TestHalfOpenLinkIsMadeAnew(t *testing.T) {
+	const quiet = 200 * time.Millisecond
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	for _, acknowledges := range []bool{true, false} {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		var connections atomic.Int32
+		go func() {
+			for {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				first := connections.Add(1) == 1
+				go func() {
+					lines := bufio.NewScanner(conn)
+					for count := 0; lines.Scan(); count++ {
+						if acknowledges && (!first || count < 3) { // then nothing returns
+							conn.Write([]byte{ack})
+						}
+					}
+				}()
+			}
+		}()
+		links := NewPeers("a", []config.Peer{{Node: "b", PeerAddr: ln.Addr().String()}}, PeerOptions{Quiet: quiet, Queue: 64, Log: log}, func(coordination.PeerMessage) {})
+		for range 60 {
+			links.Send("b", protocol.Heartbeat{Term: 5})
+			time.Sleep(quiet / 10)
+		}
+		want := int32(1)
+		if acknowledges {
+			want = 2
+		}
+		if got := connections.Load(); got != want {
+			t.Errorf("acknowledges %v: %d connections", acknowledges, got)
+		}
+	}
+}
+
+// A node acknowledges lines only to one that asks for it: an earlier version takes any byte
+// that comes back for the end of the link.
+func TestAcksOnlyWhereAsked(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	links := NewPeers("b", []config.Peer{{Node: "a", PeerAddr: "127.0.0.1:1"}}, PeerOptions{Quiet: 5 * time.Second, Queue: 64, Log: log}, func(coordination.PeerMessage) {})
+	go links.Serve(ln)
+	for hello, acks := range map[string]bool{`{"node":"a"}`: false, `{"node":"a","acks":true}`: true} {
+		conn, err := net.Dial("tcp4", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		io.WriteString(conn, hello+"\n"+`{"type":"beat","sent":1,"up":1,"run":5}`+"\n")
+		conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		if _, err := conn.Read(make([]byte, 1)); (err == nil) != acks {
+			t.Errorf("%s: %v", hello, err)
+		}
+	}
+}
