A leader hands over to where clearly more workers are stranded than it serves

Need: a leader that still served one worker of eight kept the lead while seven came to a node that does not hear it. Change: more than twice as many stranded elsewhere as served here, for a lease, is reason to resign, beside serving none. Measured: red without it (the seven wait for as long as the cut lasts, where machines can't be replaced); a leader that serves six of eight stays; flapping cuts give one new leader in a lease at most, as before.

--- a/internal/coordination/halfopen_test.go
+++ b/internal/coordination/halfopen_test.go
@@ -276,3 +276,29 @@
 		t.Errorf("%d of %d are served directly", direct(), len(l.lead.machines))
 	}
 }
+
+// A leader that still serves a few workers, while clearly more come to a node that does not
+// hear it, hands over, too; one that serves most of them stays.
+func TestHandOverToWhereMostWorkersAre(t *testing.T) {
+	for _, x := range []struct{ served, stranded int }{{1, 7}, {6, 2}} {
+		w, l := running(t, 3, time.Hour, x.served+x.stranded, 4)
+		leader, term := l.name, l.lead.term
+		other, third := w.after1(leader), w.after1(w.after1(leader))
+		w.cloud.capacity, w.cloud.noReturn = x.served+x.stranded, true // else it would rent others
+		split := map[string]bool{}                                     // those that reach the other node alone
+		for _, m := range w.inOrder()[:x.stranded] {
+			split[m.name] = true
+		}
+		w.reach = func(m *worker, node string) bool { return split[m.name] == (node == other) }
+		w.noReports[third] = true
+		w.setOneWay(leader, other, true)
+		moved := w.until(cutSpan*l.lease(), func() bool { now := w.leader(); return now != "" && now != leader })
+		if moved != (x.stranded > x.served) {
+			t.Errorf("%d served, %d stranded: %s leads after %s", x.served, x.stranded, w.leader(), leader)
+		}
+		w.run(10 * l.lease())
+		if terms := w.waitLeader().lead.term - term; terms > 6 {
+			t.Errorf("%d served, %d stranded: %d terms in 12 leases", x.served, x.stranded, terms)
+		}
+	}
+}
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -59,6 +59,7 @@
 	active         [2]int             // tasks on machines, by class: batch, pressing
 	gone           map[string]Instant // returned or taken, and when
 	heardWorker    Instant
+	servesMostAt   Instant   // when clearly more workers were last not stranded elsewhere
 	servedAt       Instant   // when an answer was last known to have reached its worker
 	servedDirectAt Instant   // the same, over a connection of this node's own
 	elsewhereSince Instant   // since when workers come to other nodes
@@ -80,7 +81,7 @@
 
 func newLeadership(n *Node, term, leaderVer uint64) *leadership {
 	l := &leadership{
-		n: n, term: term, since: n.now, heardWorker: n.now, servedAt: n.now, servedDirectAt: n.now, elsewhereSince: never,
+		n: n, term: term, since: n.now, heardWorker: n.now, servesMostAt: n.now, servedAt: n.now, servedDirectAt: n.now, elsewhereSince: never,
 		partTasks:  storage.PartTasks(n.cfg.Cluster.State.ValueBytes()),
 		widePart:   storage.PartTasks(int(n.cfg.Cluster.State.ValueKB * 1024)),
 		groupBytes: storage.GroupBytes(n.cfg.Cluster.State.ValueBytes()),
--- a/internal/coordination/links.go
+++ b/internal/coordination/links.go
@@ -23,8 +23,8 @@
 
 // Spans of the decisions, as ratios to the workers' lease.
 const (
-	// handOverAfter is how long a leader that serves no worker waits before it resigns. So by
-	// these decisions there is one leader in a lease at most.
+	// handOverAfter is for how long more workers must be stranded elsewhere before a leader
+	// resigns. So by these decisions there is one leader in a lease at most.
 	handOverAfter = 1.0
 	// relaysAfter is how long a leader that no worker reaches waits before it has others relay
 	// for all that come to them; every probeRelaysEvery it is tried again whether they do.
@@ -61,7 +61,7 @@
 		if n.now-route.came < n.searchSpan() {
 			r.Workers++
 		}
-		if n.now-route.stranded < n.lease()/2 {
+		if n.now-route.stranded < n.searchSpan() {
 			r.Stranded++
 		}
 	}
@@ -114,9 +114,9 @@
 	return len(l.n.peers) > 0 && m.heard != never && m.via == via && rep.Session == m.session && rep.Seq == m.seq+1
 }
 
-// served notes that an answer has reached its worker.
-func (l *leadership) served(via string) {
-	l.servedAt = l.n.now
+// served notes that an answer has reached a machine's worker.
+func (l *leadership) served(m *machine, via string) {
+	l.servedAt, m.servedAt = l.n.now, l.n.now
 	if via == "" {
 		l.servedDirectAt = l.n.now
 	}
@@ -157,17 +157,36 @@
 	return false
 }
 
-// handOver lets a leader go that can't serve any worker while another node could.
+// handOver lets a leader go that other nodes can replace to the good of the workers: it has
+// served none for a lease while some come to another node and can't be served there, or for a
+// lease there were clearly more of those than it serves.
 func (n *Node) handOver() {
 	l := n.lead
-	if !n.set.LinkDecisions || n.now-l.servedAt < n.leases(handOverAfter) {
-		return
+	to := n.links.matrix.Successor(n.cfg.Node, n.now, n.termSpan())
+	if !n.set.LinkDecisions || to.Stranded <= clearlyMore*l.servedWorkers() {
+		l.servesMostAt = n.now
 	}
-	if to := n.links.matrix.Successor(n.cfg.Node, n.now, n.termSpan()); to != "" {
-		n.resign("no worker is served, but they come to " + to)
+	patience := n.leases(handOverAfter)
+	servesNone := to.Stranded > 0 && n.now-l.servedAt >= patience
+	if n.set.LinkDecisions && (servesNone || n.now-l.servesMostAt >= patience) {
+		n.resign("workers are stranded at " + to.Node)
 	}
 }
 
+// clearlyMore is how many times as many workers must be stranded elsewhere as are served here.
+const clearlyMore = 2
+
+// servedWorkers counts the machines that an answer has reached within the last lease.
+func (l *leadership) servedWorkers() int {
+	count := 0
+	for _, m := range l.machines {
+		if m.up && l.n.now-m.servedAt < l.n.lease() {
+			count++
+		}
+	}
+	return count
+}
+
 // resign gives up the lead and leaves it to others for a while, longer each time.
 func (n *Node) resign(why string) {
 	k := &n.links
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -29,6 +29,7 @@
 	lost          uint64                 // the highest session declared lost
 	heard         Instant                // last report in order
 	answered      Instant                // last answer that may have renewed its lease
+	servedAt      Instant                // when an answer was last known to have reached it
 	shown         bool                   // its last report shows our token: it has heard us
 	missedAnswers int                    // answers in a row that its reports show no sign of
 	twice         bool                   // another worker reports under its name
@@ -63,7 +64,7 @@
 
 func (l *leadership) newMachine(name, typ, zone string, spot bool) *machine {
 	m := &machine{name: name, typ: typ, zone: zone, spot: spot, runs: map[string]*run{},
-		rentedAt: l.n.now, heard: never, answered: never, notice: never, spareSince: l.n.now,
+		rentedAt: l.n.now, heard: never, answered: never, servedAt: never, notice: never, spareSince: l.n.now,
 		failedJobs: map[string]bool{}, kind: l.n.catalog[typ]}
 	l.machines[name] = m
 	l.machinesChanged()
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -66,7 +66,7 @@
 	}
 	stayed := l.stayed(m, rep, via)
 	if stayed {
-		l.served(via)
+		l.served(m, via)
 	}
 	l.hears(m, rep, shown, stayed)
 	if m.shown != shown || !m.up {
--- a/internal/reachability/matrix.go
+++ b/internal/reachability/matrix.go
@@ -116,10 +116,10 @@
 	return said.report, ok && now-said.at < span
 }
 
-// Successor is the node to which a leader that has served no worker for longer than it may
-// should leave the lead: workers come to that node, and neither serves them. It is empty if
-// there is none. Nodes that have said nothing within the span count for nothing.
-func (m *Matrix) Successor(self string, now, span time.Duration) string {
+// Successor is the node to which the most workers come that neither it nor the leader serves,
+// and how many they are. The name is empty if there is none. Nodes that have said nothing
+// within the span count for nothing.
+func (m *Matrix) Successor(self string, now, span time.Duration) Elsewhere {
 	best, most := "", 0
 	for _, node := range slices.Sorted(maps.Keys(m.nodes)) {
 		said, ok := m.Latest(node, now, span)
@@ -133,7 +133,7 @@
 			best, most = said.Worst.Node, said.Worst.Stranded
 		}
 	}
-	return best
+	return Elsewhere{best, most}
 }
 
 // WorstElsewhere is the node other than this one that has said lately that it has the most
--- a/internal/reachability/matrix_test.go
+++ b/internal/reachability/matrix_test.go
@@ -75,11 +75,11 @@
 				t.Fatal(err)
 			}
 		}
-		if got := m.Successor("l", time.Second, span); got != x.want {
-			t.Errorf("%s: %q, not %q", name, got, x.want)
+		if got := m.Successor("l", time.Second, span); got.Node != x.want || (got.Stranded > 0) != (x.want != "") {
+			t.Errorf("%s: %+v, not %q", name, got, x.want)
 		}
-		if got := m.Successor("l", span, span); got != "" {
-			t.Errorf("%s, long ago: %q", name, got)
+		if got := m.Successor("l", span, span); got != (Elsewhere{}) {
+			t.Errorf("%s, long ago: %+v", name, got)
 		}
 	}
 }
