--- a/internal/coordination/links.go
+++ b/internal/coordination/links.go
@@ -96,18 +96,6 @@
 	})
 }
 
-// relayingPeer is a node whose messages reach the leader while this node's don't, and that
-// the leader reaches; empty if there is none.
-func (n *Node) relayingPeer(leader string) string {
-	for _, k := range n.cfg.Known {
-		if k.Node != leader && n.links.matrix.Link(k.Node, leader, n.now, n.termSpan()) == reachability.Works &&
-			n.links.matrix.Link(leader, k.Node, n.now, n.termSpan()) == reachability.Works {
-			return k.Node
-		}
-	}
-	return ""
-}
-
 // stayed tells whether a report came the same way as the one before it: then the answer to
 // that has reached its worker, which would have gone to another node, if there is one, otherwise.
 func (l *leadership) stayed(m *machine, rep *protocol.Report, via string) bool {
--- a/internal/coordination/routes.go
+++ b/internal/coordination/routes.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"hitchdoor/internal/protocol"
-	"hitchdoor/internal/reachability"
 )
 
 // A worker's reports go straight to the leader, as long as that has connections to spare.
@@ -145,15 +144,6 @@
 		n.redirect(r, route, leader.name)
 		return
 	}
-	if n.hearsUs(leader.name) == reachability.Cut {
-		// What is passed on from here does not arrive.
-		other := n.relayingPeer(leader.name)
-		if other != "" && !n.cameBack(route, other) {
-			n.redirect(r, route, other)
-			return
-		}
-		route.stranded = n.now
-	}
 	n.forward(leader, r, n.relayPatience())
 }
 
