A setting of the wrong type names its key as the operator writes it

Need: the message named the program's field. Change: the key stands in its place; the test says so for four keys, one of which it had let pass without a name.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -111,7 +111,10 @@
 		"class_share: 1.5":    "class_share",
 		"thrift: -1":          "thrift",
 		"slots_base: [1":      "",
-		"borrow_wait_s: many": "",
+		"borrow_wait_s: many": "borrow_wait_s",
+		"fair_admission: 3":   "fair_admission",
+		"link_decisions: no3": "link_decisions",
+		"trace_steps: -3":     "trace_steps",
 	} {
 		if _, err := LoadSettings(write(t, text)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v", text, err)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"reflect"
 	"strings"
 
 	"github.com/goccy/go-yaml"
@@ -76,9 +77,15 @@
 	return s, nil
 }
 
-// oneLine is the library's message without the excerpt of the file.
+// oneLine is the library's message without the excerpt of the file, with the key as the
+// operator writes it in the place of the field's name.
 func oneLine(err error) string {
 	first, _, _ := strings.Cut(yaml.FormatError(err, false, false), "\n")
+	fields := reflect.TypeFor[Settings]()
+	for i := range fields.NumField() {
+		field := fields.Field(i)
+		first = strings.ReplaceAll(first, "Go struct field Settings."+field.Name+" ", field.Tag.Get("yaml")+" ")
+	}
 	return first
 }
 
