A leader counts whom it serves only while some worker is stranded

Need: found on rereading: each step of a leader walked over all machines to weigh whom it serves against workers stranded elsewhere, also when there were none, which is nearly always. Change: none stranded is answered first; the same decisions otherwise. Behaviour as before.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -33,8 +33,8 @@
 	// FairAdmission lets the leader publish admission policies while more is submitted than
 	// can be taken.
 	FairAdmission bool `yaml:"fair_admission"`
-	// LinkDecisions lets leaders resign, ask others to relay, and nodes vote through the state
-	// service, by what is known of half-open links.
+	// LinkDecisions lets leaders resign, and ask others to relay, by what is known of half-open
+	// links.
 	LinkDecisions bool `yaml:"link_decisions"`
 	// TraceSteps is how many steps of submissions a node keeps for operators; 0: none.
 	TraceSteps int `yaml:"trace_steps"`
--- a/internal/coordination/halfopen_test.go
+++ b/internal/coordination/halfopen_test.go
@@ -229,6 +229,11 @@
 	}
 }
 
+// hearsUs tells whether a peer says that it hears this node.
+func (n *Node) hearsUs(name string) reachability.Link {
+	return n.links.matrix.Link(n.cfg.Node, name, n.now, n.termSpan())
+}
+
 // What a peer says of links and can't be true changes nothing and is named once; a message
 // of an earlier version, without any of it, leaves the links unknown.
 func TestImpossibleLinkReports(t *testing.T) {
--- a/internal/coordination/links.go
+++ b/internal/coordination/links.go
@@ -83,11 +83,6 @@
 	}
 }
 
-// hearsUs tells whether a peer says that it hears this node.
-func (n *Node) hearsUs(name string) reachability.Link {
-	return n.links.matrix.Link(n.cfg.Node, name, n.now, n.termSpan())
-}
-
 // twoWayPeers counts the peers to which messages pass in both directions.
 func (n *Node) twoWayPeers() int {
 	return n.links.matrix.TwoWay(n.cfg.Node, n.now, n.termSpan(), func(node string) bool {
@@ -151,12 +146,15 @@
 func (n *Node) handOver() {
 	l := n.lead
 	to := n.links.matrix.Successor(n.cfg.Node, n.now, n.termSpan())
-	if !n.set.LinkDecisions || to.Stranded <= clearlyMore*l.servedWorkers() {
+	if !n.set.LinkDecisions || to.Stranded == 0 {
+		l.servesMostAt = n.now
+		return // as nearly always: the walk over all machines is for the rest
+	}
+	if to.Stranded <= clearlyMore*l.servedWorkers() {
 		l.servesMostAt = n.now
 	}
 	patience := n.leases(handOverAfter)
-	servesNone := to.Stranded > 0 && n.now-l.servedAt >= patience
-	if n.set.LinkDecisions && (servesNone || n.now-l.servesMostAt >= patience) {
+	if n.now-l.servedAt >= patience || n.now-l.servesMostAt >= patience {
 		n.resign("workers are stranded at " + to.Node)
 	}
 }
--- a/internal/coordination/routes.go
+++ b/internal/coordination/routes.go
@@ -128,7 +128,7 @@
 	leader := n.leaderPeer()
 	if leader == nil {
 		route.stranded = n.now
-		n.reply(r.Origin, 503, 1, nil)
+		n.unavailable(r.Origin)
 		return
 	}
 	n.relayOrRedirect(r, route, leader)
--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -107,7 +107,7 @@
 type LinkReport struct {
 	Hears    []reachability.Heard `json:"hears"`
 	State    bool                 `json:"state"`              // the state service answers it
-	Workers  int                  `json:"workers,omitempty"`  // that came to it within the last lease
+	Workers  int                  `json:"workers,omitempty"`  // that came to it lately
 	Stranded int                  `json:"stranded,omitempty"` // of these, that it could not serve
 	// Worst is the node with the most stranded workers that the sender has heard of.
 	Worst *reachability.Elsewhere `json:"worst,omitempty"`
