Records that can't be read are set aside, never written over

Cause: loadJobs and loadGroups passed over a record that could not be decoded. Its job was unknown to the leader, its tasks were started again or its bitmap was dropped, its machines were unknown with what ran there; over an unreadable group, rental or forecast the leader's next write was refused, so it stepped down again and again.

Change: storage reads and checks each kind of record (RecordError). One that can't be read, or contradicts its key or another record, is quarantined: named in the log once, looked at again each lease, and read anew by the next leader once it has changed. Its job is known, and none of its tasks is started; while a group's names are missing, no older job is started and no machine counts as accounted for, for a lease. A record of a newer version is named as such.

--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -252,10 +252,15 @@
 func (f *fleet) loadFlows(items []storage.Item) {
 	for _, it := range items {
 		var rec storage.FlowRecord
-		if it.Key != storage.FlowKey || json.Unmarshal(it.Value, &rec) != nil {
+		if it.Key != storage.FlowKey {
 			continue
 		}
+		// Known in any case: one that can't be read is only worth less, and is written anew.
 		f.l.writer.Know(it.Key, it.Version)
+		if err := json.Unmarshal(it.Value, &rec); err != nil {
+			f.l.n.log.Warn("what arrived before can't be read", "error", err)
+			continue
+		}
 		f.flowAt = min(f.l.n.instantOf(rec.AtMS), f.l.n.now)
 		f.recordAt = f.flowAt
 		f.flowsFrom = f.flowAt - config.Seconds(rec.OverS)
--- a/internal/coordination/finals.go
+++ b/internal/coordination/finals.go
@@ -1,8 +1,6 @@
 package coordination
 
 import (
-	"strings"
-
 	"github.com/segmentio/encoding/json"
 
 	"hitchdoor/internal/protocol"
@@ -60,10 +58,7 @@
 			return
 		}
 		for _, it := range page.Items {
-			var rec storage.FinalRecord
-			if json.Unmarshal(it.Value, &rec) == nil {
-				f.put(strings.TrimPrefix(it.Key, storage.FinalPrefix), rec)
-			}
+			n.finalFound(it)
 			f.since = it.Key
 		}
 		f.read = !page.Truncated || len(f.byID) >= f.limit
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -283,7 +283,7 @@
 	}
 	m := l.machines[h.UID]
 	if m == nil {
-		m = l.obtained(h.UID, h.Type, h.Zone, h.Spot, l.n.now-config.Seconds(max(h.HeldS, 0)))
+		m = l.listed(h)
 		l.n.log.Info("unknown machine listed", "machine", m.name, "state", h.State)
 	}
 	if h.State == protocol.HostFailed && !m.failedListing && l.n.now-m.heard > 2*l.n.report() {
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -73,6 +73,7 @@
 	waiting               Instant    // since when it has had pending tasks
 	firstStart, lastStart Instant    // of its tasks, for the log
 	commanded             bool       // some task was given to a machine in this term
+	held                  bool       // a record of it was set aside: no task is started
 }
 
 // failureHistory is that of a task that failed.
@@ -386,7 +387,7 @@
 	l.writer.Add(storage.Lazy, storage.Unit{
 		Build: func() []storage.Write {
 			written = append([]byte(nil), p.bits...)
-			if j.gone || p.retired || bytes.Equal(written, p.stored) {
+			if j.gone || p.retired || bytes.Equal(written, p.stored) || l.quarantine.holds(p.key) {
 				return nil
 			}
 			return []storage.Write{storage.Set(p.key, storage.EncodeBits(written))}
@@ -396,6 +397,9 @@
 			if j.gone || p.retired {
 				return
 			}
+			if l.quarantine.holds(p.key) {
+				return // nothing was written, so the workers keep the results
+			}
 			p.stored = written
 			if !bytes.Equal(p.stored, p.bits) {
 				l.storeBits(j, p)
@@ -453,7 +457,7 @@
 // dropKnown removes a key when there is time, if it is there by then.
 func (l *leadership) dropKnown(key string) {
 	l.writer.Add(storage.Lazy, storage.Unit{Build: func() []storage.Write {
-		if l.writer.Version(key) == 0 {
+		if l.writer.Version(key) == 0 || l.quarantine.holds(key) {
 			return nil
 		}
 		return []storage.Write{storage.Drop(key)}
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -10,7 +12,6 @@
 	"github.com/segmentio/encoding/json"
 
 	"hitchdoor/internal/config"
-	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
 
@@ -64,6 +65,9 @@
 	servedDirectAt Instant   // the same, over a connection of this node's own
 	elsewhereSince Instant   // since when workers come to other nodes
 	earlyReports   []Request // reports that came while loading
+	quarantine     quarantine
+	unreadBits     map[string][]storage.Item // parts of bitmaps of jobs that are not read yet
+	needsReads     map[string]int            // how often the jobs that a job needs were read
 
 	looked        int // machines and jobs looked at for admission: what must not grow with a report
 	watchRev      uint64
@@ -92,6 +96,7 @@
 		over: map[string]bool{}, classes: map[string]*class{},
 		aims: map[string][]aim{}, shares: map[string]float64{}, usage: map[string]*usage{},
 		machines: map[string]*machine{}, gone: map[string]Instant{},
+		quarantine: newQuarantine(), unreadBits: map[string][]storage.Item{}, needsReads: map[string]int{},
 	}
 	for _, o := range n.cfg.Cluster.Objectives {
 		if o.Kind == "guarantee" {
@@ -219,18 +224,32 @@
 
 func (l *leadership) loadJobs(items []storage.Item) {
 	for _, it := range items {
-		var rec storage.JobRecord
-		if json.Unmarshal(it.Value, &rec) != nil || storage.JobKey(rec.Spec.UID) != it.Key {
-			l.n.log.Error("record can't be read", "key", it.Key)
+		id := strings.TrimPrefix(it.Key, storage.JobPrefix)
+		if l.quarantine.jobs[id] {
+			// Mended, or read once more. Its revision would say that no earlier leader can have
+			// started it, so only the next leader takes it.
+			l.quarantine.checkAt = l.n.now
+			continue
+		}
+		rec, err := storage.ReadJob(it)
+		if err != nil {
+			l.holdUnreadJob(id, it, err)
 			continue
 		}
-		id := rec.Spec.UID
 		if !rec.TakeNeeds(l.needs[id]) {
 			l.readNeeds(it, rec.More)
 			continue
 		}
 		delete(l.needs, id)
-		l.addJob(rec, it.Version)
+		if _, over := l.n.finals.byID[id]; over && !l.loaded {
+			l.setAside(it, errOpenAndOver)
+			continue
+		}
+		if l.addJob(rec, it.Version) != nil {
+			bits := l.unreadBits[id]
+			delete(l.unreadBits, id)
+			l.loadBits(bits)
+		}
 	}
 }
 
@@ -239,6 +258,9 @@
 	l.knowAll(items)
 	for _, it := range items {
 		id := storage.NeedsOf(it.Key)
+		if _, err := storage.ReadNeeds(it); err != nil {
+			l.holdUnreadJob(id, it, err)
+		}
 		l.needs[id] = append(l.needs[id], it)
 	}
 }
@@ -247,7 +269,11 @@
 // all that it needs is: it would start at once.
 func (l *leadership) readNeeds(job storage.Item, records int) {
 	id := strings.TrimPrefix(job.Key, storage.JobPrefix)
-	if l.jobs[id] != nil || l.reading[id] {
+	if l.jobs[id] != nil || l.reading[id] || l.quarantine.jobs[id] {
+		return
+	}
+	if l.needsReads[id]++; l.needsReads[id] > maxNeedsReads {
+		l.holdUnreadJob(id, job, errNeedsMissing)
 		return
 	}
 	l.reading[id] = true
@@ -262,11 +288,17 @@
 	})
 }
 
+// maxNeedsReads is how often the jobs that a job needs are read: they were written together
+// with it, so they are all there unless a page was read before that.
+const maxNeedsReads = 3
+
+var errNeedsMissing = errors.New("names more records of the jobs that it needs than there are")
+
 // dropNeeds drops what is left of jobs that are over.
 func (l *leadership) dropNeeds() {
 	for _, id := range slices.Sorted(maps.Keys(l.needs)) {
 		for _, it := range l.needs[id] {
-			if l.jobs[id] == nil && !l.reading[id] {
+			if l.jobs[id] == nil && !l.reading[id] && !l.quarantine.jobs[id] {
 				l.dropKnown(it.Key)
 			}
 		}
@@ -278,13 +310,24 @@
 	for _, it := range items {
 		l.writer.Know(it.Key, it.Version)
 		id, from, ok := storage.ParseBitsKey(it.Key, l.widePart)
-		var rec storage.BitsRecord
-		if !ok || json.Unmarshal(it.Value, &rec) != nil {
+		if !ok {
+			continue // no name of ours: a newer version may know it
+		}
+		if l.reading[id] || l.quarantine.jobs[id] {
+			l.unreadBits[id] = append(l.unreadBits[id], it)
 			continue
 		}
 		j := l.jobs[id]
-		bits, err := storage.DecodeBits(rec)
-		if j == nil || err != nil || from >= j.spec.Tasks {
+		if j == nil {
+			l.dropKnown(it.Key)
+			continue
+		}
+		bits, err := storage.ReadBits(it)
+		if err != nil {
+			l.holdJob(j, it, err)
+			continue
+		}
+		if from >= j.spec.Tasks {
 			l.dropKnown(it.Key)
 			continue
 		}
@@ -315,9 +358,13 @@
 
 func (l *leadership) loadGroups(items []storage.Item) {
 	for _, it := range items {
-		var rec storage.GroupRecord
-		if json.Unmarshal(it.Value, &rec) != nil {
-			l.n.log.Error("record can't be read", "key", it.Key)
+		rec, unreadable, err := storage.ReadGroup(it)
+		if err != nil {
+			l.holdGroup(it, err)
+			continue
+		}
+		if len(unreadable) > 0 {
+			l.loadDamagedGroup(it, rec, unreadable)
 			continue
 		}
 		l.writer.Know(it.Key, it.Version)
@@ -341,15 +388,41 @@
 	}
 }
 
+// loadDamagedGroup takes over the machines of a group of which some entries can't be read. The
+// group is set aside, and its machines are recorded in others. Of one whose entry can't be read
+// only the name is known, so it may be running anything.
+func (l *leadership) loadDamagedGroup(it storage.Item, rec storage.GroupRecord, unreadable []string) {
+	slices.Sort(unreadable)
+	l.setAside(it, fmt.Errorf("the entries of these machines can't be read: %s", strings.Join(unreadable, ", ")))
+	for _, name := range unreadable {
+		rec[name] = storage.MachineRecord{Used: true, AtMS: l.n.wallMS()}
+	}
+	for _, name := range slices.Sorted(maps.Keys(rec)) {
+		m := l.machines[name]
+		if m == nil {
+			m = l.loadMachine(name, rec[name])
+			m.used = rec[name].Used
+		}
+		m.accounted = m.accounted && !rec[name].Used
+		if m.typ != "" {
+			l.record(m, m.used)
+		}
+	}
+}
+
 // loadMachines reads the records of single machines that earlier versions wrote,
 // and moves them into groups.
 func (l *leadership) loadMachines(items []storage.Item) {
 	for _, it := range items {
 		var rec storage.MachineRecord
-		if json.Unmarshal(it.Value, &rec) != nil {
+		name := strings.TrimPrefix(it.Key, storage.MachinePrefix)
+		if err := json.Unmarshal(it.Value, &rec); err != nil {
+			l.setAside(it, err)
+			if l.machines[name] == nil {
+				l.loadMachine(name, storage.MachineRecord{Used: true, AtMS: l.n.wallMS()})
+			}
 			continue
 		}
-		name := strings.TrimPrefix(it.Key, storage.MachinePrefix)
 		l.writer.Know(it.Key, it.Version)
 		m := l.machines[name]
 		if m == nil {
@@ -370,8 +443,9 @@
 
 func (l *leadership) loadRentals(items []storage.Item) {
 	for _, it := range items {
-		var rental protocol.Rental
-		if json.Unmarshal(it.Value, &rental) != nil {
+		rental, err := storage.ReadRental(it)
+		if err != nil {
+			l.setAside(it, err)
 			continue
 		}
 		l.writer.Know(it.Key, it.Version)
@@ -415,6 +489,10 @@
 		l.watch()
 	}
 	l.tickLookups()
+	l.tickQuarantine()
+	if n.lead != l {
+		return
+	}
 	l.checkMachines()
 	l.fleet.tick()
 	l.admission.tick()
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -71,7 +71,7 @@
 	return m
 }
 
-// obtained takes a machine that no leader recorded, so that none gave it a task.
+// obtained takes a machine that this leader rented, so that none gave it a task before.
 func (l *leadership) obtained(name, typ, zone string, spot bool, rentedAt Instant) *machine {
 	m := l.newMachine(name, typ, zone, spot)
 	m.accounted, m.rentedAt = true, rentedAt
@@ -79,6 +79,14 @@
 	return m
 }
 
+// listed takes a machine that the cloud lists and no leader recorded. None gave it a task, unless
+// there are records of machines that can't be read.
+func (l *leadership) listed(h protocol.Host) *machine {
+	m := l.obtained(h.UID, h.Type, h.Zone, h.Spot, l.n.now-config.Seconds(max(h.HeldS, 0)))
+	m.accounted = !l.namesMissing()
+	return m
+}
+
 func (l *leadership) typesChanged() {
 	for _, m := range l.machines {
 		if k := l.n.catalog[m.typ]; k != nil {
@@ -167,7 +175,7 @@
 		used[g.key] = true
 	}
 	for i := l.groupsFrom; ; i++ {
-		if key := storage.GroupKey(i); !used[key] {
+		if key := storage.GroupKey(i); !used[key] && !l.quarantine.holds(key) {
 			return l.newGroup(key)
 		}
 	}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -166,10 +166,12 @@
 	// them too.
 	missingTypes map[string]bool
 
-	finals   *finalCache
-	accepted recent[bool] // jobs that are known to have been accepted
-	lead     *leadership
-	versions versions
+	finals *finalCache
+	// unreadFinals are the records of ends that can't be read, by job.
+	unreadFinals map[string]*damagedRecord
+	accepted     recent[bool] // jobs that are known to have been accepted
+	lead         *leadership
+	versions     versions
 
 	submits []submission // that wait for their turn to be written
 
@@ -250,7 +252,7 @@
 		cfg: o.Platform, set: o.Settings, log: o.Log, rng: o.Rand, wall: o.Wall, build: o.Build,
 		calls: map[uint64]func(Result){}, oddAnswers: map[Target]Instant{}, missingTypes: map[string]bool{}, peers: map[string]*peer{}, forwards: map[uint64]*forward{},
 		routes: map[string]*workerRoute{}, loads: map[admission.Group]*protocol.GroupLoad{}, turnedAway: map[string]bool{}, accepted: newRecent[bool](recentSize), refused: newRecent[admission.Group](recentSize),
-		finals:    &finalCache{recent: newRecent[storage.FinalRecord](recentSize)},
+		finals: &finalCache{recent: newRecent[storage.FinalRecord](recentSize)}, unreadFinals: map[string]*damagedRecord{},
 		catalogAt: never, crowdedUntil: never,
 		versions:    versions{at: never},
 		stateBudget: newBucket(c.State.RPS*followerReadShare, c.State.RPS*followerReadShare),
--- a/internal/coordination/pipelines.go
+++ b/internal/coordination/pipelines.go
@@ -258,8 +258,13 @@
 
 // needsOf reads which jobs an open one needs.
 func (n *Node) needsOf(open *storage.Item, then func(ok bool, ids []string)) {
-	var rec storage.JobRecord
-	if json.Unmarshal(open.Value, &rec) != nil || rec.TakeNeeds(nil) {
+	rec, err := storage.ReadJob(*open)
+	if err != nil {
+		// Where it may need others, one of them may be cancelled, and this one be called so.
+		then(!storage.MayNeedOthers(*open), nil)
+		return
+	}
+	if rec.TakeNeeds(nil) {
 		then(true, rec.Spec.Needs)
 		return
 	}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -104,12 +104,14 @@
 // reporter finds the machine that a report is of, or takes it in; nil for one that is gone.
 func (l *leadership) reporter(rep *protocol.Report) *machine {
 	if m := l.machines[rep.Machine]; m != nil {
+		l.learnType(m, rep)
 		return m
 	}
 	if _, gone := l.gone[rep.Machine]; gone {
 		return nil
 	}
-	if len(rep.Tasks) > 0 {
+	missing := l.namesMissing()
+	if len(rep.Tasks) > 0 && !missing {
 		// A machine is durable by name before its first task, and its record is dropped only
 		// once it is surely gone. So this is a late copy of what a returned machine once
 		// said, however fresh it looks to a leader that remembers nothing of it: it must not
@@ -119,11 +121,21 @@
 	m := l.newMachine(rep.Machine, rep.Type, rep.Zone, rep.Spot)
 	// Nobody recorded it, so no leader has commanded a task to it; its report must still
 	// show our token before it counts for anything.
-	m.accounted = true
+	m.accounted = !missing
 	l.n.log.Info("unknown machine reports", "machine", m.name, "type", m.typ)
 	return m
 }
 
+// learnType takes the type of a machine from its report, where its record can't be read.
+func (l *leadership) learnType(m *machine, rep *protocol.Report) {
+	if m.typ != "" || rep.Type == "" {
+		return
+	}
+	m.typ, m.zone, m.spot, m.kind = rep.Type, rep.Zone, rep.Spot, l.n.catalog[rep.Type]
+	l.machinesChanged()
+	l.record(m, true)
+}
+
 // outdated tells whether a report must not be acted upon: it is of another worker, late, or
 // a copy.
 func (l *leadership) outdated(m *machine, rep *protocol.Report) bool {
@@ -275,6 +287,16 @@
 	m.unknownTasks, m.results = 0, 0
 	for _, t := range rep.Tasks {
 		id, index, ok := splitTask(t.Task)
+		if l.quarantine.jobs[id] {
+			// Nothing is known of its job but that there is one: it goes on, and its result is
+			// kept where it is.
+			if t.State == protocol.TaskExited {
+				m.results++
+			} else {
+				m.unknownTasks++
+			}
+			continue
+		}
 		j := l.jobs[id]
 		if !ok || j == nil || index >= j.spec.Tasks {
 			j = nil
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -24,7 +24,9 @@
 	waitOverall waitReason = "overall quota"
 	waitRoom    waitReason = "no machine with room"
 	waitImage   waitReason = "a machine with its image and room"
-	waitNothing waitReason = ""
+	// waitQuarantine: a record of the job can't be read.
+	waitQuarantine waitReason = "a record of it that can't be read"
+	waitNothing    waitReason = ""
 )
 
 func fitsType(j *protocol.Job, t *protocol.MachineType) bool {
@@ -101,6 +103,9 @@
 		return l.totals
 	}
 	c := machineTotals{complete: true}
+	if l.namesMissing() {
+		c.complete, c.unknown = false, usage{math.Inf(1), math.Inf(1)}
+	}
 	set := &l.n.set
 	for _, m := range l.held() {
 		l.looked++
@@ -398,6 +403,9 @@
 // most, and tells which check stopped it.
 func (l *leadership) admit(j *job, p *pass, fetch bool, most int) waitReason {
 	n := l.n
+	if j.held {
+		return waitQuarantine
+	}
 	// A job accepted after our leader key was written can't have been started
 	// by an earlier leader, nor one that needs a job whose end we have written; any
 	// other may be running where we don't see it.
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -199,13 +199,15 @@
 func (n *Node) readFinal(id string, then func(ok bool, final *storage.FinalRecord)) {
 	n.stateCall("GET", "/store/"+storage.FinalKey(id), nil, func(r Result) {
 		var item storage.Item
-		var final storage.FinalRecord
+		if r.Status == 200 && json.Unmarshal(r.Body, &item) == nil {
+			n.finalFound(item)
+		}
+		final, known := n.finals.byID[id]
 		switch {
+		case known:
+			then(true, &final)
 		case r.Status == 404:
 			then(true, nil)
-		case r.Status == 200 && json.Unmarshal(r.Body, &item) == nil && json.Unmarshal(item.Value, &final) == nil:
-			n.finals.put(id, final)
-			then(true, &final)
 		default:
 			then(false, nil)
 		}
--- a/internal/coordination/versions.go
+++ b/internal/coordination/versions.go
@@ -22,9 +22,10 @@
 // so what was read once goes on to hold, whatever late messages and late writes of
 // earlier processes still arrive.
 type versions struct {
-	least int // every node is known to be of this level at least
-	busy  bool
-	at    Instant // when they were last read
+	least   int // every node is known to be of this level at least
+	highest int // some node has written this level
+	busy    bool
+	at      Instant // when they were last read
 }
 
 // allUnderstand tells whether every node is known to be of a level at least.
@@ -54,9 +55,6 @@
 
 // takeVersions learns from the records of the nodes' versions.
 func (n *Node) takeVersions(items []storage.Item) {
-	if n.versions.least >= level {
-		return
-	}
 	known := map[string]int{}
 	own := uint64(0)
 	for _, it := range items {
@@ -64,11 +62,15 @@
 		name := strings.TrimPrefix(it.Key, storage.VersionPrefix)
 		if json.Unmarshal(it.Value, &rec) == nil {
 			known[name] = rec.Level
+			n.versions.highest = max(n.versions.highest, rec.Level)
 		}
 		if name == n.cfg.Node {
 			own = it.Version
 		}
 	}
+	if n.versions.least >= level {
+		return
+	}
 	if known[n.cfg.Node] < level {
 		if !n.versions.busy {
 			n.writeVersion(own)
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -126,35 +126,43 @@
 	if err := json.Unmarshal(body, &j); err != nil {
 		return nil, errors.New("a field has the wrong type")
 	}
+	if err := j.Check(); err != nil {
+		return nil, err
+	}
+	named := make(map[string]bool, len(j.Needs))
+	j.Needs = slices.DeleteFunc(j.Needs, func(id string) bool {
+		again := named[id]
+		named[id] = true
+		return again
+	})
+	return &j, nil
+}
+
+// Check tells what is impossible about a job, whatever the settings are.
+func (j *Job) Check() error {
 	_, knownRank := ranks[j.Priority]
 	switch {
 	case !ValidJobID(j.UID):
-		return nil, errors.New("uid: not a job id")
+		return errors.New("uid: not a job id")
 	case j.Class == "":
-		return nil, errors.New("lote: empty")
+		return errors.New("lote: empty")
 	case j.Team == "":
-		return nil, errors.New("dono: empty")
+		return errors.New("dono: empty")
 	case j.Kind != "batch":
-		return nil, errors.New("feitio: unknown")
+		return errors.New("feitio: unknown")
 	case !knownRank:
-		return nil, errors.New("vez: unknown")
+		return errors.New("vez: unknown")
 	case j.Tasks < 1 || j.Tasks > MaxTasks:
-		return nil, errors.New("pecas: must be 1 to 100,000")
+		return errors.New("pecas: must be 1 to 100,000")
 	case !(j.Cores >= 0) || !(j.Accelerators >= 0) || !(j.RAM >= 0) || !(j.ImageGB >= 0) ||
 		!(j.EstimateS >= 0) || !(j.CheckpointS >= 0) || !(j.SaveS >= 0):
-		return nil, errors.New("an amount is negative")
+		return errors.New("an amount is negative")
 	case j.DeadlineS != nil && !(*j.DeadlineS >= 0):
-		return nil, errors.New("prazoS: negative")
+		return errors.New("prazoS: negative")
 	case slices.ContainsFunc(j.Needs, func(id string) bool { return !ValidJobID(id) }):
-		return nil, errors.New("aguarda: not a list of job ids")
+		return errors.New("aguarda: not a list of job ids")
 	}
-	named := make(map[string]bool, len(j.Needs))
-	j.Needs = slices.DeleteFunc(j.Needs, func(id string) bool {
-		again := named[id]
-		named[id] = true
-		return again
-	})
-	return &j, nil
+	return nil
 }
 
 // JobState is the answer to a submission, a query and a cancellation.
