Package recovery: phases, typed mismatches, paced orders of a new leader

Need: after the loss of all controllers the next leader rented machines in its first seconds for work that machines not yet accounted for were doing, and gave all orders at once; what it found to differ from the records could not be seen.

Change: internal/recovery, pure, decides the phase (reading, collecting, reconciling, pacing, normal; each ends by a condition or a bound in leases), what is done with each reported task, whether machines may be rented, given up or returned, and the rate of starts, stops, rentals and returns by urgency and team. What reports, fleet and schedule decided of this is moved there. A job that may use none of the machines that are not accounted for no longer waits for them. recovery: false in the settings leaves the decisions as before.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -36,6 +36,13 @@
 	// LinkDecisions lets leaders resign, and ask others to relay, by what is known of half-open
 	// links.
 	LinkDecisions bool `yaml:"link_decisions"`
+	// Recovery holds a new leader's rentals and returns back until its machines are accounted
+	// for, and paces its orders.
+	Recovery bool `yaml:"recovery"`
+	// RecoveryRefill is the part of a worker lease within which all cores may be filled anew while
+	// orders are paced; RecoveryReplace the same of renting and returning all machines.
+	RecoveryRefill  float64 `yaml:"recovery_refill"`
+	RecoveryReplace float64 `yaml:"recovery_replace"`
 	// TraceSteps is how many steps of submissions a node keeps for operators; 0: none.
 	TraceSteps int `yaml:"trace_steps"`
 	// MemoryRatio of mem_mb is the soft limit given to the garbage collector.
@@ -47,6 +54,7 @@
 	return Settings{
 		SlotsPerCore: 2, SlotsBase: 6, ClassShare: 0.5, BorrowWaitS: 30,
 		Headroom: 0.8, IdleKeep: 0.2, LoadSteps: 1, MemoryRatio: 0.6, LinkDecisions: true,
+		Recovery: true, RecoveryRefill: 0.25, RecoveryReplace: 1,
 	}
 }
 
@@ -105,6 +113,8 @@
 		{"idle_keep", s.IdleKeep, 0, 1000},
 		{"load_steps", float64(s.LoadSteps), 1, 1000},
 		{"memory_ratio", s.MemoryRatio, 0.1, 1},
+		{"recovery_refill", s.RecoveryRefill, 0.01, 10},
+		{"recovery_replace", s.RecoveryReplace, 0.01, 10},
 		{"trace_steps", float64(s.TraceSteps), 0, 100_000},
 	} {
 		if !(f.value >= f.lo && f.value <= f.top) {
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -48,9 +48,10 @@
 	strict, whole := 0.0, 0.0 // work weighted by the share that is to be in time
 	boot := l.bootTime().Seconds()
 	pull := l.pull()
+	totals := l.currentTotals()
 	for _, j := range l.runnable {
-		if j.gone {
-			continue
+		if j.gone || l.restrained() && l.mayRunUnseen(j, &totals) {
+			continue // machines that are not accounted for may be serving it
 		}
 		each := l.expected(j) + pull.time(j.spec.ImageGB)
 		work := l.workLeft(j, pull)
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -12,6 +12,7 @@
 
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/recovery"
 	"hitchdoor/internal/storage"
 )
 
@@ -105,7 +106,9 @@
 		// They end what costs, and what holds up jobs after a takeover: rentals, which
 		// are asked for all the time where there is no capacity, must not take the
 		// calls from them.
-		f.sendRentals()
+		if l.mayRent() {
+			f.sendRentals()
+		}
 		f.list()
 	}
 }
@@ -125,25 +128,7 @@
 // retire finds machines that should go.
 func (f *fleet) retire() {
 	l, now := f.l, f.l.n.now
-	// One machine that is not accounted for holds up all older jobs, so a few that
-	// keep quiet after a takeover are returned sooner than many, or later ones.
-	unknown := 0
-	for _, m := range l.machines {
-		if !m.accounted {
-			unknown++
-		}
-	}
-	quiet := func(m *machine) bool {
-		silence := l.n.lease() * 6 / 10
-		switch {
-		case m.accounted:
-		case unknown <= len(l.machines)/10:
-			silence = l.n.lease() / 4
-		default:
-			silence = l.n.lease() * 45 / 100
-		}
-		return now-l.lastHeard(m) > silence
-	}
+	quiet := func(m *machine) bool { return l.silenceAllows(m, now-l.lastHeard(m)) }
 	up, missed := 0, 0
 	// A machine that was used before is expected to report after a takeover too.
 	expected := func(m *machine) bool { return m.up || (m.used && m.heard == never) }
@@ -212,6 +197,10 @@
 		return false
 	}
 	f.returnAt = n.now + n.report()/4
+	if names = names[:l.affordable(recovery.ReturnMachine, len(names))]; len(names) == 0 {
+		n.cloudBudget.level++ // no call is made
+		return true
+	}
 	for _, name := range names {
 		l.machines[name].returning, l.machines[name].asked = true, true
 	}
@@ -350,6 +339,9 @@
 		held += m.kind.Cores
 		kept = append(kept, m)
 	}
+	if !l.mayRent() {
+		return // what the machines that are not accounted for do is not known
+	}
 	var fresh []option
 	for len(fresh) < maxFresh && held < f.target {
 		opt, k := f.choose(nil, f.target-held)
@@ -387,8 +379,10 @@
 		n.log.Debug("fleet", "held", held, "up", up, "used", used, "pending", pending,
 			"demand", demand, "usual", usual, "target", f.target, "spent", f.spent, "writes", l.writer.Pending())
 	}
-	f.shrink(kept, held, worth)
-	f.gather(kept)
+	if l.mayShrink() {
+		f.shrink(kept, held, worth)
+		f.gather(kept)
+	}
 }
 
 // spending is where the money of this term has gone, as an operator would ask.
@@ -595,6 +589,9 @@
 			Request: "r-" + utoa(l.term) + "-" + utoa(f.requests), Type: opt.typ, Zone: opt.zone, Spot: opt.spot,
 			Count: min(counts[opt], 50),
 		}}
+		if r.Count = l.affordable(recovery.RentMachine, r.Count); r.Count == 0 {
+			return
+		}
 		f.rentals = append(f.rentals, r)
 		key := storage.RentPrefix + r.Request
 		l.writer.Add(storage.Soon, storage.Unit{
--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -12,6 +12,7 @@
 	"github.com/segmentio/encoding/json"
 
 	"hitchdoor/internal/config"
+	"hitchdoor/internal/recovery"
 	"hitchdoor/internal/storage"
 )
 
@@ -66,6 +67,7 @@
 	elsewhereSince Instant   // since when workers come to other nodes
 	earlyReports   []Request // reports that came while loading
 	quarantine     quarantine
+	recovery       *recovery.Recovery
 	unreadBits     map[string][]storage.Item // parts of bitmaps of jobs that are not read yet
 	needsReads     map[string]int            // how often the jobs that a job needs were read
 
@@ -96,7 +98,7 @@
 		over: map[string]bool{}, classes: map[string]*class{},
 		aims: map[string][]aim{}, shares: map[string]float64{}, usage: map[string]*usage{},
 		machines: map[string]*machine{}, gone: map[string]Instant{},
-		quarantine: newQuarantine(), unreadBits: map[string][]storage.Item{}, needsReads: map[string]int{},
+		quarantine: newQuarantine(), recovery: n.newRecovery(), unreadBits: map[string][]storage.Item{}, needsReads: map[string]int{},
 	}
 	for _, o := range n.cfg.Cluster.Objectives {
 		if o.Kind == "guarantee" {
@@ -460,6 +462,7 @@
 	l.splitGroups()
 	l.fleet.inherit()
 	l.storeCatalog()
+	l.tickRecovery()
 	l.n.log.Info("records read", "jobs", len(l.jobs), "machines", len(l.machines))
 	early := l.earlyReports
 	l.earlyReports = nil
@@ -482,6 +485,7 @@
 	if !l.loaded && n.elect.stateLost() {
 		l.turnEarlyAway()
 	}
+	l.tickRecovery()
 	if !l.loaded || n.lead != l {
 		return
 	}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -17,6 +17,7 @@
 	"hitchdoor/internal/admission"
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/recovery"
 	"hitchdoor/internal/storage"
 )
 
@@ -53,7 +54,7 @@
 // IsQuestion tells whether a request changes nothing and may wait behind all that does.
 func (r Request) IsQuestion() bool {
 	return r.Kind == protocol.RequestQuery || r.Kind == protocol.RequestStatus || r.Kind == protocol.RequestMetrics ||
-		r.Kind == protocol.RequestAdmission || r.Kind == protocol.RequestLinks
+		r.Kind == protocol.RequestAdmission || r.Kind == protocol.RequestLinks || r.Kind == protocol.RequestRecovery
 }
 
 // IsQuestion tells the same of a message that passes a request on.
@@ -169,7 +170,8 @@
 	finals *finalCache
 	// unreadFinals are the records of ends that can't be read, by job.
 	unreadFinals map[string]*damagedRecord
-	accepted     recent[bool] // jobs that are known to have been accepted
+	mismatches   recovery.Counts // of all recoveries of this process
+	accepted     recent[bool]    // jobs that are known to have been accepted
 	lead         *leadership
 	versions     versions
 
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/recovery"
 )
 
 // onReport takes a worker's report and answers it.
@@ -16,6 +17,7 @@
 	}
 	l.heardWorker = n.now
 	if rep.FencingToken > l.term {
+		l.note(recovery.NewerToken, rep.Machine, "")
 		// The worker has seen a newer leader: our answers would be dropped.
 		n.unavailable(r.Origin)
 		n.stepDown("a worker has seen a higher token")
@@ -116,8 +118,10 @@
 		// once it is surely gone. So this is a late copy of what a returned machine once
 		// said, however fresh it looks to a leader that remembers nothing of it: it must not
 		// hold up jobs, nor fill a quota.
+		l.note(recovery.MachineNotRecorded, rep.Machine, "")
 		return nil
 	}
+	l.note(recovery.MachineNotRecorded, rep.Machine, "")
 	m := l.newMachine(rep.Machine, rep.Type, rep.Zone, rep.Spot)
 	// Nobody recorded it, so no leader has commanded a task to it; its report must still
 	// show our token before it counts for anything.
@@ -160,6 +164,7 @@
 
 // beginSession takes the first report of a worker's new session: it has killed everything.
 func (l *leadership) beginSession(m *machine) {
+	l.note(recovery.NewerSession, m.name, "")
 	m.unknownTasks, l.totalsValid = 0, false
 	for _, x := range m.list {
 		if x.phase != phaseAssigned {
@@ -257,14 +262,22 @@
 	if commands == nil {
 		commands = []protocol.Command{}
 	}
+	starts := 0
 	for _, r := range m.list {
 		if len(commands) >= maxCommands {
 			break
 		}
 		switch {
 		case r.stop != nil && r.phase != phaseAssigned:
+			if !l.allowOrder(recovery.StopTask, urgencyOf(r.job), r.job.spec.Team) {
+				continue
+			}
 			commands = append(commands, protocol.Command{Op: protocol.OpStop, Task: r.key(), Attempt: r.attempt, GraceS: r.stop})
 		case r.phase == phaseAssigned && m.shown && m.used:
+			if !l.mayStart(r, starts) {
+				continue
+			}
+			starts++
 			r.phase = phaseSent
 			if !r.job.commanded {
 				r.job.commanded = true
@@ -279,63 +292,17 @@
 // reconcile compares a report with what we believe of the machine, and returns
 // the commands that end what should not be there.
 func (l *leadership) reconcile(m *machine, rep *protocol.Report) []protocol.Command {
-	now := l.n.now
 	var commands []protocol.Command
 	for _, r := range m.list {
 		r.shown = false
 	}
 	m.unknownTasks, m.results = 0, 0
 	for _, t := range rep.Tasks {
-		id, index, ok := splitTask(t.Task)
-		if l.quarantine.jobs[id] {
-			// Nothing is known of its job but that there is one: it goes on, and its result is
-			// kept where it is.
-			if t.State == protocol.TaskExited {
-				m.results++
-			} else {
-				m.unknownTasks++
-			}
-			continue
-		}
-		j := l.jobs[id]
-		if !ok || j == nil || index >= j.spec.Tasks {
-			j = nil
-		}
-		r := m.runs[t.Task]
-		if r != nil && r.attempt == t.Attempt {
-			r.shown = true
-		}
-		if t.State == protocol.TaskExited {
-			if l.exited(m, j, index, r, t) && len(commands) < maxCommands {
-				commands = append(commands, protocol.Command{Op: protocol.OpForget, Task: t.Task, Attempt: t.Attempt})
-			} else {
-				m.results++
-			}
-			continue
-		}
-		if j != nil && !j.gone && (r == nil || r.attempt != t.Attempt) && rep.FencingToken != l.term {
-			// Started by an earlier leader. It goes on, but where is only known from a
-			// report that shows our token: this one may be a copy from before the term, and
-			// the task may have moved since. Taken at its word, such a copy had the task
-			// ended on the machine that does run it.
-			m.unknownTasks++
-			continue
+		if c := l.reconcileTask(m, t, l.shows(rep)); c != nil && len(commands) < maxCommands {
+			commands = append(commands, *c)
 		}
-		if r == nil && j != nil && j.taskState(index) == taskPending && !j.gone {
-			r = &run{job: j, index: index, attempt: t.Attempt, m: m, phase: phaseSent, since: now}
-			l.place(r)
-			r.shown = true
-		}
-		if r == nil || r.attempt != t.Attempt {
-			m.unknownTasks++
-			if len(commands) < maxCommands {
-				zero := 0.0
-				commands = append(commands, protocol.Command{Op: protocol.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
-			}
-			continue
-		}
-		l.seen(m, r, t)
 	}
+	l.noteOverCommitted(m)
 	for _, r := range m.list {
 		if r.shown || r.phase == phaseAssigned {
 			continue
@@ -356,6 +323,50 @@
 	return commands
 }
 
+// reconcileTask compares one reported task with what we believe of the machine, and returns the
+// command that ends it, if it should not be there.
+func (l *leadership) reconcileTask(m *machine, t protocol.TaskReport, tokenShown bool) *protocol.Command {
+	id, index, ok := splitTask(t.Task)
+	j := l.jobs[id]
+	if !ok || j == nil || index >= j.spec.Tasks {
+		j = nil
+	}
+	r := m.runs[t.Task]
+	if r != nil && r.attempt == t.Attempt {
+		r.shown = true
+	}
+	switch l.judgeTask(m, j, id, index, r, t, tokenShown) {
+	case recovery.LeaveAlone:
+		if t.State == protocol.TaskExited {
+			m.results++
+		} else {
+			m.unknownTasks++
+		}
+	case recovery.StoreResult, recovery.Forget:
+		if l.exited(m, j, index, r, t) {
+			return &protocol.Command{Op: protocol.OpForget, Task: t.Task, Attempt: t.Attempt}
+		}
+		m.results++
+	case recovery.AwaitToken:
+		m.unknownTasks++
+	case recovery.Adopt:
+		r = &run{job: j, index: index, attempt: t.Attempt, m: m, phase: phaseSent, since: l.n.now}
+		l.place(r)
+		r.shown = true
+		l.seen(m, r, t)
+	case recovery.Follow:
+		l.seen(m, r, t)
+	case recovery.Stop:
+		m.unknownTasks++
+		if !l.mayStopUnknown(j) {
+			return nil
+		}
+		zero := 0.0
+		return &protocol.Command{Op: protocol.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero}
+	}
+	return nil
+}
+
 // seen updates a run that is on its machine.
 func (l *leadership) seen(m *machine, r *run, t protocol.TaskReport) {
 	switch t.State {
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -95,6 +95,11 @@
 	slots    float64 // of the machines up
 	complete bool    // all are accounted for: nothing of an earlier leader runs unknown to this one
 	unknown  usage   // what may be in use without our knowing
+
+	held, largest  float64         // cores of all, and of the largest
+	unaccounted    int             // machines that are not accounted for
+	unknownOptions map[option]bool // what those are
+	anything       bool            // of some of those, not even that is known
 }
 
 // currentTotals walks all machines, if one has changed since.
@@ -102,14 +107,19 @@
 	if l.totalsValid {
 		return l.totals
 	}
-	c := machineTotals{complete: true}
+	c := machineTotals{complete: true, unknownOptions: map[option]bool{}}
 	if l.namesMissing() {
-		c.complete, c.unknown = false, usage{math.Inf(1), math.Inf(1)}
+		c.complete, c.anything, c.unknown = false, true, usage{math.Inf(1), math.Inf(1)}
 	}
 	set := &l.n.set
 	for _, m := range l.held() {
 		l.looked++
-		c.complete = c.complete && m.accounted
+		if !m.accounted {
+			c.complete = false
+			c.unaccounted++
+			c.anything = c.anything || m.typ == ""
+			c.unknownOptions[option{m.typ, m.zone, m.spot}] = true
+		}
 		if m.kind == nil {
 			if !m.accounted || m.unknownTasks > 0 {
 				// Nobody knows how much may be in use there, so no limit has room: counted
@@ -118,6 +128,8 @@
 			}
 			continue
 		}
+		c.held += m.kind.Cores
+		c.largest = max(c.largest, m.kind.Cores)
 		if m.up && m.shown {
 			c.slots += set.SlotsPerCore*m.kind.Cores + set.SlotsBase
 		}
@@ -406,10 +418,7 @@
 	if j.held {
 		return waitQuarantine
 	}
-	// A job accepted after our leader key was written can't have been started
-	// by an earlier leader, nor one that needs a job whose end we have written; any
-	// other may be running where we don't see it.
-	if !p.complete && j.version <= l.writer.LeaderVer && !j.fresh {
+	if l.mayRunUnseen(j, &p.machineTotals) {
 		return waitUnknown
 	}
 	if j.bad && l.outlives(j) {
--- a/internal/coordination/status.go
+++ b/internal/coordination/status.go
@@ -82,6 +82,12 @@
 	p.gauge(name, help, 0)
 }
 
+// labelled adds a gauge for each value of a label.
+func (p *metricsPage) labelled(name, help, label string, values func(each func(label string, value float64))) {
+	fmt.Fprintf(p, "# HELP hitchdoor_%s %s\n# TYPE hitchdoor_%s gauge\n", name, help, name)
+	values(func(of string, value float64) { fmt.Fprintf(p, "hitchdoor_%s{%s=%q} %g\n", name, label, of, value) })
+}
+
 // onMetrics answers with the figures that an operator would plot.
 func (n *Node) onMetrics(r Request) {
 	p := &metricsPage{}
@@ -94,6 +100,7 @@
 	p.flag("connections_full", "1 while no more workers are taken in.", n.connections.full)
 	p.gauge("workers_stranded", "Workers that came here lately and could not be served.", float64(n.linkReport().Stranded))
 	p.flag("admission_policy", "1 while submissions are admitted by a policy.", n.policy.policy != nil)
+	n.recoveryMetrics(p)
 	if n.authority() {
 		n.lead.metrics(p)
 	}
@@ -132,6 +139,7 @@
 type leadStatus struct {
 	Loaded    bool            `json:"loaded"`
 	Accounted bool            `json:"accounted"`
+	Recovery  string          `json:"recovery"`
 	Writes    int             `json:"writesWaiting"`
 	Jobs      []jobStatus     `json:"jobs"`
 	Machines  []machineStatus `json:"machines"`
@@ -161,7 +169,7 @@
 }
 
 func (l *leadership) status() *leadStatus {
-	s := &leadStatus{Loaded: l.loaded, Accounted: l.accountedAll(), Writes: l.writer.Pending(), Target: l.fleet.target}
+	s := &leadStatus{Loaded: l.loaded, Accounted: l.accountedAll(), Recovery: l.recovery.Phase().String(), Writes: l.writer.Pending(), Target: l.fleet.target}
 	for _, j := range l.jobs {
 		waits := j.waits
 		if j.awaits > 0 {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -32,6 +32,7 @@
 	protocol.RequestMetrics:   (*Node).onMetrics,
 	protocol.RequestAdmission: (*Node).onAdmission,
 	protocol.RequestLinks:     (*Node).onLinks,
+	protocol.RequestRecovery:  (*Node).onRecovery,
 }
 
 // onRequest routes a request of this node's own connections, or one that a peer passes on.
--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -66,6 +66,8 @@
 	RequestAdmission RequestKind = "admission"
 	// RequestLinks asks for what a node sees of the links.
 	RequestLinks RequestKind = "links"
+	// RequestRecovery asks for how far a leader's recovery is.
+	RequestRecovery RequestKind = "recovery"
 )
 
 // ForwardedRequest is a request that a node hands to the leader.
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -73,6 +73,7 @@
 	s.app.Get("/admission", s.plain(protocol.RequestAdmission))
 	s.app.Get("/admission/:id", s.admissionOf)
 	s.app.Get("/links", s.plain(protocol.RequestLinks))
+	s.app.Get("/recovery", s.plain(protocol.RequestRecovery))
 	s.app.Get("/trace/:id", s.trace)
 	return s
 }
