A leader of no machines has nothing to recover; hitchdoor recovery; workers of the stand-in fleet

Change: without machines the phase is normal once records are read. GET /recovery and hitchdoor recovery show phase, mismatches, records set aside and budgets of all nodes. The stand-in fleet counts orders, wrong stops and lost run time, and can have machines up from the start; its servers need no test library.

--- a/cmd/hitchdoor/tools.go
+++ b/cmd/hitchdoor/tools.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -35,18 +36,23 @@
 			return toolbox.Trace(c.OutOrStdout(), options, args[0])
 		},
 	}
-	links := &cobra.Command{
-		Use:   "links --nodes HOST:PORT,...",
-		Short: "Show which controllers hear each other, and who leads by whose word",
-		Args:  cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			if err := options.Check(); err != nil {
-				return err
-			}
-			return toolbox.Links(c.OutOrStdout(), options)
-		},
+	// report makes a tool that asks all nodes one question.
+	report := func(name, short string, ask func(io.Writer, toolbox.Options) error) *cobra.Command {
+		return &cobra.Command{
+			Use:   name + " --nodes HOST:PORT,...",
+			Short: short,
+			Args:  cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error {
+				if err := options.Check(); err != nil {
+					return err
+				}
+				return ask(c.OutOrStdout(), options)
+			},
+		}
 	}
-	commands := []*cobra.Command{admission, trace, links}
+	links := report("links", "Show which controllers hear each other, and who leads by whose word", toolbox.Links)
+	recovery := report("recovery", "Show how far a new leader's recovery is, and what differs from the records", toolbox.Recovery)
+	commands := []*cobra.Command{admission, trace, links, recovery}
 	for _, c := range commands {
 		c.Flags().StringSliceVar(&options.Nodes, "nodes", nil, "the client addresses of all controllers")
 		c.Flags().DurationVar(&options.Timeout, "timeout", 2*time.Second, "how long to wait for each of them")
--- a/internal/daemon/loopback_test.go
+++ b/internal/daemon/loopback_test.go
@@ -72,7 +72,6 @@
 			relay.Close()
 		}
 		l.wait.Wait()
-		l.state.Server.CloseClientConnections()
 		l.state.Server.Close()
 	})
 	return l
--- a/internal/recovery/phase.go
+++ b/internal/recovery/phase.go
@@ -115,8 +115,12 @@
 		if !done && !bound {
 			break
 		}
-		moved = append(moved, Transition{From: r.phase, To: r.phase + 1, After: now - r.since, Bound: !done})
-		r.phase, r.since = r.phase+1, now
+		next := r.phase + 1
+		if r.phase == Reading && view.Machines == 0 && !view.NamesMissing {
+			next = Normal // nothing is held, so nothing can differ or come in a storm
+		}
+		moved = append(moved, Transition{From: r.phase, To: next, After: now - r.since, Bound: !done})
+		r.phase, r.since = next, now
 	}
 	if r.phase == Normal {
 		r.noted = nil
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -1,61 +1,87 @@
 package standin
 
 import (
-	"bytes"
 	"fmt"
-	"io"
+	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/segmentio/encoding/json"
+	"github.com/cespare/xxhash/v2"
 
+	"hitchdoor/internal/config"
 	"hitchdoor/internal/protocol"
-	"hitchdoor/internal/storage"
 )
 
 // Fleet is a stand-in of the cloud and of the workers on its machines.
 type Fleet struct {
-	Server *httptest.Server
+	Server *Server
 
 	settings FleetSettings
+	orders   orderLog
 	mu       sync.Mutex
 	last     int
 	requests map[string][]string
 	workers  map[string]*worker
-	starts   map[string]int // by task
-	running  map[string]int // machines on which a task is now
-	twice    []string       // tasks that ran on two machines at once
+	jobs     map[string]protocol.Job // that users have uploaded
+	starts   map[string]int          // by task
+	running  map[string]int          // machines on which a task is now
+	finished map[string]bool         // tasks that have completed
 	over     chan struct{}
 	wait     sync.WaitGroup
+	tally    Tally
+	twice    []string // tasks that ran on two machines at once
+	wrongly  []string // tasks that were stopped though nothing was wrong with them
+
+	cancelled map[string]bool      // jobs that users have asked to cancel
+	confirmed map[string]time.Time // those of them that were confirmed, and when
 }
 
 // FleetSettings are those of machines and workers.
 type FleetSettings struct {
-	Nodes   map[string]string // the controllers' client addresses, by name
-	Report  time.Duration
-	Lease   time.Duration
-	Boot    time.Duration
-	RunTime time.Duration // of each task
-	Most    int           // machines that can be rented
+	Nodes    map[string]string // the controllers' client addresses, by name
+	Report   time.Duration
+	Lease    time.Duration
+	Boot     time.Duration
+	RunTime  time.Duration // of each task; 0: about its job's estimate
+	Most     int           // machines that can be rented
+	Machines int           // that are up from the start
+	Cores    float64       // of each machine; 0: 4
+	Seed     uint64
+}
+
+// Tally is what has become of the tasks that workers ran.
+type Tally struct {
+	Started, Finished, Stopped, LostByLease int
+	LostRun                                 time.Duration // run time of tasks that ended without completing
+	RanCancelled                            int           // tasks on a machine after the time that cancellations have
 }
 
+// defaultCores is the size of a machine.
+const defaultCores = 4
+
 // NewFleet starts a cloud. Its machines' workers report until it is closed.
 func NewFleet(settings FleetSettings) *Fleet {
+	if settings.Cores == 0 {
+		settings.Cores = defaultCores
+	}
 	f := &Fleet{settings: settings, requests: map[string][]string{}, workers: map[string]*worker{}, starts: map[string]int{},
-		running: map[string]int{}, over: make(chan struct{})}
-	f.Server = httptest.NewServer(f)
+		running: map[string]int{}, finished: map[string]bool{}, jobs: map[string]protocol.Job{}, cancelled: map[string]bool{}, confirmed: map[string]time.Time{}, over: make(chan struct{})}
+	f.Server = newServer(f)
 	return f
 }
 
-// SetNodes names the controllers' client addresses, if they weren't known at the start.
+// SetNodes names the controllers' client addresses and starts the machines that are up from the
+// start, if they weren't known at the start.
 func (f *Fleet) SetNodes(nodes map[string]string) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.settings.Nodes = nodes
-	f.mu.Unlock()
+	for len(f.workers) < f.settings.Machines {
+		f.add()
+	}
 }
 
 // Close ends all workers.
@@ -65,8 +91,28 @@
 	f.Server.Close()
 }
 
-// Starts counts how often each task was started; Twice names those that ran on two machines
-// at once.
+// Upload gives the workers a job's description, as its user does.
+func (f *Fleet) Upload(job protocol.Job) {
+	f.mu.Lock()
+	f.jobs[job.UID] = job
+	f.mu.Unlock()
+}
+
+// CancelAsked notes that a user asks to cancel a job.
+func (f *Fleet) CancelAsked(job string) {
+	f.mu.Lock()
+	f.cancelled[job] = true
+	f.mu.Unlock()
+}
+
+// CancelConfirmed notes that a user was told that a job is cancelled.
+func (f *Fleet) CancelConfirmed(job string) {
+	f.mu.Lock()
+	f.confirmed[job] = time.Now()
+	f.mu.Unlock()
+}
+
+// Starts counts how often each task was started.
 func (f *Fleet) Starts() map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -84,14 +130,106 @@
 	return slices.Clone(f.twice)
 }
 
+// StoppedWrongly names the tasks that were stopped though their jobs were not cancelled and they
+// ran nowhere else.
+func (f *Fleet) StoppedWrongly() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.wrongly)
+}
+
+// OrdersSince lists the orders that workers and the cloud received from some moment on.
+func (f *Fleet) OrdersSince(from time.Time) []Order { return f.orders.since(from) }
+
+// Tally is what has become of the tasks so far. Cancelled work has so long to end.
+func (f *Fleet) Tally(cancelSpan time.Duration) Tally {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	tally := f.tally
+	for _, m := range f.workers {
+		for _, t := range m.tasks {
+			if since, is := f.confirmed[jobOf(t.Task)]; is && t.State == protocol.TaskRunning && time.Since(since) > cancelSpan {
+				tally.RanCancelled++
+			}
+		}
+	}
+	return tally
+}
+
+// Running counts the tasks that are on machines, Machines the machines that are up.
+func (f *Fleet) Running() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	running := 0
+	for _, machines := range f.running {
+		running += machines
+	}
+	return running
+}
+
+// Machines counts the machines that there are.
+func (f *Fleet) Machines() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.workers)
+}
+
+// Held is what a machine holds.
+type Held struct {
+	Machine string
+	Silent  bool
+	Tasks   []protocol.TaskReport
+}
+
+// Holdings lists what all machines hold, by name.
+func (f *Fleet) Holdings() []Held {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []Held
+	for _, m := range f.workers {
+		m.advance()
+		held := Held{Machine: m.name, Silent: m.silent}
+		for _, t := range m.tasks {
+			held.Tasks = append(held.Tasks, t.TaskReport)
+		}
+		all = append(all, held)
+	}
+	slices.SortFunc(all, func(a, b Held) int { return strings.Compare(a.Machine, b.Machine) })
+	return all
+}
+
+// Plant puts a running task on a machine that nobody commanded.
+func (f *Fleet) Plant(machine, key string, attempt uint64, runs time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.workers[machine]
+	m.begin(protocol.TaskReport{Task: key, Attempt: attempt, State: protocol.TaskRunning}, runs)
+}
+
+// Silence cuts a machine off from all controllers, or ends that.
+func (f *Fleet) Silence(machine string, silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.workers[machine]; m != nil {
+		m.silent = silent
+	}
+}
+
+// Take takes a machine away, as the cloud does with cheap ones.
+func (f *Fleet) Take(machine string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.end(machine)
+}
+
 // ServeHTTP answers a controller's call to the cloud.
 func (f *Fleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
 	case r.URL.Path == "/catalog":
-		answer(w, 200, protocol.Catalog{Types: []protocol.MachineType{{Name: "c4", Cores: 4, RAM: 16, CacheGB: 40,
-			PullGBPerS: 1, Rate: 0.3, SpotRate: 0.1, ReadyS: f.settings.Boot.Seconds(), Zones: []string{"a"}}}})
+		answer(w, 200, protocol.Catalog{Types: []protocol.MachineType{{Name: machineType, Cores: f.settings.Cores, RAM: 4 * f.settings.Cores, CacheGB: 40,
+			PullGBPerS: 1, Rate: 0.3, SpotRate: 0.1, ReadyS: f.settings.Boot.Seconds(), Zones: []string{machineZone}}}})
 	case r.URL.Path == "/hosts" && r.Method == http.MethodPost:
 		var rental protocol.Rental
 		if read(w, r, &rental) {
@@ -100,42 +238,65 @@
 	case r.URL.Path == "/hosts/return":
 		var names protocol.MachineNames
 		if read(w, r, &names) {
+			f.orders.add(OrderReturn, len(names.Machines), false)
 			for _, name := range names.Machines {
 				f.end(name)
 			}
 			answer(w, 200, struct{}{})
 		}
 	default:
-		list := protocol.HostList{Machines: []protocol.Host{}}
-		for _, m := range f.workers {
-			if m.name > r.URL.Query().Get("since") {
-				list.Machines = append(list.Machines, protocol.Host{UID: m.name, Type: "c4", Zone: "a", Spot: true, State: "running"})
-			}
+		answer(w, 200, f.list(r))
+	}
+}
+
+// The only type of machine, and the only zone.
+const (
+	machineType = "c4"
+	machineZone = "a"
+	// pageMachines bounds one page of the machine list.
+	pageMachines = 500
+)
+
+func (f *Fleet) list(r *http.Request) protocol.HostList {
+	list := protocol.HostList{Machines: []protocol.Host{}}
+	for _, m := range f.workers {
+		if m.name > r.URL.Query().Get("since") {
+			list.Machines = append(list.Machines, protocol.Host{UID: m.name, Type: machineType, Zone: machineZone, Spot: true, State: "running", HeldS: time.Since(m.rented).Seconds()})
 		}
-		slices.SortFunc(list.Machines, func(a, b protocol.Host) int { return strings.Compare(a.UID, b.UID) })
-		answer(w, 200, list)
 	}
+	slices.SortFunc(list.Machines, func(a, b protocol.Host) int { return strings.Compare(a.UID, b.UID) })
+	if len(list.Machines) > pageMachines {
+		list.Machines, list.Truncated = list.Machines[:pageMachines], true
+	}
+	return list
 }
 
 func (f *Fleet) rent(w http.ResponseWriter, rental protocol.Rental) {
 	names, again := f.requests[rental.Request]
 	if !again {
 		for range min(rental.Count, f.settings.Most-len(f.workers)) {
-			f.last++
-			m := &worker{f: f, name: fmt.Sprintf("m-%06d", f.last), session: 1, gone: make(chan struct{})}
-			f.workers[m.name] = m
-			names = append(names, m.name)
-			f.wait.Go(m.run)
+			names = append(names, f.add())
 		}
 		if len(names) == 0 {
 			answer(w, 503, map[string]string{"error": "no capacity"})
 			return
 		}
+		f.orders.add(OrderRent, len(names), false)
 		f.requests[rental.Request] = names
 	}
 	answer(w, 200, protocol.MachineNames{Machines: names})
 }
 
+// add makes a machine and starts its worker.
+func (f *Fleet) add() string {
+	f.last++
+	m := &worker{f: f, name: fmt.Sprintf("m-%06d", f.last), session: 1, rented: time.Now(), gone: make(chan struct{}),
+		rng: rand.New(rand.NewPCG(f.settings.Seed, uint64(f.last)))}
+	f.workers[m.name] = m
+	f.wait.Go(m.run)
+	return m.name
+}
+
 // end takes a machine away with all that runs on it.
 func (f *Fleet) end(name string) {
 	if m := f.workers[name]; m != nil {
@@ -145,160 +306,14 @@
 	}
 }
 
-// worker is a machine's worker.
-type worker struct {
-	f            *Fleet
-	name         string
-	node         string
-	session, seq uint64
-	token        uint64
-	tasks        []*task
-	renewed      time.Time
-	gone         chan struct{}
-}
-
-type task struct {
-	protocol.TaskReport
-	ends time.Time
-}
-
-// kill ends all tasks; the fleet is locked.
-func (m *worker) kill() {
-	for _, t := range m.tasks {
-		m.exit(t, protocol.WhyHalted)
-	}
-	m.tasks = nil
-}
-
-func (m *worker) exit(t *task, why string) {
-	if t.State != protocol.TaskExited {
-		t.State, t.Why = protocol.TaskExited, why
-		m.f.running[t.Task]--
-	}
-}
-
-func (m *worker) run() {
-	client := &http.Client{Timeout: protocol.ReportTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
-	defer client.CloseIdleConnections()
-	if !m.pause(m.f.settings.Boot) {
-		return
-	}
-	m.renewed = time.Now()
-	for {
-		began := time.Now()
-		status, body := m.post(client, m.report())
-		pause := m.f.settings.Report
-		if !m.take(status, body, began) {
-			pause = min(pause, time.Second)
-		}
-		if !m.pause(pause) {
-			return
-		}
-	}
-}
-
-// pause waits, and tells whether the machine is still there.
-func (m *worker) pause(d time.Duration) bool {
-	select {
-	case <-m.f.over:
-		return false
-	case <-m.gone:
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
-func (m *worker) report() []byte {
-	f := m.f
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if time.Since(m.renewed) > f.settings.Lease {
-		m.session++
-		m.kill()
-		m.renewed = time.Now()
-	}
-	m.seq++
-	r := protocol.Report{Machine: m.name, Address: m.name + ":1", Type: "c4", Zone: "a", Spot: true, Session: m.session, Seq: m.seq, FencingToken: m.token}
-	for _, t := range m.tasks {
-		if time.Now().After(t.ends) {
-			m.exit(t, protocol.WhyDone)
-		}
-		r.Tasks = append(r.Tasks, t.TaskReport)
-	}
-	return storage.Encode(r)
-}
-
-func (m *worker) post(client *http.Client, body []byte) (int, []byte) {
-	m.f.mu.Lock()
-	nodes := m.f.settings.Nodes
-	if _, known := nodes[m.node]; !known {
-		m.node = m.nextNode()
+// runTime is how long a task takes: the same on all machines, and by a tenth more or less than its
+// job's estimate.
+func (f *Fleet) runTime(key string) time.Duration {
+	if f.settings.RunTime > 0 {
+		return f.settings.RunTime
 	}
-	address := nodes[m.node]
-	m.f.mu.Unlock()
-	resp, err := client.Post("http://"+address+"/v1/report", "application/json", bytes.NewReader(body))
-	if err != nil {
-		return 0, nil
-	}
-	defer resp.Body.Close()
-	raw, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, nil
-	}
-	return resp.StatusCode, raw
+	luck := float64(xxhash.Sum64String(key)%1000)/1000 - 0.5
+	return config.Seconds(f.jobs[jobOf(key)].EstimateS * (1 + luck/5))
 }
 
-// nextNode is the controller after the worker's own, by name.
-func (m *worker) nextNode() string {
-	names := make([]string, 0, len(m.f.settings.Nodes))
-	for name := range m.f.settings.Nodes {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names[(slices.Index(names, m.node)+1)%len(names)]
-}
-
-// take carries out an answer, and tells whether it was one.
-func (m *worker) take(status int, body []byte, began time.Time) bool {
-	f := m.f
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch status {
-	case 200:
-		var a protocol.ReportAnswer
-		if json.Unmarshal(body, &a) != nil || a.FencingToken < m.token || time.Since(began) > protocol.ReportTimeout {
-			return true
-		}
-		m.token, m.renewed = a.FencingToken, began
-		for _, c := range a.Commands {
-			m.execute(c)
-		}
-		return true
-	case 421:
-		var to protocol.Redirect
-		if json.Unmarshal(body, &to) == nil && to.ReportTo != "" && to.ReportTo != m.node {
-			m.node = to.ReportTo
-			return true
-		}
-	}
-	m.node = m.nextNode()
-	return false
-}
-
-func (m *worker) execute(c protocol.Command) {
-	at := slices.IndexFunc(m.tasks, func(t *task) bool { return t.Task == c.Task && t.Attempt == c.Attempt })
-	switch {
-	case c.Op == protocol.OpStart && at < 0:
-		f := m.f
-		f.starts[c.Task]++
-		if f.running[c.Task]++; f.running[c.Task] > 1 {
-			f.twice = append(f.twice, c.Task)
-		}
-		m.tasks = append(m.tasks, &task{protocol.TaskReport{Task: c.Task, Attempt: c.Attempt, State: protocol.TaskRunning}, time.Now().Add(f.settings.RunTime)})
-	case c.Op == protocol.OpStop && at >= 0:
-		m.exit(m.tasks[at], protocol.WhyHalted)
-	case c.Op == protocol.OpForget && at >= 0:
-		m.tasks = slices.Delete(m.tasks, at, at+1)
-	}
-}
+func jobOf(key string) string { id, _, _ := strings.Cut(key, "/"); return id }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -4,7 +4,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,7 +17,7 @@
 
 // State is a stand-in of the state service.
 type State struct {
-	Server *httptest.Server
+	Server *Server
 
 	mu       sync.Mutex
 	down     bool
@@ -42,7 +41,7 @@
 // NewState starts a state service that takes so many changes a second.
 func NewState(writeRPS float64) *State {
 	s := &State{keys: map[string]storage.Item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), rps: writeRPS, tokens: writeRPS, filledAt: time.Now()}
-	s.Server = httptest.NewServer(s)
+	s.Server = newServer(s)
 	return s
 }
 
--- a/internal/toolbox/toolbox_test.go
+++ b/internal/toolbox/toolbox_test.go
@@ -12,6 +12,7 @@
 
 	"hitchdoor/internal/admission"
 	"hitchdoor/internal/reachability"
+	"hitchdoor/internal/recovery"
 )
 
 // nodes starts a stand-in for each node that answers every question with a value.
@@ -49,6 +50,11 @@
 	link := func(name string, leads bool, follows string, heard ...string) reachability.NodeStatus {
 		return reachability.NodeStatus{Node: name, Known: []string{"n0", "n1"}, Hears: hears(heard...), FreshMS: 1000, Leads: leads, Follows: follows, State: true}
 	}
+	recoveryOf := func(values ...recovery.NodeStatus) func(*bytes.Buffer) error {
+		return func(out *bytes.Buffer) error { return Recovery(out, nodes(t, values...)) }
+	}
+	leading := recovery.NodeStatus{Node: "n0", Leads: true, Term: 4, Recovery: &recovery.Status{Phase: "collecting", Paced: true, WaitsFor: "3 of 60 machines",
+		Mismatches: map[string]int{"job_never_stored": 2}, Budgets: []recovery.Budget{{Order: "start"}}}}
 	for name, x := range map[string]struct {
 		ask          func(*bytes.Buffer) error
 		prints, lack string // lack: of the error; empty: none
@@ -65,7 +71,17 @@
 		"links one silent":     {linksOf(link("n0", true, "", "n1")), "unknown", "what n1 hears is unknown"},
 		"links two lead":       {linksOf(link("n0", true, "", "n1"), link("n1", true, "", "n0")), "leads", "different leaders: n0, n1"},
 		"links none lead":      {linksOf(link("n0", false, "", "n1"), link("n1", false, "", "n0")), "follows nobody", "nobody leads"},
-		"links one name twice": {linksOf(link("n0", true, "", "n1"), link("n0", true, "", "n1")), "", "calls itself n0"},
+		"recovery fine":        {recoveryOf(leading, recovery.NodeStatus{Node: "n1", Follows: "n0", Term: 4}), "waits for 3 of 60 machines", ""},
+		"recovery of one silent": {func(out *bytes.Buffer) error {
+			o := nodes(t, leading)
+			o.Nodes = append(o.Nodes, "127.0.0.1:1")
+			return Recovery(out, o)
+		}, "job_never_stored  2", "127.0.0.1:1: no answer"},
+		"recovery two lead":       {recoveryOf(leading, recovery.NodeStatus{Node: "n1", Leads: true, Recovery: &recovery.Status{}}), "n0 leads for", "different leaders: [n0 n1]"},
+		"recovery none leads":     {recoveryOf(recovery.NodeStatus{Node: "n0"}), "follows nobody", "no leader answers"},
+		"recovery sets aside":     {recoveryOf(recovery.NodeStatus{Node: "n0", Leads: true, Recovery: &recovery.Status{}, SetAside: []recovery.Record{{Key: "job/j-1", Reason: "is torn", Newer: true}}}), "is torn (a newer", "1 records are set aside"},
+		"recovery one name twice": {recoveryOf(leading, leading), "", "calls itself n0"},
+		"links one name twice":    {linksOf(link("n0", true, "", "n1"), link("n0", true, "", "n1")), "", "calls itself n0"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			out := &bytes.Buffer{}
