hitchdoor emulate: whole controllers on one machine, all of them lost and brought back

Change: emulate starts stand-ins, emulated workers, users and controllers as child processes, ends all controllers, disturbs some machines, brings the controllers back, and reports what workers and users saw: starts twice at once, wrong stops, forgotten jobs, orders a second against the limit, times of the recovery, mismatches by kind.

--- a/cmd/hitchdoor/main.go
+++ b/cmd/hitchdoor/main.go
@@ -77,6 +77,7 @@
 		Run:   func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "hitchdoor", buildVersion()) },
 	})
 	cmd.AddCommand(tools()...)
+	cmd.AddCommand(emulate())
 	return cmd
 }
 
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -125,7 +125,7 @@
 	return r.name
 }
 
-func taskKey(id string, index int) string { return id + "/" + utoa(uint64(index)) }
+func taskKey(id string, index int) string { return protocol.TaskKey(id, index) }
 
 func splitTask(key string) (id string, index int, ok bool) {
 	for i := len(key) - 1; i > 0; i-- {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -5,6 +5,7 @@
 	"errors"
 	"regexp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/segmentio/encoding/json"
@@ -208,6 +209,9 @@
 	return &r, nil
 }
 
+// TaskKey is the name of a job's task, by its number.
+func TaskKey(job string, index int) string { return job + "/" + strconv.Itoa(index) }
+
 // Command tells a worker what to do with a task.
 type Command struct {
 	Op      string   `json:"ordem"`
--- a/internal/recovery/pacing.go
+++ b/internal/recovery/pacing.go
@@ -52,7 +52,7 @@
 	leastTaskBurst    = 4
 	leastMachineBurst = 8
 	// machineBurstShare is one machine in so many that may be rented or returned at once.
-	machineBurstShare = 50
+	machineBurstShare = 16
 )
 
 // Rate is the limit of one kind of order: so many a second, and so many at once on top.
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -67,6 +67,20 @@
 	return item, ok
 }
 
+// Items lists what is stored under a prefix, by key.
+func (s *State) Items(prefix string) []storage.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var items []storage.Item
+	for key, item := range s.keys {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, item)
+		}
+	}
+	slices.SortFunc(items, func(a, b storage.Item) int { return strings.Compare(a.Key, b.Key) })
+	return items
+}
+
 // Count counts the keys with a prefix.
 func (s *State) Count(prefix string) int {
 	s.mu.Lock()
