--- a/internal/coordination/simulated_cloud_test.go
+++ b/internal/coordination/simulated_cloud_test.go
@@ -24,6 +24,7 @@
 	noSpot   bool
 	capacity int // machines to be had in all; 0: any number
 	noReturn bool
+	hides    bool // machine lists are empty
 	boot     time.Duration
 	bootOf   func() time.Duration // of the next machine
 	types    []protocol.MachineType
@@ -68,15 +69,17 @@
 		json.Unmarshal(call.Body, &m)
 		for _, name := range m.Machines {
 			if x := c.w.workers[name]; x != nil {
-				x.disconnect()
+				c.take(x)
 			}
-			delete(c.w.workers, name)
 			delete(c.hosts, name)
 		}
 		back(200, nil)
 	case strings.HasPrefix(call.Path, "/hosts?"):
 		var list protocol.HostList
 		for _, x := range c.hosts {
+			if c.hides {
+				break
+			}
 			list.Machines = append(list.Machines, protocol.Host{UID: x.name, Type: x.typ, Zone: x.zone, Spot: x.spot, State: "running"})
 		}
 		sort.Slice(list.Machines, func(i, j int) bool { return list.Machines[i].UID < list.Machines[j].UID })
@@ -86,6 +89,13 @@
 	}
 }
 
+// take takes a machine away without any notice.
+func (c *fakeCloud) take(x *worker) {
+	x.disconnect()
+	delete(c.w.workers, x.name)
+	delete(c.hosts, x.name)
+}
+
 func (c *fakeCloud) rent(typ, zone string, spot bool) *worker {
 	c.last++
 	x := &worker{w: c.w, name: fmt.Sprintf("m-%06d", c.last), typ: typ, zone: zone, spot: spot, session: 1,
@@ -307,6 +317,7 @@
 		if i >= 0 && x.tasks[i].state != protocol.TaskExited {
 			x.grace = append(x.grace, *c.GraceS)
 			t := x.tasks[i]
+			x.w.stoppedTasks = append(x.w.stoppedTasks, t.key)
 			t.state, t.why = protocol.TaskExited, protocol.WhyHalted
 			j := x.w.specs[jobOf(c.Task)]
 			t.saved = j.CheckpointS > 0 && *c.GraceS >= j.SaveS
--- a/internal/coordination/simulation_test.go
+++ b/internal/coordination/simulation_test.go
@@ -29,37 +29,38 @@
 const step = 5 * time.Millisecond
 
 type simulation struct {
-	t         *testing.T
-	now       Instant
-	cfg       config.Cluster
-	nodes     map[string]*simNode
-	names     []string
-	state     *fakeState
-	cloud     *fakeCloud
-	workers   map[string]*worker
-	ordered   []*worker
-	specs     map[string]protocol.Job
-	events    events
-	planned   int
-	cut       map[[2]string]bool // between nodes
-	oneWay    map[[2]string]bool // the same, of messages from the first to the second only
-	holds     bool               // cuts between nodes keep messages, which arrive once they end
-	kept      []event
-	far       map[string]bool                   // nodes that no worker reaches
-	reach     func(x *worker, node string) bool // nil: every worker reaches all others
-	noReports map[string]bool                   // nodes that workers' reports don't reach
-	noAnswers map[string]bool                   // nodes whose answers don't reach workers
-	runTime   func(task string, attempt int) time.Duration
-	copies    func(x *worker, rep *protocol.Report)         // sees every report that is sent
-	mangle    func(node string, call Call, r Result) Result // alters the answers of outside services
-	instead   func(call Call) (r Result, ok bool)           // answers calls at once, in the place of outside services
-	starts    map[string]int                                // by task
-	mistake   map[string]bool                               // jobs that fail on every machine
-	old       map[string]bool                               // nodes that start with level 0
-	wallOff   map[string]time.Duration                      // by how much nodes' times of day are wrong
-	fair      bool                                          // admission by policy is switched on
-	sockets   int                                           // connections that each node takes; 0: any number
-	open      map[string]int                                // by node: workers' connections
+	t            *testing.T
+	now          Instant
+	cfg          config.Cluster
+	nodes        map[string]*simNode
+	names        []string
+	state        *fakeState
+	cloud        *fakeCloud
+	workers      map[string]*worker
+	ordered      []*worker
+	specs        map[string]protocol.Job
+	events       events
+	planned      int
+	cut          map[[2]string]bool // between nodes
+	oneWay       map[[2]string]bool // the same, of messages from the first to the second only
+	holds        bool               // cuts between nodes keep messages, which arrive once they end
+	kept         []event
+	far          map[string]bool                   // nodes that no worker reaches
+	reach        func(x *worker, node string) bool // nil: every worker reaches all others
+	noReports    map[string]bool                   // nodes that workers' reports don't reach
+	noAnswers    map[string]bool                   // nodes whose answers don't reach workers
+	runTime      func(task string, attempt int) time.Duration
+	copies       func(x *worker, rep *protocol.Report)         // sees every report that is sent
+	mangle       func(node string, call Call, r Result) Result // alters the answers of outside services
+	instead      func(call Call) (r Result, ok bool)           // answers calls at once, in the place of outside services
+	starts       map[string]int                                // by task
+	stoppedTasks []string                                      // by command
+	mistake      map[string]bool                               // jobs that fail on every machine
+	old          map[string]bool                               // nodes that start with level 0
+	wallOff      map[string]time.Duration                      // by how much nodes' times of day are wrong
+	fair         bool                                          // admission by policy is switched on
+	sockets      int                                           // connections that each node takes; 0: any number
+	open         map[string]int                                // by node: workers' connections
 	invariantChecker
 }
 
