--- /dev/null
+++ b/internal/emulator/emulator_test.go
@@ -0,0 +1,165 @@
+package emulator
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/config"
+	"hitchdoor/internal/daemon"
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/recovery"
+	"hitchdoor/internal/standin"
+)
+
+// TestMain lets the test's own program stand for that of the controllers.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 3 && os.Args[1] == "--config" {
+		p, err := config.Load(os.Args[2])
+		if err == nil {
+			err = daemon.Run(context.Background(), p, config.Defaults(), "test", slog.New(slog.NewTextHandler(io.Discard, nil)))
+		}
+		os.Stderr.WriteString(err.Error() + "\n")
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+func testOptions(t *testing.T) Options {
+	return Options{Machines: 50, Controllers: 3, For: 24 * time.Second, LoseAt: 8 * time.Second, Away: 3 * time.Second, Seed: 1, Load: 0.7,
+		ReportFile: filepath.Join(t.TempDir(), "report.json")}
+}
+
+// Three controllers, as processes of their own, are killed at once and brought back, within the
+// workers' lease and after it. At the workers no task is started twice at once, none is stopped
+// that ran rightly, and orders stay within their limit; no user's job is forgotten.
+func TestControllersLostAndBack(t *testing.T) {
+	for name, away := range map[string]time.Duration{"within the lease": 3 * time.Second, "after the lease": 7 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := testOptions(t)
+			o.Away = away
+			summary := &bytes.Buffer{}
+			o.Out = summary
+			report, err := Run(context.Background(), o)
+			if err != nil {
+				t.Fatalf("%v\n%s", err, summary)
+			}
+			if report.StoppedWrongly != 0 || report.Jobs.Accepted == 0 || report.Jobs.Finished == 0 || report.Tasks.Started == 0 {
+				t.Errorf("report %+v", report)
+			}
+			if report.Recovery.FirstOrder == nil || report.Recovery.Normal == nil || report.Orders.Peak == 0 {
+				t.Errorf("no recovery: %s", summary)
+			}
+			want := []recovery.Mismatch{recovery.MachineSilent, recovery.JobNotRunning}
+			if away < leastLease {
+				want = []recovery.Mismatch{recovery.MachineSilent, recovery.JobNeverStored, recovery.AsStored}
+			}
+			for _, kind := range want {
+				if report.Mismatches[kind.String()] == 0 {
+					t.Errorf("no %v among %v", kind, report.Mismatches)
+				}
+			}
+			var stored Report
+			raw, err := os.ReadFile(o.ReportFile)
+			if err != nil || json.Unmarshal(raw, &stored) != nil || stored.Jobs != report.Jobs {
+				t.Errorf("the report's file: %v, %s", err, raw)
+			}
+		})
+	}
+}
+
+// What can't be run is said in one line, and nothing is left behind, nor by an interrupt.
+func TestRunsThatFail(t *testing.T) {
+	for name, x := range map[string]struct {
+		change func(o *Options)
+		want   string
+	}{
+		"no machines":              {func(o *Options) { o.Machines = 0 }, "--machines:"},
+		"too many controllers":     {func(o *Options) { o.Controllers = 99 }, "--controllers:"},
+		"not back in time":         {func(o *Options) { o.Away = time.Minute }, "--for: ends after"},
+		"no such program":          {func(o *Options) { o.Program = "/nowhere" }, "--program:"},
+		"a program that ends":      {func(o *Options) { o.Program = "/bin/false" }, "controller n"},
+		"no such settings":         {func(o *Options) { o.Settings = "/nowhere" }, "settings:"},
+		"a report in no directory": {func(o *Options) { o.ReportFile, o.For, o.LoseAt = "/nowhere/r", 2*time.Second, 0 }, "--report:"},
+		"interrupted":              {func(*Options) {}, ErrInterrupted.Error()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Setenv("TMPDIR", t.TempDir())
+			o := testOptions(t)
+			x.change(&o)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if name == "interrupted" {
+				time.AfterFunc(4*time.Second, cancel)
+			}
+			_, err := Run(ctx, o)
+			if err == nil || !strings.Contains(err.Error(), x.want) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("error %v", err)
+			}
+			if left, _ := os.ReadDir(os.Getenv("TMPDIR")); len(left) > 0 {
+				t.Errorf("left behind: %v", left)
+			}
+		})
+	}
+}
+
+// A report with anything that may not be ends in an error that names it.
+func TestFailures(t *testing.T) {
+	for want, r := range map[string]Report{
+		"1 tasks were started": {DuplicateStarts: 1}, "1 accepted jobs": {Jobs: Jobs{Forgotten: 1}},
+		"12 orders":         {Orders: OrderRates{Peak: 12, Limit: 11.5}},
+		"1 cancelled tasks": {RanCancelled: 1},
+	} {
+		var failure *FailureError
+		if err := r.Failure(); !errors.As(err, &failure) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, not %s", err, want)
+		}
+	}
+}
+
+// Orders are counted in each window of a second, of cancelled work not at all.
+func TestRates(t *testing.T) {
+	from := time.Unix(1000, 0)
+	var orders []standin.Order
+	for _, ms := range []int{100, 900, 1050, 1099, 1100, 2500, 9000} {
+		orders = append(orders, standin.Order{At: from.Add(time.Duration(ms) * time.Millisecond), Kind: standin.OrderStart, Cancelled: ms == 1099})
+	}
+	if rates := ratesOf(orders, from, from.Add(5*time.Second)); rates.Peak != 3 || rates.PeakByKind["start"] != 3 || rates.P99 < 2 || rates.P50 > 1 {
+		t.Errorf("rates %+v", rates)
+	}
+}
+
+// What workers hold is told apart as a leader does.
+func TestMismatches(t *testing.T) {
+	task := func(key, state, why string) protocol.TaskReport {
+		return protocol.TaskReport{Task: key, Attempt: 1, State: state, Why: why}
+	}
+	held := []standin.Held{
+		{Machine: "m-1", Tasks: []protocol.TaskReport{task("j-open/0", protocol.TaskRunning, ""), task("j-open/1", protocol.TaskExited, protocol.WhyDone), task("j-open/2", protocol.TaskRunning, "")}},
+		{Machine: "m-2", Silent: true, Tasks: []protocol.TaskReport{task("j-open/0", protocol.TaskRunning, ""), task("j-over/0", protocol.TaskRunning, ""), task("j-never/0", protocol.TaskRunning, "")}},
+	}
+	r := records{open: map[string]bool{"j-open": true, "j-idle": true}, over: map[string]bool{"j-over": true},
+		machines: map[string]bool{"m-1": true, "m-3": true}, finished: map[string]bool{"j-open/2": true}}
+	counts := mismatchesOf(held, r)
+	want := map[string]int{"as_stored": 1, "on_two_machines": 1, "finished_not_stored": 1, "finished_runs_again": 1, "job_is_over": 1, "job_never_stored": 1,
+		"job_not_running": 1, "machine_not_recorded": 1, "machine_silent": 2}
+	got := counts.ByName()
+	for kind, count := range want {
+		if got[kind] != count {
+			t.Errorf("%d %s, not %d", got[kind], kind, count)
+		}
+	}
+	if len(got) != len(want) {
+		t.Errorf("counts %v", got)
+	}
+}
