--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -78,7 +78,7 @@
 	scheduled     Instant
 	preemptedAt   Instant
 	timers        []timer
-	fleet         fleet
+	fleet         fleetControl
 	admission     admissionControl
 }
 
@@ -172,7 +172,7 @@
 		{storage.GroupPrefix, l.loadGroups},
 		{storage.MachinePrefix, l.loadMachines},
 		{storage.RentPrefix, l.loadRentals},
-		{storage.FlowKey, l.fleet.loadFlows},
+		{storage.FlowKey, l.fleet.loadForecast},
 		{storage.CatalogKey, l.knowAll},
 		{storage.PolicyKey, l.admission.load},
 	}
--- a/internal/coordination/recovering.go
+++ b/internal/coordination/recovering.go
@@ -144,19 +144,14 @@
 		return true
 	}
 	for o := range totals.unknownOptions {
-		if mayUse(&j.spec, o) {
+		// Sizes in the catalogue may have been others when an earlier leader started it.
+		if o.MayServe(&j.spec) {
 			return true
 		}
 	}
 	return false
 }
 
-// mayUse tells whether a job may use a machine of some type, zone and kind, by what it asks for
-// alone: sizes in the catalogue may have been others when an earlier leader started it.
-func mayUse(j *protocol.Job, o option) bool {
-	return (len(j.Types) == 0 || slices.Contains(j.Types, o.typ)) && (j.Zone == "" || j.Zone == o.zone) && (j.Spot || !o.spot)
-}
-
 // judgeTask tells what to do with a reported task, and counts it if it is not as stored.
 func (l *leadership) judgeTask(m *machine, j *job, id string, index int, r *run, t protocol.TaskReport, shown bool) recovery.Action {
 	facts := recovery.Task{Job: l.jobState(id, j), Exited: t.State == protocol.TaskExited, Done: t.Why == protocol.WhyDone,
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hitchdoor/internal/config"
+	"hitchdoor/internal/fleet"
 	"hitchdoor/internal/protocol"
 )
 
@@ -29,24 +30,8 @@
 	waitNothing    waitReason = ""
 )
 
-func fitsType(j *protocol.Job, t *protocol.MachineType) bool {
-	if len(j.Types) > 0 && !slices.Contains(j.Types, t.Name) {
-		return false
-	}
-	if j.Zone != "" && len(t.Zones) > 0 && !slices.Contains(t.Zones, j.Zone) {
-		return false
-	}
-	return j.Cores <= t.Cores && j.RAM <= t.RAM && j.Accelerators <= t.Accelerators
-}
-
-// fitsOption tells whether the job may use such a machine at all.
-func fitsOption(j *protocol.Job, o option, k *protocol.MachineType) bool {
-	return k != nil && fitsType(j, k) && (j.Zone == "" || j.Zone == o.zone) && (j.Spot || !o.spot)
-}
-
-func allowed(j *protocol.Job, m *machine) bool {
-	return fitsOption(j, option{m.typ, m.zone, m.spot}, m.kind)
-}
+// allowed tells whether a job may use a machine at all.
+func allowed(j *protocol.Job, m *machine) bool { return m.option().Fits(j, m.kind) }
 
 // ready tells whether a machine takes tasks: it has heard this leader, so that no
 // late copy of a report makes room where there is none.
@@ -96,10 +81,10 @@
 	complete bool    // all are accounted for: nothing of an earlier leader runs unknown to this one
 	unknown  usage   // what may be in use without our knowing
 
-	held, largest  float64         // cores of all, and of the largest
-	unaccounted    int             // machines that are not accounted for
-	unknownOptions map[option]bool // what those are
-	anything       bool            // of some of those, not even that is known
+	held, largest  float64               // cores of all, and of the largest
+	unaccounted    int                   // machines that are not accounted for
+	unknownOptions map[fleet.Option]bool // what those are
+	anything       bool                  // of some of those, not even that is known
 }
 
 // currentTotals walks all machines, if one has changed since.
@@ -107,7 +92,7 @@
 	if l.totalsValid {
 		return l.totals
 	}
-	c := machineTotals{complete: true, unknownOptions: map[option]bool{}}
+	c := machineTotals{complete: true, unknownOptions: map[fleet.Option]bool{}}
 	if l.namesMissing() {
 		c.complete, c.anything, c.unknown = false, true, usage{math.Inf(1), math.Inf(1)}
 	}
@@ -118,7 +103,7 @@
 			c.complete = false
 			c.unaccounted++
 			c.anything = c.anything || m.typ == ""
-			c.unknownOptions[option{m.typ, m.zone, m.spot}] = true
+			c.unknownOptions[m.option()] = true
 		}
 		if m.kind == nil {
 			if !m.accounted || m.unknownTasks > 0 {
--- a/internal/coordination/submissions.go
+++ b/internal/coordination/submissions.go
@@ -5,6 +5,7 @@
 
 	"github.com/segmentio/encoding/json"
 
+	"hitchdoor/internal/fleet"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
@@ -40,7 +41,7 @@
 		return false
 	}
 	for _, t := range n.catalog {
-		if fitsType(j, t) {
+		if fleet.FitsType(j, t) {
 			return true
 		}
 	}
