--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -100,7 +100,7 @@
 
 func TestSettings(t *testing.T) {
 	s, err := LoadSettings(write(t, "slots_per_core: 3\nthrift: 0.5\n"))
-	if err != nil || s.SlotsPerCore != 3 || s.SlotsBase != 6 || *s.Thrift != 0.5 {
+	if err != nil || s.SlotsPerCore != 3 || s.SlotsBase != 6 || *s.PriceExponent != 0.5 {
 		t.Fatalf("%+v, %v", s, err)
 	}
 	if _, err := LoadSettings(write(t, "")); err != nil {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -24,10 +24,10 @@
 	Headroom float64 `yaml:"headroom"`
 	// IdleKeep is how long an idle machine is kept, as a ratio to its boot time.
 	IdleKeep float64 `yaml:"idle_keep"`
-	// Thrift is how much less spare capacity is held of dearer machines: the
+	// PriceExponent is how much less spare capacity is held of dearer machines: the
 	// spare part is scaled by (cheapest price / price) to this power. Without it,
 	// 0.3 where aims on starting are stated, and 2 elsewhere.
-	Thrift *float64 `yaml:"thrift"`
+	PriceExponent *float64 `yaml:"thrift"`
 	// LoadSteps is how finely machine loads are told apart in placement.
 	LoadSteps int `yaml:"load_steps"`
 	// FairAdmission lets the leader publish admission policies while more is submitted than
@@ -98,8 +98,8 @@
 }
 
 func (s *Settings) check() error {
-	if s.Thrift != nil && !(*s.Thrift >= 0 && *s.Thrift <= 10) {
-		return fmt.Errorf("thrift: must be within 0..10, is %v", *s.Thrift)
+	if s.PriceExponent != nil && !(*s.PriceExponent >= 0 && *s.PriceExponent <= 10) {
+		return fmt.Errorf("thrift: must be within 0..10, is %v", *s.PriceExponent)
 	}
 	for _, f := range []struct {
 		name           string
--- a/internal/coordination/admission_control.go
+++ b/internal/coordination/admission_control.go
@@ -54,7 +54,7 @@
 func (a *admissionControl) load(items []storage.Item) {
 	a.l.knowAll(items)
 	if len(items) == 0 {
-		a.l.n.policyEnded(a.l.watchRev)
+		a.l.n.policyEnded(a.l.watchRevision)
 	}
 	for _, it := range items {
 		if it.Key == storage.PolicyKey {
@@ -153,7 +153,7 @@
 	}
 	had := a.control.Policy() != nil
 	// Revisions grow by each policy, so a new series of epochs begins above all before it.
-	next := a.control.Next(loads, a.capacity(), max(l.watchRev, n.policy.revision)+1)
+	next := a.control.Next(loads, a.capacity(), max(l.watchRevision, n.policy.revision)+1)
 	if next == nil && !had {
 		return
 	}
--- a/internal/coordination/failures_test.go
+++ b/internal/coordination/failures_test.go
@@ -391,7 +391,7 @@
 // The sums behind the forecast decay over minutes. Once far more jobs in a row stay away
 // than luck explains, no machines are held for them; but silence while nothing could be
 // written, or for the time that users need to come back, says nothing.
-func TestForecastEbbsWhenJobsStayAway(t *testing.T) {
+func TestForecastDropsWhenJobsStayAway(t *testing.T) {
 	w := newSimulation(t, 3)
 	w.cloud.capacity = 1
 	l := w.waitLeader()
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -64,7 +64,7 @@
 			exponent, f.patient = impatientPriceExponent, false
 		}
 	}
-	if set := l.n.set.Thrift; set != nil {
+	if set := l.n.set.PriceExponent; set != nil {
 		exponent = *set
 	}
 	f.planner = fleet.NewPlanner(fleet.Settings{Headroom: l.n.set.Headroom, PriceExponent: exponent, Lease: l.n.lease()})
--- /dev/null
+++ b/internal/coordination/loading.go
@@ -0,0 +1,300 @@
+package coordination
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/segmentio/encoding/json"
+
+	"hitchdoor/internal/storage"
+)
+
+// How a new leader reads the stored records.
+
+// load reads all records. Nothing is decided before they are all there.
+func (l *leadership) load() {
+	steps := []struct {
+		prefix string
+		take   func([]storage.Item)
+	}{
+		{storage.VersionPrefix, l.n.takeVersions},
+		{storage.NeedsPrefix, l.loadNeeds}, // before the jobs: what is written later is read with them
+		{storage.JobPrefix, l.loadJobs},
+		{storage.BitsPrefix, l.loadBits},
+		{storage.GroupPrefix, l.loadGroups},
+		{storage.MachinePrefix, l.loadMachines},
+		{storage.RentPrefix, l.loadRentals},
+		{storage.FlowKey, l.fleet.loadForecast},
+		{storage.CatalogKey, l.knowAll},
+		{storage.PolicyKey, l.admission.load},
+	}
+	var next func(int)
+	next = func(i int) {
+		if i == len(steps) {
+			l.ready()
+			return
+		}
+		l.readAll(steps[i].prefix, "", steps[i].take, func() { next(i + 1) })
+	}
+	next(0)
+}
+
+// pageItems bounds one page of a listing, so that it fits the memory.
+const pageItems = 200
+
+func (l *leadership) readAll(prefix, since string, take func([]storage.Item), then func()) {
+	n := l.n
+	n.stateCall("GET", storage.ListPath(prefix, since, pageItems), nil, func(r Result) {
+		if n.lead != l {
+			return
+		}
+		var page storage.Page
+		if r.Status != 200 || json.Unmarshal(r.Body, &page) != nil {
+			l.later(func() { l.readAll(prefix, since, take, then) })
+			return
+		}
+		if prefix == storage.JobPrefix && since == "" {
+			l.watchRevision = page.Revision
+		}
+		take(page.Items)
+		if page.Truncated && len(page.Items) > 0 {
+			l.readAll(prefix, page.Items[len(page.Items)-1].Key, take, then)
+			return
+		}
+		then()
+	})
+}
+
+func (l *leadership) loadJobs(items []storage.Item) {
+	for _, it := range items {
+		id := strings.TrimPrefix(it.Key, storage.JobPrefix)
+		if l.quarantine.jobs[id] {
+			// Mended, or read once more. Its revision would say that no earlier leader can have
+			// started it, so only the next leader takes it.
+			l.quarantine.checkAt = l.n.now
+			continue
+		}
+		rec, err := storage.ReadJob(it)
+		if err != nil {
+			l.holdUnreadJob(id, it, err)
+			continue
+		}
+		if !rec.TakeNeeds(l.needs[id]) {
+			l.readNeeds(it, rec.More)
+			continue
+		}
+		delete(l.needs, id)
+		if _, over := l.n.finals.byID[id]; over && !l.loaded {
+			l.setAside(it, errOpenAndOver)
+			continue
+		}
+		if l.addJob(rec, it.Version) != nil {
+			bits := l.unreadBits[id]
+			delete(l.unreadBits, id)
+			l.loadBits(bits)
+		}
+	}
+}
+
+// loadNeeds reads what does not fit the records of the jobs that need it.
+func (l *leadership) loadNeeds(items []storage.Item) {
+	l.knowAll(items)
+	for _, it := range items {
+		id := storage.NeedsOf(it.Key)
+		if _, err := storage.ReadNeeds(it); err != nil {
+			l.holdUnreadJob(id, it, err)
+		}
+		l.needs[id] = append(l.needs[id], it)
+	}
+}
+
+// readNeeds does the same for one job that has come since. A job is not known before
+// all that it needs is: it would start at once.
+func (l *leadership) readNeeds(job storage.Item, records int) {
+	id := strings.TrimPrefix(job.Key, storage.JobPrefix)
+	if l.jobs[id] != nil || l.reading[id] || l.quarantine.jobs[id] {
+		return
+	}
+	if l.needsReads[id]++; l.needsReads[id] > maxNeedsReads {
+		l.holdUnreadJob(id, job, errNeedsMissing)
+		return
+	}
+	l.reading[id] = true
+	delete(l.needs, id)
+	l.readAll(storage.NeedsPrefix+id+"/", "", l.loadNeeds, func() {
+		delete(l.reading, id)
+		if len(l.needs[id]) != records {
+			l.later(func() { l.readNeeds(job, records) })
+			return
+		}
+		l.loadJobs([]storage.Item{job})
+	})
+}
+
+// maxNeedsReads is how often the jobs that a job needs are read: they were written together
+// with it, so they are all there unless a page was read before that.
+const maxNeedsReads = 3
+
+var errNeedsMissing = errors.New("names more records of the jobs that it needs than there are")
+
+// dropNeeds drops what is left of jobs that are over.
+func (l *leadership) dropNeeds() {
+	for _, id := range slices.Sorted(maps.Keys(l.needs)) {
+		for _, it := range l.needs[id] {
+			if l.jobs[id] == nil && !l.reading[id] && !l.quarantine.jobs[id] {
+				l.dropKnown(it.Key)
+			}
+		}
+		delete(l.needs, id)
+	}
+}
+
+func (l *leadership) loadBits(items []storage.Item) {
+	for _, it := range items {
+		l.writer.Know(it.Key, it.Version)
+		id, from, ok := storage.ParseBitsKey(it.Key, l.widePart)
+		if !ok {
+			continue // no name of ours: a newer version may know it
+		}
+		if l.reading[id] || l.quarantine.jobs[id] {
+			l.unreadBits[id] = append(l.unreadBits[id], it)
+			continue
+		}
+		j := l.jobs[id]
+		if j == nil {
+			l.dropKnown(it.Key)
+			continue
+		}
+		bits, err := storage.ReadBits(it)
+		if err != nil {
+			l.holdJob(j, it, err)
+			continue
+		}
+		if from >= j.spec.Tasks {
+			l.dropKnown(it.Key)
+			continue
+		}
+		at := slices.IndexFunc(j.parts, func(p *partState) bool { return p.key == it.Key })
+		if at >= 0 {
+			j.parts[at].stored = bits
+		}
+		for i := range bits {
+			for b := 0; b < 8; b++ {
+				index := from + i*8 + b
+				if bits[i]&(1<<b) != 0 && index < j.spec.Tasks {
+					l.setDone(j, index)
+				}
+			}
+		}
+		if at < 0 {
+			l.dropKnown(it.Key) // of another layout; what it holds is written first
+		}
+	}
+}
+
+// knowAll notes the versions of records that are read elsewhere.
+func (l *leadership) knowAll(items []storage.Item) {
+	for _, it := range items {
+		l.writer.Know(it.Key, it.Version)
+	}
+}
+
+func (l *leadership) loadGroups(items []storage.Item) {
+	for _, it := range items {
+		rec, unreadable, err := storage.ReadGroup(it)
+		if err != nil {
+			l.holdGroup(it, err)
+			continue
+		}
+		if len(unreadable) > 0 {
+			l.loadDamagedGroup(it, rec, unreadable)
+			continue
+		}
+		l.writer.Know(it.Key, it.Version)
+		g := l.newGroup(it.Key)
+		for name, r := range rec {
+			m := l.machines[name]
+			if m == nil {
+				m = l.loadMachine(name, r)
+			} else if m.group != nil {
+				// An earlier leader was about to move it.
+				m.group.remove(l, m)
+				l.storeGroup(m.group, false)
+			}
+			m.used = m.used || r.Used
+			m.wantsUse, m.accounted = m.used, !m.used
+			g.add(l, m)
+			if !r.Used && m.used {
+				l.storeGroup(g, true) // before the other group's record, which says so, goes
+			}
+		}
+	}
+}
+
+// loadDamagedGroup takes over the machines of a group of which some entries can't be read. The
+// group is set aside, and its machines are recorded in others. Of one whose entry can't be read
+// only the name is known, so it may be running anything.
+func (l *leadership) loadDamagedGroup(it storage.Item, rec storage.GroupRecord, unreadable []string) {
+	slices.Sort(unreadable)
+	l.setAside(it, fmt.Errorf("the entries of these machines can't be read: %s", strings.Join(unreadable, ", ")))
+	for _, name := range unreadable {
+		rec[name] = storage.MachineRecord{Used: true, AtMS: l.n.wallMS()}
+	}
+	for _, name := range slices.Sorted(maps.Keys(rec)) {
+		m := l.machines[name]
+		if m == nil {
+			m = l.loadMachine(name, rec[name])
+		}
+		m.used = m.used || rec[name].Used
+		m.accounted = m.accounted && !rec[name].Used
+		if m.typ != "" {
+			l.record(m, m.used)
+		}
+	}
+}
+
+// loadMachines reads the records of single machines that earlier versions wrote,
+// and moves them into groups.
+func (l *leadership) loadMachines(items []storage.Item) {
+	for _, it := range items {
+		var rec storage.MachineRecord
+		name := strings.TrimPrefix(it.Key, storage.MachinePrefix)
+		if err := json.Unmarshal(it.Value, &rec); err != nil {
+			l.setAside(it, err)
+			if l.machines[name] == nil {
+				l.loadMachine(name, storage.MachineRecord{Used: true, AtMS: l.n.wallMS()})
+			}
+			continue
+		}
+		l.writer.Know(it.Key, it.Version)
+		m := l.machines[name]
+		if m == nil {
+			m = l.loadMachine(name, rec)
+		}
+		m.accounted = m.accounted && !rec.Used
+		l.record(m, rec.Used)
+		l.dropKnown(it.Key)
+	}
+}
+
+func (l *leadership) loadMachine(name string, rec storage.MachineRecord) *machine {
+	m := l.newMachine(name, rec.Type, rec.Zone, rec.Spot)
+	m.accounted = !rec.Used
+	m.rentedAt = min(l.n.instantOf(rec.AtMS), l.n.now)
+	return m
+}
+
+func (l *leadership) loadRentals(items []storage.Item) {
+	for _, it := range items {
+		rental, err := storage.ReadRental(it)
+		if err != nil {
+			l.setAside(it, err)
+			continue
+		}
+		l.writer.Know(it.Key, it.Version)
+		l.fleet.rentals = append(l.fleet.rentals, &renting{Rental: rental, durable: true})
+	}
+}
--- a/internal/coordination/pipelines_test.go
+++ b/internal/coordination/pipelines_test.go
@@ -444,7 +444,7 @@
 	if !w.until(30*time.Second, func() bool { return w.onMachines("j-b") == 1 }) || silenced == 0 {
 		t.Fatal("not started")
 	}
-	if l.lead.complete {
+	if l.lead.accountedBefore {
 		t.Errorf("started only when all machines were accounted for, %v after the takeover", w.now-took)
 	}
 }
--- a/internal/coordination/quarantine.go
+++ b/internal/coordination/quarantine.go
@@ -47,9 +47,8 @@
 	if l.quarantine.holds(it.Key) {
 		return
 	}
-	record := l.n.damaged(it, err)
-	l.quarantine.records[it.Key] = record
-	l.quarantine.checkAt = l.n.now + l.n.lease()
+	l.quarantine.records[it.Key] = l.n.damaged(it, err)
+	l.quarantine.checkAt = l.n.now // its job may be over, which is to be known soon
 }
 
 // damaged describes and logs a record that can't be used.
@@ -115,9 +114,13 @@
 	}
 }
 
-// checkRecord reads a record that was set aside, and resigns if it has changed.
+// checkRecord reads a record that was set aside, and resigns if it has changed. It also finds out
+// whether the record's job is over.
 func (l *leadership) checkRecord(record *damagedRecord) {
 	n := l.n
+	if id := storage.JobOf(record.key); l.quarantine.jobs[id] {
+		n.readFinal(id, func(bool, *storage.FinalRecord) {})
+	}
 	n.stateCall("GET", "/store/"+record.key, nil, func(r Result) {
 		var item storage.Item
 		switch {
@@ -164,7 +167,7 @@
 	}
 	delete(n.unreadFinals, id)
 	n.finals.put(id, final)
-	if n.lead != nil {
+	if n.authority() {
 		n.lead.contradicted(id, final)
 	}
 }
--- a/internal/coordination/quarantine_test.go
+++ b/internal/coordination/quarantine_test.go
@@ -135,15 +135,19 @@
 	}
 }
 
-// A job that is open by one record and over by another is over, on every node.
+// A job that is open by one record, be that readable or not, and over by another is over, on every
+// node, and its tasks are stopped.
 func TestOpenAndOverIsOver(t *testing.T) {
-	for _, state := range []string{protocol.Done, protocol.Withdrawn} {
+	for i, state := range []string{protocol.Done, protocol.Withdrawn, protocol.Done, protocol.Withdrawn} {
 		w, _ := running(t, 3, time.Hour, 1, 2)
 		for i := range 2 {
 			w.finished[taskKey("j-1", i)] = state == protocol.Done
 		}
 		w.asked["j-1"] = true
 		w.state.put(storage.FinalKey("j-1"), storage.FinalRecord{State: state, Tasks: 2})
+		if i >= 2 {
+			w.state.damage(storage.JobKey("j-1"), `{}`)
+		}
 		w.endAll(2 * time.Second)
 		w.waitLeader()
 		w.run(10 * time.Second)
--- a/internal/coordination/recovering.go
+++ b/internal/coordination/recovering.go
@@ -19,7 +19,7 @@
 
 // tickRecovery moves the recovery on, and resigns if the records can't be read.
 func (l *leadership) tickRecovery() {
-	if l.recovery.ReadingTooLong(l.n.now) {
+	if !l.loaded && l.recovery.ReadingTooLong(l.n.now) {
 		l.n.stepDown("the records could not be read")
 		return
 	}
@@ -172,10 +172,10 @@
 func (l *leadership) jobState(id string, j *job) recovery.JobState {
 	_, over := l.n.finals.byID[id]
 	switch {
-	case l.quarantine.jobs[id]:
-		return recovery.JobUnread
 	case j != nil && j.gone || over || l.over[id]:
 		return recovery.JobOver
+	case l.quarantine.jobs[id]:
+		return recovery.JobUnread
 	case j != nil:
 		return recovery.JobAccepted
 	default:
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -329,14 +329,14 @@
 	n := l.n
 	l.dirty, l.scheduled = false, n.now
 	l.order = l.waitingJobs()
-	l.pressed = l.quickWaits(l.order)
+	l.pressingWaited = l.quickWaits(l.order)
 	if len(l.order) == 0 {
 		l.renewReservations()
 		return
 	}
-	p := l.newPass(l.pressed)
-	if p.complete && !l.complete {
-		l.complete = true
+	p := l.newPass(l.pressingWaited)
+	if p.complete && !l.accountedBefore {
+		l.accountedBefore = true
 		n.log.Info("all machines accounted for", "after", n.now-l.since)
 	}
 	for _, m := range l.held() {
@@ -356,7 +356,7 @@
 	if len(l.order) == 0 || !m.ready() || m.emptying || !m.hasSpace() {
 		return
 	}
-	p := l.newPass(l.pressed)
+	p := l.newPass(l.pressingWaited)
 	p.machines = []*machine{m}
 	l.admitAll(p)
 }
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -95,6 +95,9 @@
 		addresses = append(addresses, one.users)
 	}
 	e.users = newUsers(e.options, e.fleet, addresses)
+	if e.options.Out != nil {
+		fmt.Fprintf(e.options.Out, "running; to look at it: hitchdoor recovery --nodes %s\n", strings.Join(addresses, ","))
+	}
 	return nil
 }
 
--- a/internal/recovery/pacing.go
+++ b/internal/recovery/pacing.go
@@ -152,7 +152,7 @@
 			return r.refuse(now, share)
 		}
 	}
-	p.levels[order]--
+	p.levels[order] = math.Max(p.levels[order]-1, -burst) // cancelled work may overdraw it, but not for long
 	share.granted++
 	return true
 }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"strconv"
@@ -26,11 +27,13 @@
 	filledAt time.Time
 	keys     map[string]storage.Item
 	log      []storage.Event
-	revision uint64
-	leases   map[uint64]*lease
-	last     uint64
-	changed  chan struct{} // closed at the next change
-	accepted func(storage.Txn)
+	// forgotten is the last revision whose changes are not kept any more.
+	forgotten uint64
+	revision  uint64
+	leases    map[uint64]*lease
+	last      uint64
+	changed   chan struct{} // closed at the next change
+	accepted  func(storage.Txn)
 }
 
 type lease struct {
@@ -177,7 +180,7 @@
 			continue
 		}
 		s.keys[write.Set] = storage.Item{Key: write.Set, Value: write.Value, Version: s.revision, Lease: write.Lease}
-		s.log = append(s.log, storage.Event{Set: write.Set, Value: write.Value, Version: s.revision})
+		s.note(storage.Event{Set: write.Set, Value: write.Value, Version: s.revision})
 	}
 	if s.accepted != nil {
 		s.accepted(txn)
@@ -188,7 +191,30 @@
 
 func (s *State) drop(key string) {
 	delete(s.keys, key)
-	s.log = append(s.log, storage.Event{Drop: key, Version: s.revision})
+	s.note(storage.Event{Drop: key, Version: s.revision})
+}
+
+// keptEvents is how many changes a watch may go back.
+const keptEvents = 10_000
+
+// note keeps a change for watches; older ones are dropped some at a time.
+func (s *State) note(event storage.Event) {
+	if s.log = append(s.log, event); len(s.log) > 2*keptEvents {
+		s.forgotten = s.log[keptEvents-1].Version
+		s.log = slices.Clone(s.log[keptEvents:])
+	}
+}
+
+// since lists the changes of keys with a prefix after a revision.
+func (s *State) since(revision uint64, prefix string) []storage.Event {
+	first, _ := slices.BinarySearchFunc(s.log, revision+1, func(e storage.Event, revision uint64) int { return cmp.Compare(e.Version, revision) })
+	var events []storage.Event
+	for _, e := range s.log[first:] {
+		if strings.HasPrefix(e.Set+e.Drop, prefix) {
+			events = append(events, e)
+		}
+	}
+	return events
 }
 
 func (s *State) wake() {
@@ -252,13 +278,13 @@
 	for waiting := true; ; {
 		s.mu.Lock()
 		events := storage.Events{Revision: s.revision}
-		for _, e := range s.log {
-			if e.Version > since && strings.HasPrefix(e.Set+e.Drop, query.Get("under")) {
-				events.Log = append(events.Log, e)
-			}
-		}
-		changed, down := s.changed, s.down
+		events.Log = s.since(since, query.Get("under"))
+		changed, down, tooOld := s.changed, s.down, since < s.forgotten
 		s.mu.Unlock()
+		if tooOld && !down {
+			answer(w, 410, nil)
+			return
+		}
 		if !down && (len(events.Log) > 0 || !waiting) {
 			answer(w, 200, events)
 			return
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -50,6 +50,19 @@
 	return id
 }
 
+// JobOf is the job whose own record, or record of the jobs that it needs, has such a key; empty
+// for other keys.
+func JobOf(key string) string {
+	if strings.HasPrefix(key, NeedsPrefix) {
+		return NeedsOf(key)
+	}
+	id, ok := strings.CutPrefix(key, JobPrefix)
+	if !ok {
+		return ""
+	}
+	return id
+}
+
 // GroupNumber is the reverse of GroupKey.
 func GroupNumber(key string) int {
 	i, _ := strconv.Atoi(strings.TrimPrefix(key, GroupPrefix))
