--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -13,12 +13,12 @@
 	term  uint64
 	since Instant
 
-	jobBook
-	readingBook
+	jobTable
+	readingState
 	objectives
-	machineBook
-	scheduleBook
-	serviceBook
+	machineTable
+	scheduleState
+	serviceState
 
 	attempts  uint64
 	writer    *storage.Writer
@@ -32,8 +32,8 @@
 func newLeadership(n *Node, term, leaderVer uint64) *leadership {
 	l := &leadership{
 		n: n, term: term, since: n.now,
-		jobBook: newJobBook(n), readingBook: newReadingBook(n), objectives: newObjectives(&n.cfg.Cluster), machineBook: newMachineBook(n),
-		scheduleBook: scheduleBook{scheduled: never}, serviceBook: newServiceBook(n.now),
+		jobTable: newJobTable(n), readingState: newReadingState(n), objectives: newObjectives(&n.cfg.Cluster), machineTable: newMachineTable(n),
+		scheduleState: scheduleState{scheduled: never}, serviceState: newServiceState(n.now),
 		writer: storage.NewWriter(n.cfg.Cluster.State.Ops(), leaderVer), recovery: n.newRecovery(),
 	}
 	l.fleet.init(l)
--- a/internal/coordination/books.go
+++ b/internal/coordination/state.go
@@ -9,10 +9,10 @@
 	"hitchdoor/internal/storage"
 )
 
-// The leader's books, by what owns them.
+// What a leader knows, by what owns it.
 
-// jobBook holds the open jobs.
-type jobBook struct {
+// jobTable holds the open jobs.
+type jobTable struct {
 	jobs     map[string]*job
 	runnable map[string]*job   // those of them that wait for no others
 	after    map[string][]*job // those that wait for a job that is not known to be over, by its id
@@ -28,21 +28,21 @@
 // usage is what a team's tasks hold, from command to confirmed end.
 type usage struct{ cores, accelerators float64 }
 
-func newJobBook(n *Node) jobBook {
-	book := jobBook{
+func newJobTable(n *Node) jobTable {
+	table := jobTable{
 		jobs: map[string]*job{}, runnable: map[string]*job{}, after: map[string][]*job{}, over: map[string]bool{},
 		classes: map[string]*class{}, usage: map[string]*usage{},
 		partTasks: storage.PartTasks(n.cfg.Cluster.State.ValueBytes()),
 		widePart:  storage.PartTasks(int(n.cfg.Cluster.State.ValueKB * 1024)),
 	}
 	for _, t := range n.cfg.Cluster.Teams {
-		book.usage[t.Name] = &usage{}
+		table.usage[t.Name] = &usage{}
 	}
-	return book
+	return table
 }
 
-// readingBook holds what is being read from the state service.
-type readingBook struct {
+// readingState holds what is being read from the state service.
+type readingState struct {
 	loaded       bool                      // all records have been read
 	needs        map[string][]storage.Item // read before the jobs that need them
 	reading      map[string]bool           // jobs of which that is under way
@@ -58,9 +58,9 @@
 	watchFailures int // watches in a row of which nothing came
 }
 
-func newReadingBook(n *Node) readingBook {
+func newReadingState(n *Node) readingState {
 	reads := n.cfg.Cluster.State.RPS * lookupShare
-	return readingBook{
+	return readingState{
 		needs: map[string][]storage.Item{}, reading: map[string]bool{}, needsReads: map[string]int{}, unreadBits: map[string][]storage.Item{},
 		lookups: map[string]Instant{}, lookupBudget: newBucket(reads, reads), quarantine: newQuarantine(),
 	}
@@ -97,8 +97,8 @@
 	return o
 }
 
-// machineBook holds the machines, and the groups that record them.
-type machineBook struct {
+// machineTable holds the machines, and the groups that record them.
+type machineTable struct {
 	machines     map[string]*machine
 	gone         map[string]Instant // returned or taken, and when
 	sorted       []*machine         // by name; nil: to be made anew
@@ -112,13 +112,13 @@
 	groupsFrom int // the least number that a new one gets
 }
 
-func newMachineBook(n *Node) machineBook {
-	return machineBook{machines: map[string]*machine{}, gone: map[string]Instant{}, checkedAt: never,
+func newMachineTable(n *Node) machineTable {
+	return machineTable{machines: map[string]*machine{}, gone: map[string]Instant{}, checkedAt: never,
 		groupBytes: storage.GroupBytes(n.cfg.Cluster.State.ValueBytes())}
 }
 
-// scheduleBook holds what the last full pass has found.
-type scheduleBook struct {
+// scheduleState holds what the last full pass has found.
+type scheduleState struct {
 	dirty           bool // something has changed since
 	scheduled       Instant
 	order           []ranked      // jobs that wait
@@ -129,8 +129,8 @@
 	accountedBefore bool // all machines were accounted for once
 }
 
-// serviceBook holds what is known of how workers are served, here and elsewhere.
-type serviceBook struct {
+// serviceState holds what is known of how workers are served, here and elsewhere.
+type serviceState struct {
 	heardWorker    Instant
 	servesMostAt   Instant // when clearly more workers were last not stranded elsewhere
 	servedAt       Instant // when an answer was last known to have reached its worker
@@ -138,6 +138,6 @@
 	elsewhereSince Instant // since when workers come to other nodes
 }
 
-func newServiceBook(now Instant) serviceBook {
-	return serviceBook{heardWorker: now, servesMostAt: now, servedAt: now, servedDirectAt: now, elsewhereSince: never}
+func newServiceState(now Instant) serviceState {
+	return serviceState{heardWorker: now, servesMostAt: now, servedAt: now, servedDirectAt: now, elsewhereSince: never}
 }
