--- a/internal/emulator/controllers.go
+++ b/internal/emulator/controllers.go
@@ -205,6 +205,9 @@
 	}
 	select {
 	case <-one.ended:
+		if one.last == "" {
+			return one.command.ProcessState.String(), true
+		}
 		return one.last, true
 	default:
 		return "", false
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -92,7 +92,7 @@
 		"not back in time":         {func(o *Options) { o.Away = time.Minute }, "--for: ends after"},
 		"lost again, never lost":   {func(o *Options) { o.LoseAt, o.LoseAgain = 0, []time.Duration{time.Second} }, "--lose-again-after:"},
 		"no such program":          {func(o *Options) { o.Program = "/nowhere" }, "--program:"},
-		"a program that ends":      {func(o *Options) { o.Program = "/bin/false" }, "controller n"},
+		"a program that ends":      {func(o *Options) { o.Program = "/bin/false" }, "has ended: exit status 1"},
 		"no such settings":         {func(o *Options) { o.Settings = "/nowhere" }, "settings:"},
 		"a report in no directory": {func(o *Options) { o.ReportFile, o.For, o.LoseAt = "/nowhere/r", 2*time.Second, 0 }, "--report:"},
 		"interrupted":              {func(*Options) {}, ErrInterrupted.Error()},
