--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -46,6 +46,7 @@
 type renting struct {
 	protocol.Rental
 	durable, busy bool
+	charged       int // machines that were taken from the budget of a recovery
 }
 
 // The powers to which spare capacity is scaled by price: where aims ask for an early start, which
@@ -312,6 +313,7 @@
 		if r.Count = l.affordable(recovery.RentMachine, r.Count); r.Count == 0 {
 			return
 		}
+		r.charged = r.Count
 		f.rentals = append(f.rentals, r)
 		key := storage.RentPrefix + r.Request
 		l.writer.Add(storage.Soon, storage.Unit{
@@ -358,6 +360,7 @@
 				}
 				l.obtained(name, r.Type, r.Zone, r.Spot, n.now)
 			}
+			r.refund(l, len(got.Machines))
 			if len(got.Machines) < r.Count {
 				f.refuse(opt)
 			} else {
@@ -367,10 +370,12 @@
 		case res.Status == 503 && strings.Contains(string(res.Body), "no capacity"):
 			f.failedCalls = 0
 			n.log.Debug("no capacity", "type", r.Type, "zone", r.Zone, "spot", r.Spot)
+			r.refund(l, 0)
 			f.refuse(opt)
 			f.settle(r)
 		case res.Status == 400:
 			n.log.Error("rental refused as malformed", "request", r.Request, "body", string(res.Body))
+			r.refund(l, 0)
 			f.refuse(opt)
 			f.settle(r)
 		default:
@@ -379,6 +384,13 @@
 	})
 }
 
+// refund gives back to the budget what the cloud did not rent. Where it has next to no capacity, a
+// small fleet's whole budget went for requests that brought nothing.
+func (r *renting) refund(l *leadership, got int) {
+	l.recovery.Refund(l.n.now, recovery.RentMachine, r.charged-got)
+	r.charged = 0
+}
+
 // refuse leaves an option alone for a while, and plans anew.
 func (f *fleetControl) refuse(o fleet.Option) {
 	f.planner.Refuse(o, f.l.n.now)
--- a/internal/recovery/pacing.go
+++ b/internal/recovery/pacing.go
@@ -86,7 +86,7 @@
 	replace := math.Max(s.Limits.Replace*s.Lease.Seconds(), 1e-3)
 	perSecond := v.Cores / refill
 	starts := Rate{perSecond, max(leastTaskBurst, v.LargestCores, perSecond*s.Report.Seconds()*taskBurstShare)}
-	fleet := Rate{float64(v.Machines) / replace, math.Max(leastMachineBurst, float64(v.Machines)/machineBurstShare)}
+	fleet := Rate{math.Max(leastMachineBurst, float64(v.Machines)) / replace, math.Max(leastMachineBurst, float64(v.Machines)/machineBurstShare)}
 	return Rates{
 		StartTask: starts, StopTask: {starts.PerSecond * stopShare, starts.Burst},
 		RentMachine: fleet, ReturnMachine: fleet,
@@ -150,7 +150,7 @@
 	case Cancelled:
 	case Pressing:
 		if level < 1 {
-			return r.refuse(now, share)
+			return r.refuse(now, order, share)
 		}
 	default:
 		reserve := ordinaryReserve
@@ -158,7 +158,7 @@
 			reserve = borrowReserve
 		}
 		if level < math.Max(1, reserve*burst) {
-			return r.refuse(now, share)
+			return r.refuse(now, order, share)
 		}
 	}
 	p.levels[order] = math.Max(p.levels[order]-1, -burst) // cancelled work may overdraw it, but not for long
@@ -166,12 +166,25 @@
 	return true
 }
 
-// refuse notes that an order has to wait.
-func (r *Recovery) refuse(now time.Duration, share *teamShare) bool {
-	r.waited, share.refused = now, now
+// refuse notes that an order has to wait. Rentals don't prolong the recovery: where the cloud has too
+// few machines, there are always some to ask for.
+func (r *Recovery) refuse(now time.Duration, order Order, share *teamShare) bool {
+	if order != RentMachine {
+		r.waited = now
+	}
+	share.refused = now
 	return false
 }
 
+// Refund gives back what was taken from a budget for orders that came to nothing.
+func (r *Recovery) Refund(now time.Duration, order Order, count int) {
+	if r.phase == Normal || count <= 0 {
+		return
+	}
+	r.pacer.refill(now, order)
+	r.pacer.levels[order] = math.Min(r.pacer.rates[order].Burst, r.pacer.levels[order]+float64(count))
+}
+
 // ahead tells whether a team has had more than another one that had to wait within a while.
 func (p *pacer) ahead(now time.Duration, share *teamShare, while time.Duration) bool {
 	for _, other := range p.teams {
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -160,6 +160,31 @@
 	}
 }
 
+// What the cloud did not rent can be asked for again, and rentals that wait do not prolong the
+// recovery, while starts that wait do.
+func TestRentalsThatComeToNothing(t *testing.T) {
+	for order, want := range map[Order]Phase{RentMachine: Normal, StartTask: Pacing} {
+		r := newTestRecovery(0)
+		view := View{RecordsRead: true, Machines: 60, Cores: 24, LargestCores: 8}
+		asked := 0
+		for now := time.Duration(0); now < 3*report; now += 100 * time.Millisecond {
+			r.Advance(now, view)
+			for r.Phase() != Normal && asked < 1000 && r.Allow(now, order, Pressing, "") {
+				asked++
+				if order == RentMachine && asked%10 != 0 {
+					r.Refund(now, order, 1)
+				}
+			}
+		}
+		if r.Phase() != want {
+			t.Errorf("%v that wait: phase %v, not %v", order, r.Phase(), want)
+		}
+		if order == RentMachine && asked < 10 {
+			t.Errorf("only %d machines were asked for", asked)
+		}
+	}
+}
+
 // A mismatch is counted once for each machine and task, and no more once the recovery is over.
 func TestNotes(t *testing.T) {
 	r := newTestRecovery(0)
