--- a/internal/recovery/pacing.go
+++ b/internal/recovery/pacing.go
@@ -119,11 +119,13 @@
 	for i := range p.at {
 		p.at[i] = now
 	}
+	// A small fleet would wait for seconds for its first machine.
+	p.levels[RentMachine], p.levels[ReturnMachine] = leastMachineBurst, leastMachineBurst
 	return p
 }
 
-// limit sets the rates. Budgets begin empty: a leader that follows another one has no more to
-// give in its first moment than time has brought.
+// limit sets the rates. Budgets of tasks begin empty: a leader that follows another one has no
+// more to give in its first moment than time has brought.
 func (p *pacer) limit(rates Rates) { p.rates = rates }
 
 func (p *pacer) refill(now time.Duration, order Order) {
