--- /dev/null
+++ b/review/_standin/explore.go
@@ -0,0 +1,425 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"hitchdoor/internal/fakes"
+)
+
+func init() { cases["explore"] = explore }
+
+func smallSettings() settings {
+	return settings{reportS: 1.5, leaseS: 14, cancelS: 34, stateRPS: 200, writeRPS: 25, valueKB: 8, txnOps: 20,
+		cloudRPS: 1.5, listLagS: 12, memMB: 98, connections: 900, zones: []string{"aracaju", "salvador", "feira"}, nodes: 3,
+		teams: "[[cluster.teams]]\nname = \"t0\"\ncpus = 24.0\ncpus_max = 40.0\ngpus = 0.0\ngpus_max = 0.0\n\n" +
+			"[[cluster.teams]]\nname = \"t1\"\ncpus = 0.0\ncpus_max = 24.0\ngpus = 0.0\ngpus_max = 4.0\n\n" +
+			"[[cluster.objectives]]\nkind = \"finished\"\nclass = \"c\"\nwithin_s = 60.0\nshare = 0.85\n\n" +
+			"[[cluster.objectives]]\nkind = \"guarantee\"\nwithin_s = 20.0\nshare = 0.9\n"}
+}
+
+func explore(rec *record, trouble bool) []string {
+	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
+	rng := rand.New(rand.NewPCG(seed, 7))
+	s := smallSettings()
+	store, err := fakes.NewStore(0)
+	if err != nil {
+		cannotRun("%v", err)
+	}
+	kinds := []machineKind{
+		{"banqueta", 4, 0, 16, 30, 0.5, 0.3, 0.08, 3, []string{"aracaju", "salvador"}},
+		{"guarda", 16, 2, 64, 30, 0.5, 1.2, 0.35, 3, []string{"salvador", "feira"}},
+	}
+	f := newFleet(rec, s, kinds, 24, 2*time.Second)
+	cloud := &gate{next: f}
+	c := newCluster(rec, s, store, serve(cloud))
+	defer c.close()
+	f.use(c)
+	u := &users{f: f, c: c, rec: rec}
+	c.startAll()
+	if c.awaitLeader(15*time.Second) == nil {
+		cannotRun("no leader")
+	}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var jobs []*job
+	var mu sync.Mutex
+	end := time.Now().Add(75 * time.Second)
+	// submissions
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		for n := 0; time.Now().Before(end.Add(-20 * time.Second)); n++ {
+			id := fmt.Sprintf("j-%06d", rng.IntN(900000)*10+n%10)
+			j := newJob(id, "c", fmt.Sprintf("t%d", rng.IntN(2)), 1+rng.IntN(6), float64(1+rng.IntN(3)), 1+rng.Float64()*8)
+			switch rng.IntN(8) {
+			case 0:
+				j.body["samePlace"] = true
+			case 1:
+				j.body["apart"] = true
+			case 2:
+				j.body["praca"] = []string{"aracaju", "salvador", "feira"}[rng.IntN(3)]
+			case 3:
+				j.body["portes"] = []string{"guarda"}
+			case 4:
+				j.body["avulsas"] = false
+			case 5:
+				j.body["accelerators"] = 1.0
+			}
+			if rng.IntN(3) == 0 {
+				j.body["marcoS"], j.body["guardaS"] = 1.0, 1.0
+				j.spec.checkpoint, j.spec.save = 1, 1
+			}
+			mu.Lock()
+			if len(jobs) > 0 && rng.IntN(3) == 0 {
+				j.needs = append(j.needs, jobs[len(jobs)-1-rng.IntN(min(len(jobs), 5))].id)
+				var ok bool
+				for _, o := range jobs {
+					if o.id == j.needs[0] && !o.acceptedAt.IsZero() {
+						ok = true
+					}
+				}
+				if ok {
+					j.body["aguarda"] = j.needs
+				} else {
+					j.needs = nil
+				}
+			}
+			mu.Unlock()
+			node, cancelAfter := rng.IntN(3), time.Duration(rng.IntN(6000))*time.Millisecond
+			cancels := rng.IntN(4) == 0
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				if !u.submit(j, node, 40*time.Second) {
+					return
+				}
+				mu.Lock()
+				jobs = append(jobs, j)
+				mu.Unlock()
+				if cancels {
+					time.Sleep(cancelAfter)
+					u.cancel(j, node+1, 40*time.Second)
+				}
+				for i := 0; ; i++ {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					u.poll(j, node+i)
+					time.Sleep(700 * time.Millisecond)
+				}
+			}()
+			time.Sleep(time.Duration(100+rng.IntN(900)) * time.Millisecond)
+		}
+	}()
+	// constraint checker
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+			checkPlaces(f, u, &mu, &jobs)
+		}
+	}()
+	if trouble {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for time.Now().Before(end.Add(-25 * time.Second)) {
+				time.Sleep(time.Duration(200+rng.IntN(5000)) * time.Millisecond)
+				if rng.IntN(2) == 0 { // two at once
+					second := rand.New(rand.NewPCG(rng.Uint64(), 9))
+					var both sync.WaitGroup
+					both.Go(func() { injectTrouble(rec, second, c, f, store) })
+					time.Sleep(time.Duration(rng.IntN(2000)) * time.Millisecond)
+					injectTrouble(rec, rng, c, f, store)
+					both.Wait()
+					continue
+				}
+				injectTrouble(rec, rng, c, f, store)
+			}
+			store.SetUnavailable(false)
+			for _, m := range c.controllers {
+				m.store.refuse.Store(false)
+				m.store.intercept.Store(nil)
+			}
+		}()
+	}
+	time.Sleep(time.Until(end))
+	close(stop)
+	wg.Wait()
+	unfinished := 0
+	mu.Lock()
+	for _, j := range jobs {
+		if j.final == "" {
+			unfinished++
+		}
+	}
+	rec.printf("jobs %d, unfinished %d", len(jobs), unfinished)
+	fmt.Printf("seed %d jobs %d unfinished %d\n", seed, len(jobs), unfinished)
+	mu.Unlock()
+	f.stop()
+	return append(f.broken, u.broken...)
+}
+
+var placeSeen = map[string]bool{}
+
+// checkPlaces checks quotas, places and dependencies of all tasks on machines.
+func checkPlaces(f *fleet, u *users, mu *sync.Mutex, jobs *[]*job) {
+	mu.Lock()
+	byID := map[string]*job{}
+	for _, j := range *jobs {
+		byID[j.id] = j
+	}
+	mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	cores, gpus := map[string]float64{}, map[string]float64{}
+	zones := map[string]map[string]int{}
+	for _, m := range f.machines {
+		for _, t := range m.tasks {
+			if t.Situacao != "running" && t.Situacao != "saving" || !m.holds(now) {
+				continue
+			}
+			j := byID[t.spec.id]
+			cores[t.spec.team] += t.spec.cores
+			if j == nil {
+				continue
+			}
+			if a, ok := j.body["accelerators"].(float64); ok {
+				gpus[t.spec.team] += a
+			}
+			if zones[j.id] == nil {
+				zones[j.id] = map[string]int{}
+			}
+			zones[j.id][m.zone]++
+			bad := j.body["praca"] != nil && j.body["praca"] != m.zone || j.body["avulsas"] == false && m.spot ||
+				j.body["portes"] != nil && m.kind != "guarda"
+			key := t.Peca + fmt.Sprint(t.Tentativa)
+			if bad && !placeSeen[key] {
+				placeSeen[key] = true
+				f.breaks("wrong_place: %s on %s %s %s spot=%v", t.Peca, m.name, m.kind, m.zone, m.spot)
+			}
+			for _, need := range j.needs {
+				for i := 0; byID[need] != nil && i < byID[need].spec.tasks; i++ {
+					if !f.done[fmt.Sprintf("%s/%d", need, i)] && !placeSeen[key] {
+						placeSeen[key] = true
+						f.breaks("too_early: %s runs before %s is done", t.Peca, need)
+					}
+				}
+			}
+			if at, ok := f.cancelled[j.id]; ok && now.Sub(at).Seconds() > f.s.cancelS && !placeSeen[key] {
+				placeSeen[key] = true
+				f.breaks("ran_cancelled: %s", t.Peca)
+			}
+		}
+	}
+	for id, byZone := range zones {
+		j := byID[id]
+		for zone, n := range byZone {
+			if j.body["samePlace"] == true && len(byZone) > 1 && !placeSeen[id] {
+				placeSeen[id] = true
+				f.breaks("wrong_place: samePlace %s in %v", id, byZone)
+			}
+			if j.body["apart"] == true && n > (j.spec.tasks+1)/2 && !placeSeen[id] {
+				placeSeen[id] = true
+				f.breaks("wrong_place: apart %s has %d of %d in %s", id, n, j.spec.tasks, zone)
+			}
+		}
+	}
+	limits := map[string]float64{"t0": 40, "t1": 24}
+	for team, n := range cores {
+		if n > limits[team]+1e-6 && !placeSeen["q"+team] {
+			placeSeen["q"+team] = true
+			f.breaks("quota: %s uses %.1f cores", team, n)
+		}
+	}
+	if gpus["t1"] > 4+1e-6 && !placeSeen["g"] {
+		placeSeen["g"] = true
+		f.breaks("quota: t1 uses %.1f accelerators", gpus["t1"])
+	}
+}
+
+func injectTrouble(rec *record, rng *rand.Rand, c *cluster, f *fleet, store *fakes.Store) {
+	m := c.controllers[rng.IntN(len(c.controllers))]
+	if rng.IntN(2) == 0 {
+		if l := c.leader(); l != nil {
+			m = l
+		}
+	}
+	for_ := func(max int) time.Duration { return time.Duration(500+rng.IntN(max)) * time.Millisecond }
+	switch rng.IntN(14) {
+	case 0:
+		m.signal(syscall.SIGKILL)
+		time.Sleep(for_(3000) - 450*time.Millisecond)
+		m.start()
+	case 1:
+		m.signal(syscall.SIGTERM)
+		time.Sleep(4 * time.Second)
+		m.signal(syscall.SIGKILL)
+		time.Sleep(200 * time.Millisecond)
+		m.start()
+	case 2:
+		m.signal(syscall.SIGSTOP)
+		time.Sleep(for_(8000))
+		m.signal(syscall.SIGCONT)
+	case 3:
+		rec.printf("state service down")
+		store.SetUnavailable(true)
+		time.Sleep(for_(8000))
+		store.SetUnavailable(false)
+		rec.printf("state service back")
+	case 4:
+		rec.printf("%s refused by the state service", m.name)
+		m.store.refuse.Store(true)
+		time.Sleep(for_(8000))
+		m.store.refuse.Store(false)
+	case 5:
+		for _, x := range c.controllers {
+			x.signal(syscall.SIGKILL)
+		}
+		time.Sleep(for_(3000))
+		for _, x := range c.controllers {
+			x.start()
+			time.Sleep(for_(300))
+		}
+	case 6:
+		rec.printf("answers of transactions are lost")
+		chance := rand.New(rand.NewPCG(rng.Uint64(), 3))
+		var cmu sync.Mutex
+		lose := func(w http.ResponseWriter, r *http.Request, next http.Handler) bool {
+			cmu.Lock()
+			hit := chance.IntN(3) == 0
+			cmu.Unlock()
+			if !strings.HasPrefix(r.URL.Path, "/multi") || !hit {
+				return false
+			}
+			next.ServeHTTP(discard{http.Header{}}, r)
+			time.Sleep(3 * time.Second)
+			panic(http.ErrAbortHandler)
+		}
+		for _, x := range c.controllers {
+			x.store.intercept.Store(&lose)
+		}
+		time.Sleep(for_(6000))
+		for _, x := range c.controllers {
+			x.store.intercept.Store(nil)
+		}
+	case 7:
+		f.mu.Lock()
+		n := 0
+		for _, x := range f.machines {
+			if n++; n > 4 {
+				break
+			}
+			x.hungUntil = time.Now().Add(for_(16000))
+			rec.printf("%s hangs until %v", x.name, time.Until(x.hungUntil))
+		}
+		f.mu.Unlock()
+	case 8:
+		f.mu.Lock()
+		n := 0
+		for _, x := range f.machines {
+			if n++; n > 4 {
+				break
+			}
+			x.cut = true
+			rec.printf("%s cut", x.name)
+			time.AfterFunc(for_(20000), func() { f.mu.Lock(); x.cut = false; f.mu.Unlock() })
+		}
+		f.mu.Unlock()
+	case 9:
+		rec.printf("transactions are carried out late")
+		chance := rand.New(rand.NewPCG(rng.Uint64(), 3))
+		var cmu sync.Mutex
+		late := func(w http.ResponseWriter, r *http.Request, next http.Handler) bool {
+			cmu.Lock()
+			hit, wait := chance.IntN(4) == 0, time.Duration(2000+chance.IntN(10000))*time.Millisecond
+			cmu.Unlock()
+			if !strings.HasPrefix(r.URL.Path, "/multi") || !hit {
+				return false
+			}
+			raw, _ := io.ReadAll(r.Body)
+			time.AfterFunc(wait, func() {
+				q, _ := http.NewRequest("POST", r.URL.Path, bytes.NewReader(raw))
+				next.ServeHTTP(discard{http.Header{}}, q)
+			})
+			time.Sleep(3 * time.Second)
+			panic(http.ErrAbortHandler)
+		}
+		for _, x := range c.controllers {
+			x.store.intercept.Store(&late)
+		}
+		time.Sleep(for_(8000))
+		for _, x := range c.controllers {
+			x.store.intercept.Store(nil)
+		}
+	case 10:
+		f.mu.Lock()
+		f.copyUntil = time.Now().Add(for_(15000))
+		f.mu.Unlock()
+		rec.printf("copies of reports")
+	case 11:
+		f.mu.Lock()
+		n := 0
+		for _, x := range f.machines {
+			if n++; n > 4 {
+				break
+			}
+			x.deaf = true
+			rec.printf("%s deaf", x.name)
+			time.AfterFunc(for_(20000), func() { f.mu.Lock(); x.deaf = false; f.mu.Unlock() })
+		}
+		f.mu.Unlock()
+	case 12:
+		f.mu.Lock()
+		n := 0
+		for _, x := range f.machines {
+			if n++; n > 4 {
+				break
+			}
+			rec.printf("%s taken", x.name)
+			x.gone = true
+			delete(f.machines, x.name)
+		}
+		f.mu.Unlock()
+	case 13:
+		rec.printf("state service slow")
+		chance := rand.New(rand.NewPCG(rng.Uint64(), 3))
+		var cmu sync.Mutex
+		slow := func(w http.ResponseWriter, r *http.Request, next http.Handler) bool {
+			cmu.Lock()
+			wait := time.Duration(chance.IntN(400)) * time.Millisecond
+			cmu.Unlock()
+			time.Sleep(wait)
+			return false
+		}
+		for _, x := range c.controllers {
+			x.store.intercept.Store(&slow)
+		}
+		time.Sleep(for_(10000))
+		for _, x := range c.controllers {
+			x.store.intercept.Store(nil)
+		}
+	}
+}
+
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d discard) WriteHeader(int)             {}
