--- a/review/_standin/case_waiting.go
+++ b/review/_standin/case_waiting.go
@@ -22,17 +22,53 @@
 			"[[cluster.objectives]]\nkind = \"finished\"\nclass = \"mapas-calor\"\nwithin_s = 250.0\nshare = 0.9\n"}
 }
 
+// waitingJob is a job with what its tasks take, and since when it has waited while a machine had room.
+type waitingJob struct {
+	*job
+	cores, ram float64
+	since      time.Time
+}
+
+// started reports whether some task of the job has started. The fleet is locked.
+func (j *waitingJob) started(f *fleet) bool {
+	for i := range j.spec.tasks {
+		if f.starts[fmt.Sprintf("%s/%d", j.id, i)] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// machinesWithRoom counts the machines that serve and have room for a task. The fleet is locked.
+func machinesWithRoom(f *fleet, ram map[string]float64, cores, need float64, totalCores, totalRAM float64) int {
+	count := 0
+	for _, m := range f.machines {
+		usedCores, usedRAM := 0.0, 0.0
+		for _, t := range m.tasks {
+			if t.Situacao != "exited" {
+				usedCores += t.spec.cores
+				usedRAM += ram[t.spec.id]
+			}
+		}
+		if m.up && !m.gone && m.token > 0 && usedCores+cores <= totalCores && usedRAM+need <= totalRAM {
+			count++
+		}
+	}
+	return count
+}
+
 // caseWaiting submits one-task jobs of 0.25 CPUs, as the guest team's consultas-avulsas are, to a fleet
-// that has room for all of them. With the burst there are three times as many. A job breaks the rule if
-// it has not started although, for 90 s on end after the last submission, some machine had room for it.
+// that has room for all of them, and then one job of the firm's own team. With the burst there are three
+// times as many of the guest's. A job breaks the rule if it has not started although, for 90 s on end
+// after the last submission, some machine had room for one of its tasks.
 func caseWaiting(rec *record, trouble bool) []string {
 	s := frotaSettings()
 	store, err := fakes.NewStore(0)
 	if err != nil {
 		cannotRun("%v", err)
 	}
-	const taskCores, taskRAM, machines, machineCores, machineRAM = 0.25, 0.45, 4, 8.0, 16.0
-	kinds := []machineKind{{"catamara", machineCores, 0, machineRAM, 50, 0.6, 0.39, 0.16, 25, []string{"boa-viagem"}}}
+	const machines, machineCores, machineRAM = 2, 32.0, 64.0
+	kinds := []machineKind{{"saveiro", machineCores, 0, machineRAM, 40, 0.6, 1.54, 0.65, 25, []string{"boa-viagem"}}}
 	f := newFleet(rec, s, kinds, machines, 2*time.Second)
 	c := newCluster(rec, s, store, serve(f))
 	defer c.close()
@@ -42,95 +78,88 @@
 	if c.awaitLeader(10*time.Second) == nil {
 		cannotRun("no leader")
 	}
-	count := 40
+	count := 54
 	if trouble {
-		count = 120
+		count = 162
 	}
-	var jobs []*job
+	var jobs []*waitingJob
 	var group sync.WaitGroup
-	for i := range count {
-		j := newJob(fmt.Sprintf("j-%06d", 412+i), "consultas-avulsas", "laboratorio-mobilidade", 1, taskCores, 150)
-		j.body["vez"], j.body["ramGb"], j.body["pullGb"] = "low", taskRAM, 0.5
+	ram := map[string]float64{}
+	submit := func(j *job, priority string, cores, memory float64) {
+		j.body["vez"], j.body["ramGb"], j.body["pullGb"] = priority, memory, 0.5
 		j.spec.pull = 0.8
-		jobs = append(jobs, j)
+		jobs = append(jobs, &waitingJob{job: j, cores: cores, ram: memory})
+		ram[j.id] = memory
+		node := len(jobs)
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			if !u.submit(j, i, 30*time.Second) {
+			if !u.submit(j, node, 30*time.Second) {
 				cannotRun("%s was not accepted", j.id)
 			}
 		}()
+	}
+	for i := range count {
+		submit(newJob(fmt.Sprintf("j-%06d", 1000+i), "consultas-avulsas", "laboratorio-mobilidade", 1, 0.25, 150), "low", 0.25, 0.45)
 		time.Sleep(40 * time.Millisecond)
 	}
 	group.Wait()
-	rec.printf("all %d jobs are accepted; they need %.2f of %.0f CPUs and %.1f of %.0f GB", count,
-		float64(count)*taskCores, machines*machineCores, float64(count)*taskRAM, machines*machineRAM)
-	since := map[string]time.Time{} // for how long a job has waited while a machine had room
-	started := time.Now()
+	own := newJob("j-000412", "saude-baterias", "operacoes-frota", 8, 1, 25)
+	submit(own, "standard", 1, 1.7)
+	group.Wait()
+	rec.printf("all jobs are accepted; %d take %.2f CPUs, and %s takes 8, of %.0f", count, float64(count)*0.25, own.id,
+		machines*machineCores)
+	accepted := time.Now()
 	var broken []string
-	for time.Since(started) < 97*time.Second && len(broken) == 0 {
+	lastLine := time.Time{}
+	for time.Since(accepted) < 95*time.Second && len(broken) == 0 {
 		time.Sleep(250 * time.Millisecond)
 		f.mu.Lock()
-		room := 0
-		for _, m := range f.machines {
-			used := 0
-			for _, t := range m.tasks {
-				if t.Situacao != "exited" {
-					used++
-				}
-			}
-			if m.up && !m.gone && m.token > 0 && float64(used+1)*taskCores <= machineCores && float64(used+1)*taskRAM <= machineRAM {
-				room++
-			}
-		}
-		waiting, now := 0, time.Now()
+		now, waiting, ownWaits := time.Now(), 0, false
 		for _, j := range jobs {
-			switch {
-			case f.starts[j.id+"/0"] > 0 || room == 0:
-				delete(since, j.id)
-			case since[j.id].IsZero():
-				since[j.id] = now
+			if j.started(f) {
+				continue
 			}
-			if f.starts[j.id+"/0"] == 0 {
-				waiting++
-			}
-			if at, ok := since[j.id]; ok && now.Sub(at) >= 90*time.Second && broken == nil {
-				broken = []string{fmt.Sprintf("%d jobs have waited for 90 s while %d of %d machines had room for a task; the first is %s",
-					waiting, room, len(f.machines), j.id)}
+			waiting++
+			ownWaits = ownWaits || j.job == own
+			room := machinesWithRoom(f, ram, j.cores, j.ram, machineCores, machineRAM)
+			switch {
+			case room == 0:
+				j.since = time.Time{}
+			case j.since.IsZero():
+				j.since = now
+			case now.Sub(j.since) >= 90*time.Second:
+				broken = append(broken, fmt.Sprintf("left_waiting: %s has waited for 90 s while %d machines had room for a task of %.2f CPUs",
+					j.id, room, j.cores))
 			}
 		}
+		room := machinesWithRoom(f, ram, 1, 1.7, machineCores, machineRAM)
 		f.mu.Unlock()
-		if int(time.Since(started).Seconds()*4)%40 == 0 {
-			rec.printf("%d jobs wait, %d of %d machines have room", waiting, room, machines)
+		if now.Sub(lastLine) > 10*time.Second {
+			lastLine = now
+			rec.printf("%d jobs wait (%s too: %v), %d machines have room for a task of 1 CPU", waiting, own.id, ownWaits, room)
 		}
-		if waiting == 0 && time.Since(started) > 20*time.Second {
+		if waiting == 0 {
 			rec.printf("all jobs have started")
 			break
 		}
 	}
+	for _, line := range broken {
+		rec.printf("BROKEN %s", line)
+	}
 	if leader := c.leader(); leader != nil {
-		if page := leader.status(); page != nil {
-			if leading, ok := page["leading"].(map[string]any); ok {
-				reasons := map[string]int{}
-				list, _ := leading["jobs"].([]any)
-				for _, entry := range list {
-					if e, ok := entry.(map[string]any); ok && e["pending"] != float64(0) {
-						reasons[fmt.Sprint(e["waitsFor"])]++
-					}
+		if page, ok := leader.status()["leading"].(map[string]any); ok {
+			reasons := map[string]int{}
+			list, _ := page["jobs"].([]any)
+			for _, entry := range list {
+				if e, ok := entry.(map[string]any); ok && e["pending"] != float64(0) {
+					reasons[fmt.Sprint(e["waitsFor"])]++
 				}
-				rec.printf("the status page of %s says of the jobs that wait: %v", leader.name, reasons)
 			}
+			rec.printf("the status page of %s says of the jobs that wait: %v", leader.name, reasons)
 		}
 	}
-	for _, j := range jobs {
-		if f.starts[j.id+"/0"] == 0 {
-			u.poll(j, 0)
-			break
-		}
-	}
+	u.poll(own, 0)
 	f.stop()
-	if broken != nil {
-		rec.printf("BROKEN %s", broken[0])
-	}
 	return append(broken, u.broken...)
 }
