--- a/review/_standin/case_waiting.go
+++ b/review/_standin/case_waiting.go
@@ -57,6 +57,74 @@
 	return count
 }
 
+// watchWaiting watches the jobs until all have started, a limit has passed or a job breaks the rule: it
+// has not started although, for 90 s on end, some machine had room for one of its tasks.
+func watchWaiting(rec *record, f *fleet, jobs []*waitingJob, ram map[string]float64, cores, memory float64,
+	limit time.Time) (broken []string) {
+	lastLine := time.Time{}
+	for time.Now().Before(limit) && len(broken) == 0 {
+		time.Sleep(250 * time.Millisecond)
+		f.mu.Lock()
+		now, waiting, last, room := time.Now(), 0, "", 0
+		for _, j := range jobs {
+			if j.started(f) {
+				continue
+			}
+			waiting++
+			last = j.id
+			room = machinesWithRoom(f, ram, j.cores, j.ram, cores, memory)
+			switch {
+			case room == 0:
+				j.since = time.Time{}
+			case j.since.IsZero():
+				j.since = now
+			case now.Sub(j.since) >= 90*time.Second:
+				broken = append(broken, fmt.Sprintf("left_waiting: %s has waited for 90 s while %d machines had room for a task of %.2f CPUs",
+					j.id, room, j.cores))
+			}
+		}
+		f.mu.Unlock()
+		if waiting == 0 {
+			rec.printf("all jobs have started")
+			return nil
+		}
+		if now.Sub(lastLine) > 10*time.Second {
+			lastLine = now
+			rec.printf("%d jobs wait, the last of them is %s; %d machines have room for a task of it", waiting, last, room)
+		}
+	}
+	for _, line := range broken {
+		rec.printf("BROKEN %s", line)
+	}
+	return broken
+}
+
+// noteWaitReasons records what the leader's status page says of the jobs that wait and of the machines.
+func noteWaitReasons(rec *record, c *cluster) {
+	leader := c.leader()
+	if leader == nil {
+		return
+	}
+	page, ok := leader.status()["leading"].(map[string]any)
+	if !ok {
+		return
+	}
+	reasons, leaving := map[string]int{}, map[string]int{}
+	jobs, _ := page["jobs"].([]any)
+	for _, entry := range jobs {
+		if e, ok := entry.(map[string]any); ok && e["pending"] != float64(0) {
+			reasons[fmt.Sprint(e["waitsFor"])]++
+		}
+	}
+	machines, _ := page["machines"].([]any)
+	for _, entry := range machines {
+		if e, ok := entry.(map[string]any); ok {
+			leaving[fmt.Sprint(e["leaving"])]++
+		}
+	}
+	rec.printf("the status page of %s: jobs wait for %v, machines are leaving because of %v", leader.name, reasons, leaving)
+}
+
 // caseWaiting submits one-task jobs of 0.25 CPUs, as the guest team's consultas-avulsas are, to a fleet
 // that has room for all of them, and then one job of the firm's own team. With the burst there are three
 // times as many of the guest's. A job breaks the rule if it has not started although, for 90 s on end
@@ -109,56 +177,8 @@
 	group.Wait()
 	rec.printf("all jobs are accepted; %d take %.2f CPUs, and %s takes 8, of %.0f", count, float64(count)*0.25, own.id,
 		machines*machineCores)
-	accepted := time.Now()
-	var broken []string
-	lastLine := time.Time{}
-	for time.Since(accepted) < 95*time.Second && len(broken) == 0 {
-		time.Sleep(250 * time.Millisecond)
-		f.mu.Lock()
-		now, waiting, ownWaits := time.Now(), 0, false
-		for _, j := range jobs {
-			if j.started(f) {
-				continue
-			}
-			waiting++
-			ownWaits = ownWaits || j.job == own
-			room := machinesWithRoom(f, ram, j.cores, j.ram, machineCores, machineRAM)
-			switch {
-			case room == 0:
-				j.since = time.Time{}
-			case j.since.IsZero():
-				j.since = now
-			case now.Sub(j.since) >= 90*time.Second:
-				broken = append(broken, fmt.Sprintf("left_waiting: %s has waited for 90 s while %d machines had room for a task of %.2f CPUs",
-					j.id, room, j.cores))
-			}
-		}
-		room := machinesWithRoom(f, ram, 1, 1.7, machineCores, machineRAM)
-		f.mu.Unlock()
-		if now.Sub(lastLine) > 10*time.Second {
-			lastLine = now
-			rec.printf("%d jobs wait (%s too: %v), %d machines have room for a task of 1 CPU", waiting, own.id, ownWaits, room)
-		}
-		if waiting == 0 {
-			rec.printf("all jobs have started")
-			break
-		}
-	}
-	for _, line := range broken {
-		rec.printf("BROKEN %s", line)
-	}
-	if leader := c.leader(); leader != nil {
-		if page, ok := leader.status()["leading"].(map[string]any); ok {
-			reasons := map[string]int{}
-			list, _ := page["jobs"].([]any)
-			for _, entry := range list {
-				if e, ok := entry.(map[string]any); ok && e["pending"] != float64(0) {
-					reasons[fmt.Sprint(e["waitsFor"])]++
-				}
-			}
-			rec.printf("the status page of %s says of the jobs that wait: %v", leader.name, reasons)
-		}
-	}
+	broken := watchWaiting(rec, f, jobs, ram, machineCores, machineRAM, time.Now().Add(95*time.Second))
+	noteWaitReasons(rec, c)
 	u.poll(own, 0)
 	f.stop()
 	return append(broken, u.broken...)
--- a/review/_standin/cluster.go
+++ b/review/_standin/cluster.go
@@ -64,6 +64,7 @@
 	zones                    []string
 	teams                    string // TOML of [[cluster.teams]] and [[cluster.objectives]]
 	nodes                    int
+	relays                   bool   // the controllers reach each other through relays that can be blocked
 	stateNext                string // TOML of [cluster.state.next], or empty
 }
 
@@ -74,6 +75,8 @@
 	cluster                    *cluster
 	mu                         sync.Mutex
 	command                    *exec.Cmd
+	killed                     bool     // this program has ended the process, or is about to
+	ended                      []string // how its processes have ended by themselves
 }
 
 // cluster is the processes of the service with their addresses.
@@ -82,6 +85,7 @@
 	dir         string
 	controllers []*controller
 	reservation *fakes.AddressReservation
+	links       map[[2]string]*fakes.Relay // from the first controller to the second; nil: they connect directly
 }
 
 // gate passes a controller's calls to the state service, or refuses them.
@@ -127,7 +131,7 @@
 	if err != nil {
 		cannotRun("%v", err)
 	}
-	c := &cluster{rec: rec, dir: dir, reservation: reservation}
+	c := &cluster{rec: rec, dir: dir, reservation: reservation, links: map[[2]string]*fakes.Relay{}}
 	addresses := reservation.Addresses()
 	for i := range s.nodes {
 		c.controllers = append(c.controllers, &controller{name: fmt.Sprintf("pouso-%d", i),
@@ -140,8 +144,17 @@
 			member.name, s.zones[i%len(s.zones)], member.client, member.peer)
 		for j, other := range c.controllers {
 			if other != member {
+				address := other.peer
+				if s.relays {
+					relay, err := fakes.NewRelay(other.peer)
+					if err != nil {
+						cannotRun("%v", err)
+					}
+					c.links[[2]string{member.name, other.name}] = relay
+					address = relay.Address()
+				}
 				fmt.Fprintf(&b, "[[known]]\nnode = %q\nlocation = %q\npeer_addr = %q\n\n",
-					other.name, s.zones[j%len(s.zones)], other.peer)
+					other.name, s.zones[j%len(s.zones)], address)
 			}
 		}
 		fmt.Fprintf(&b, "[outside]\ncloud = %q\nstate = %q\n\n", cloudAddress, serve(member.store))
@@ -183,10 +196,20 @@
 		cannotRun("start %s: %v", m.name, err)
 	}
 	m.mu.Lock()
-	m.command = command
+	m.command, m.killed = command, false
 	m.mu.Unlock()
 	m.cluster.rec.printf("%s started", m.name)
-	go func() { command.Wait(); log.Close() }()
+	go func() {
+		err := command.Wait()
+		log.Close()
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.command == command && !m.killed {
+			how := fmt.Sprintf("%s ended by itself (%v): %s", m.name, err, lastError(log.Name()))
+			m.ended = append(m.ended, how)
+			m.cluster.rec.printf("%s", how)
+		}
+	}()
 }
 
 func envOr(name, fallback string) string {
@@ -216,6 +239,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.command != nil && m.command.Process != nil {
+		m.killed = m.killed || s == syscall.SIGKILL || s == syscall.SIGTERM
 		m.command.Process.Signal(s)
 		m.cluster.rec.printf("%s gets %v", m.name, s)
 	}
@@ -233,6 +257,7 @@
 	for _, m := range c.controllers {
 		m.mu.Lock()
 		if m.command != nil && m.command.Process != nil {
+			m.killed = true
 			m.command.Process.Signal(syscall.SIGCONT)
 			m.command.Process.Kill()
 		}
@@ -300,3 +325,53 @@
 	}
 	return response.StatusCode, string(raw)
 }
+
+// lastError returns the line of a log that names a panic, or its last line.
+func lastError(path string) string {
+	raw, _ := os.ReadFile(path)
+	lines := strings.Split(strings.TrimSpace(string(raw)), "\n")
+	for i := len(lines) - 1; i >= 0; i-- {
+		if strings.HasPrefix(lines[i], "panic:") || strings.HasPrefix(lines[i], "fatal error:") {
+			return lines[i]
+		}
+	}
+	return lines[len(lines)-1]
+}
+
+// endedByThemselves returns how processes of the service have ended by themselves so far.
+func (c *cluster) endedByThemselves() []string {
+	var all []string
+	for _, m := range c.controllers {
+		m.mu.Lock()
+		all = append(all, m.ended...)
+		m.mu.Unlock()
+	}
+	return all
+}
+
+// keepRunning starts each process again some time after it has ended by itself, as the platform does.
+func (c *cluster) keepRunning(delay time.Duration, stop <-chan struct{}) {
+	seen := map[*controller]int{}
+	for {
+		for _, m := range c.controllers {
+			m.mu.Lock()
+			count := len(m.ended)
+			m.mu.Unlock()
+			if count > seen[m] {
+				seen[m] = count
+				time.AfterFunc(delay, func() {
+					select {
+					case <-stop:
+					default:
+						m.start()
+					}
+				})
+			}
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
--- a/review/_standin/explore.go
+++ b/review/_standin/explore.go
@@ -31,7 +31,11 @@
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
 	rng := rand.New(rand.NewPCG(seed, 7))
 	s := smallSettings()
-	store, err := fakes.NewStore(0)
+	s.relays = true
+	if seed%2 == 1 {
+		s.connections = 70
+	}
+	store, err := fakes.NewStore(float64(25 * (seed % 3)))
 	if err != nil {
 		cannotRun("%v", err)
 	}
@@ -39,7 +43,14 @@
 		{"banqueta", 4, 0, 16, 30, 0.5, 0.3, 0.08, 3, []string{"aracaju", "salvador"}},
 		{"guarda", 16, 2, 64, 30, 0.5, 1.2, 0.35, 3, []string{"salvador", "feira"}},
 	}
-	f := newFleet(rec, s, kinds, 24, 2*time.Second)
+	limit, tasks, scale := 24, 6, 1.0
+	if os.Getenv("BIG") != "" {
+		limit, tasks, scale = 140, 60, 10
+		s.teams = strings.NewReplacer("40.0", "400.0", "24.0", "240.0", "gpus_max = 4.0", "gpus_max = 40.0").Replace(s.teams)
+		s.stateRPS, s.writeRPS, s.connections = 800, 100, 900
+	}
+	quotaScale = scale
+	f := newFleet(rec, s, kinds, limit, 2*time.Second)
 	cloud := &gate{next: f}
 	c := newCluster(rec, s, store, serve(cloud))
 	defer c.close()
@@ -60,7 +71,7 @@
 		defer wg.Done()
 		for n := 0; time.Now().Before(end.Add(-20 * time.Second)); n++ {
 			id := fmt.Sprintf("j-%06d", rng.IntN(900000)*10+n%10)
-			j := newJob(id, "c", fmt.Sprintf("t%d", rng.IntN(2)), 1+rng.IntN(6), float64(1+rng.IntN(3)), 1+rng.Float64()*8)
+			j := newJob(id, "c", fmt.Sprintf("t%d", rng.IntN(2)), 1+rng.IntN(tasks), float64(1+rng.IntN(3)), 1+rng.Float64()*8)
 			switch rng.IntN(8) {
 			case 0:
 				j.body["samePlace"] = true
@@ -172,9 +183,14 @@
 	fmt.Printf("seed %d jobs %d unfinished %d\n", seed, len(jobs), unfinished)
 	mu.Unlock()
 	f.stop()
-	return append(f.broken, u.broken...)
+	for _, relay := range c.links {
+		relay.Block(false, false)
+	}
+	return append(append(f.broken, u.broken...), c.endedByThemselves()...)
 }
 
+var quotaScale = 1.0
+
 var placeSeen = map[string]bool{}
 
 // checkPlaces checks quotas, places and dependencies of all tasks on machines.
@@ -241,14 +257,14 @@
 			}
 		}
 	}
-	limits := map[string]float64{"t0": 40, "t1": 24}
+	limits := map[string]float64{"t0": 40 * quotaScale, "t1": 24 * quotaScale}
 	for team, n := range cores {
 		if n > limits[team]+1e-6 && !placeSeen["q"+team] {
 			placeSeen["q"+team] = true
 			f.breaks("quota: %s uses %.1f cores", team, n)
 		}
 	}
-	if gpus["t1"] > 4+1e-6 && !placeSeen["g"] {
+	if gpus["t1"] > 4*quotaScale+1e-6 && !placeSeen["g"] {
 		placeSeen["g"] = true
 		f.breaks("quota: t1 uses %.1f accelerators", gpus["t1"])
 	}
@@ -262,7 +278,7 @@
 		}
 	}
 	for_ := func(max int) time.Duration { return time.Duration(500+rng.IntN(max)) * time.Millisecond }
-	switch rng.IntN(14) {
+	switch rng.IntN(18) {
 	case 0:
 		m.signal(syscall.SIGKILL)
 		time.Sleep(for_(3000) - 450*time.Millisecond)
@@ -323,7 +339,7 @@
 		f.mu.Lock()
 		n := 0
 		for _, x := range f.machines {
-			if n++; n > 4 {
+			if n++; n > max(4, limitOf(f)/5) {
 				break
 			}
 			x.hungUntil = time.Now().Add(for_(16000))
@@ -334,7 +350,7 @@
 		f.mu.Lock()
 		n := 0
 		for _, x := range f.machines {
-			if n++; n > 4 {
+			if n++; n > max(4, limitOf(f)/5) {
 				break
 			}
 			x.cut = true
@@ -368,6 +384,35 @@
 		for _, x := range c.controllers {
 			x.store.intercept.Store(nil)
 		}
+	case 14, 15:
+		stateToo := rng.IntN(2) == 0
+		rec.printf("%s cut from the other controllers, and from the state service: %v", m.name, stateToo)
+		for pair, relay := range c.links {
+			if pair[0] == m.name || pair[1] == m.name {
+				relay.Block(true, true)
+			}
+		}
+		if stateToo {
+			silent := func(w http.ResponseWriter, r *http.Request, next http.Handler) bool {
+				<-r.Context().Done()
+				panic(http.ErrAbortHandler)
+			}
+			m.store.intercept.Store(&silent)
+		}
+		time.Sleep(for_(18000))
+		for _, relay := range c.links {
+			relay.Block(false, false)
+		}
+		m.store.intercept.Store(nil)
+	case 16, 17:
+		rec.printf("some directions between controllers are blocked")
+		for _, relay := range c.links {
+			relay.Block(rng.IntN(2) == 0, rng.IntN(2) == 0)
+		}
+		time.Sleep(for_(15000))
+		for _, relay := range c.links {
+			relay.Block(false, false)
+		}
 	case 10:
 		f.mu.Lock()
 		f.copyUntil = time.Now().Add(for_(15000))
@@ -377,7 +422,7 @@
 		f.mu.Lock()
 		n := 0
 		for _, x := range f.machines {
-			if n++; n > 4 {
+			if n++; n > max(4, limitOf(f)/5) {
 				break
 			}
 			x.deaf = true
@@ -389,7 +434,7 @@
 		f.mu.Lock()
 		n := 0
 		for _, x := range f.machines {
-			if n++; n > 4 {
+			if n++; n > max(4, limitOf(f)/5) {
 				break
 			}
 			rec.printf("%s taken", x.name)
@@ -423,3 +468,5 @@
 func (d discard) Header() http.Header         { return d.header }
 func (d discard) Write(b []byte) (int, error) { return len(b), nil }
 func (d discard) WriteHeader(int)             {}
+
+func limitOf(f *fleet) int { return f.limit }
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -83,6 +83,7 @@
 	deaf                bool // reports arrive, answers are lost
 	extra               map[string]any
 	up                  bool
+	slow                float64 // factor by which its tasks run longer; 0: 1
 }
 
 type task struct {
@@ -337,6 +338,9 @@
 	f := m.fleet
 	t.Situacao = "running"
 	run := t.spec.runOf(taskIndex(t.Peca))
+	if m.slow > 0 {
+		run *= m.slow
+	}
 	if f.done[t.Peca] {
 		run = 0
 	}
