--- a/review/_standin/cluster.go
+++ b/review/_standin/cluster.go
@@ -85,6 +85,7 @@
 	dir         string
 	controllers []*controller
 	reservation *fakes.AddressReservation
+	cloud       *gate                      // what stands before the cloud; nil: nothing
 	links       map[[2]string]*fakes.Relay // from the first controller to the second; nil: they connect directly
 }
 
--- a/review/_standin/explore.go
+++ b/review/_standin/explore.go
@@ -53,9 +53,10 @@
 	f := newFleet(rec, s, kinds, limit, 2*time.Second)
 	cloud := &gate{next: f}
 	c := newCluster(rec, s, store, serve(cloud))
+	c.cloud = cloud
 	defer c.close()
 	f.use(c)
-	u := &users{f: f, c: c, rec: rec}
+	u := &users{f: f, c: c, rec: rec, closeLooks: seed%2 == 0}
 	c.startAll()
 	if c.awaitLeader(15*time.Second) == nil {
 		cannotRun("no leader")
@@ -131,7 +132,7 @@
 					time.Sleep(700 * time.Millisecond)
 				}
 			}()
-			time.Sleep(time.Duration(100+rng.IntN(900)) * time.Millisecond)
+			time.Sleep(time.Duration(100+rng.IntN(int(900/(1+seed%2*0+2*(1-seed%2))))) * time.Millisecond)
 		}
 	}()
 	// constraint checker
@@ -278,7 +279,7 @@
 		}
 	}
 	for_ := func(max int) time.Duration { return time.Duration(500+rng.IntN(max)) * time.Millisecond }
-	switch rng.IntN(18) {
+	switch rng.IntN(21) {
 	case 0:
 		m.signal(syscall.SIGKILL)
 		time.Sleep(for_(3000) - 450*time.Millisecond)
@@ -384,6 +385,37 @@
 		for _, x := range c.controllers {
 			x.store.intercept.Store(nil)
 		}
+	case 18, 19, 20:
+		cloud := c.cloud
+		mode := rng.IntN(3)
+		rec.printf("cloud: %s", []string{"down", "answers lost", "carried out late"}[mode])
+		chance := rand.New(rand.NewPCG(rng.Uint64(), 3))
+		var cmu sync.Mutex
+		trouble := func(w http.ResponseWriter, r *http.Request, next http.Handler) bool {
+			cmu.Lock()
+			hit, wait := chance.IntN(3) > 0, time.Duration(1000+chance.IntN(15000))*time.Millisecond
+			cmu.Unlock()
+			switch {
+			case mode == 0:
+				send(w, 503, map[string]string{"error": "trouble"})
+				return true
+			case r.Method != "POST" || !hit:
+				return false
+			case mode == 1:
+				next.ServeHTTP(discard{http.Header{}}, r)
+			default:
+				raw, _ := io.ReadAll(r.Body)
+				time.AfterFunc(wait, func() {
+					q, _ := http.NewRequest("POST", r.URL.Path, bytes.NewReader(raw))
+					next.ServeHTTP(discard{http.Header{}}, q)
+				})
+			}
+			time.Sleep(6 * time.Second)
+			panic(http.ErrAbortHandler)
+		}
+		cloud.intercept.Store(&trouble)
+		time.Sleep(for_(12000))
+		cloud.intercept.Store(nil)
 	case 14, 15:
 		stateToo := rng.IntN(2) == 0
 		rec.printf("%s cut from the other controllers, and from the state service: %v", m.name, stateToo)
--- a/review/_standin/users.go
+++ b/review/_standin/users.go
@@ -27,6 +27,9 @@
 	c   *cluster
 	rec *record
 
+	// closeLooks: ask all controllers at once whenever a job was accepted or has ended.
+	closeLooks bool
+
 	mu     sync.Mutex
 	broken []string
 }
@@ -82,9 +85,11 @@
 	}
 	if j.acceptedAt.IsZero() {
 		j.acceptedAt = time.Now()
+		u.lookClosely(j)
 	}
 	if j.final == "" && (s.Situacao == "done" || s.Situacao == "withdrawn") {
 		j.final, j.finalAt = s.Situacao, time.Now()
+		u.lookClosely(j)
 		if s.Situacao == "withdrawn" {
 			u.f.mu.Lock()
 			u.f.cancelled[j.id] = time.Now()
@@ -160,3 +165,23 @@
 	}
 	return raw
 }
+
+// lookClosely asks all controllers about a job, and repeats its submission, within milliseconds.
+func (u *users) lookClosely(j *job) {
+	if !u.closeLooks {
+		return
+	}
+	for node := range u.c.controllers {
+		go func() {
+			for range 4 {
+				u.poll(j, node)
+			}
+		}()
+		go func() {
+			m := u.c.controllers[node]
+			asked := time.Now()
+			status, body := m.call("POST", "/work", submission(j.body), 5*time.Second)
+			u.told(j, m.name, "submission", status, body, asked)
+		}()
+	}
+}
