--- a/review/_standin/cluster.go
+++ b/review/_standin/cluster.go
@@ -75,6 +75,7 @@
 	cluster                    *cluster
 	mu                         sync.Mutex
 	command                    *exec.Cmd
+	old                        string   // the program of the version before, until the upgrade; empty: the deploy file's
 	killed                     bool     // this program has ended the process, or is about to
 	ended                      []string // how its processes have ended by themselves
 }
@@ -185,6 +186,9 @@
 // start starts the process with the command of the deploy file.
 func (m *controller) start() {
 	fields := strings.Fields(runCommand())
+	if m.old != "" {
+		fields[0] = m.old
+	}
 	command := exec.Command(fields[0], append(fields[1:], m.config)...)
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	log, err := os.OpenFile(filepath.Join(m.cluster.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/review/_standin/explore.go
+++ b/review/_standin/search.go
@@ -10,30 +10,53 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"hitchdoor/internal/fakes"
 )
 
-func init() { cases["explore"] = explore }
+func init() { cases["search"] = searchBroken }
 
-func smallSettings() settings {
+// searchSettings are figures like those of sertao-loja, with two teams that have limits.
+func searchSettings() settings {
 	return settings{reportS: 1.5, leaseS: 14, cancelS: 34, stateRPS: 200, writeRPS: 25, valueKB: 8, txnOps: 20,
 		cloudRPS: 1.5, listLagS: 12, memMB: 98, connections: 900, zones: []string{"aracaju", "salvador", "feira"}, nodes: 3,
+		relays: true,
 		teams: "[[cluster.teams]]\nname = \"t0\"\ncpus = 24.0\ncpus_max = 40.0\ngpus = 0.0\ngpus_max = 0.0\n\n" +
 			"[[cluster.teams]]\nname = \"t1\"\ncpus = 0.0\ncpus_max = 24.0\ngpus = 0.0\ngpus_max = 4.0\n\n" +
 			"[[cluster.objectives]]\nkind = \"finished\"\nclass = \"c\"\nwithin_s = 60.0\nshare = 0.85\n\n" +
 			"[[cluster.objectives]]\nkind = \"guarantee\"\nwithin_s = 20.0\nshare = 0.9\n"}
 }
 
-func explore(rec *record, trouble bool) []string {
+// quotaScale is the ratio of the teams' limits to those of searchSettings.
+var quotaScale = 1.0
+
+// submitted is the list of the jobs that users have submitted with success.
+type submitted struct {
+	mu   sync.Mutex
+	jobs []*job
+}
+
+// recentAccepted returns one of the last five accepted jobs, or nil.
+func (s *submitted) recentAccepted(rng *rand.Rand) *job {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.jobs) == 0 {
+		return nil
+	}
+	return s.jobs[len(s.jobs)-1-rng.IntN(min(len(s.jobs), 5))]
+}
+
+// searchBroken draws jobs and troubles from SEED for 75 s, and checks the rules meanwhile. It is no case:
+// it is how the review looked for broken rules. With BIG=1 the fleet has up to 140 machines. OLD names a
+// program of the version before; the controllers begin with it and are upgraded one after the other.
+func searchBroken(rec *record, trouble bool) []string {
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
-	rng := rand.New(rand.NewPCG(seed, 7))
-	s := smallSettings()
-	s.relays = true
+	s := searchSettings()
 	if seed%2 == 1 {
-		s.connections = 70
+		s.connections = 70 // so few that controllers relay
 	}
 	store, err := fakes.NewStore(float64(25 * (seed % 3)))
 	if err != nil {
@@ -43,99 +66,46 @@
 		{"banqueta", 4, 0, 16, 30, 0.5, 0.3, 0.08, 3, []string{"aracaju", "salvador"}},
 		{"guarda", 16, 2, 64, 30, 0.5, 1.2, 0.35, 3, []string{"salvador", "feira"}},
 	}
-	limit, tasks, scale := 24, 6, 1.0
+	machines, maxTasks := 24, 6
 	if os.Getenv("BIG") != "" {
-		limit, tasks, scale = 140, 60, 10
+		machines, maxTasks, quotaScale = 140, 60, 10
 		s.teams = strings.NewReplacer("40.0", "400.0", "24.0", "240.0", "gpus_max = 4.0", "gpus_max = 40.0").Replace(s.teams)
 		s.stateRPS, s.writeRPS, s.connections = 800, 100, 900
 	}
-	quotaScale = scale
-	f := newFleet(rec, s, kinds, limit, 2*time.Second)
+	f := newFleet(rec, s, kinds, machines, 2*time.Second)
 	cloud := &gate{next: f}
 	c := newCluster(rec, s, store, serve(cloud))
 	c.cloud = cloud
 	defer c.close()
 	f.use(c)
 	u := &users{f: f, c: c, rec: rec, closeLooks: seed%2 == 0}
-	c.startAll()
+	upgraded := startForSearch(rec, c)
 	if c.awaitLeader(15*time.Second) == nil {
 		cannotRun("no leader")
 	}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	var jobs []*job
-	var mu sync.Mutex
+	known := &submitted{}
+	rng := rand.New(rand.NewPCG(seed, 7))
 	end := time.Now().Add(75 * time.Second)
-	// submissions
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
+	wg.Go(func() {
+		draw := rand.New(rand.NewPCG(seed, 8))
 		for n := 0; time.Now().Before(end.Add(-20 * time.Second)); n++ {
-			id := fmt.Sprintf("j-%06d", rng.IntN(900000)*10+n%10)
-			j := newJob(id, "c", fmt.Sprintf("t%d", rng.IntN(2)), 1+rng.IntN(tasks), float64(1+rng.IntN(3)), 1+rng.Float64()*8)
-			switch rng.IntN(8) {
-			case 0:
-				j.body["samePlace"] = true
-			case 1:
-				j.body["apart"] = true
-			case 2:
-				j.body["praca"] = []string{"aracaju", "salvador", "feira"}[rng.IntN(3)]
-			case 3:
-				j.body["portes"] = []string{"guarda"}
-			case 4:
-				j.body["avulsas"] = false
-			case 5:
-				j.body["accelerators"] = 1.0
+			j := drawJob(draw, n, maxTasks)
+			if first := known.recentAccepted(draw); first != nil && draw.IntN(3) == 0 && upgraded.Load() {
+				j.needs = []string{first.id}
+				j.body["aguarda"] = j.needs
 			}
-			if rng.IntN(3) == 0 {
-				j.body["marcoS"], j.body["guardaS"] = 1.0, 1.0
-				j.spec.checkpoint, j.spec.save = 1, 1
+			node, cancelAfter := draw.IntN(3), time.Duration(draw.IntN(6000))*time.Millisecond
+			cancels := draw.IntN(4) == 0
+			wg.Go(func() { u.follow(j, known, node, cancels, cancelAfter, stop) })
+			pause := 900
+			if u.closeLooks {
+				pause = 300
 			}
-			mu.Lock()
-			if len(jobs) > 0 && rng.IntN(3) == 0 {
-				j.needs = append(j.needs, jobs[len(jobs)-1-rng.IntN(min(len(jobs), 5))].id)
-				var ok bool
-				for _, o := range jobs {
-					if o.id == j.needs[0] && !o.acceptedAt.IsZero() {
-						ok = true
-					}
-				}
-				if ok {
-					j.body["aguarda"] = j.needs
-				} else {
-					j.needs = nil
-				}
-			}
-			mu.Unlock()
-			node, cancelAfter := rng.IntN(3), time.Duration(rng.IntN(6000))*time.Millisecond
-			cancels := rng.IntN(4) == 0
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				if !u.submit(j, node, 40*time.Second) {
-					return
-				}
-				mu.Lock()
-				jobs = append(jobs, j)
-				mu.Unlock()
-				if cancels {
-					time.Sleep(cancelAfter)
-					u.cancel(j, node+1, 40*time.Second)
-				}
-				for i := 0; ; i++ {
-					select {
-					case <-stop:
-						return
-					default:
-					}
-					u.poll(j, node+i)
-					time.Sleep(700 * time.Millisecond)
-				}
-			}()
-			time.Sleep(time.Duration(100+rng.IntN(int(900/(1+seed%2*0+2*(1-seed%2))))) * time.Millisecond)
+			time.Sleep(time.Duration(100+draw.IntN(pause)) * time.Millisecond)
 		}
-	}()
-	// constraint checker
+	})
 	go func() {
 		for {
 			select {
@@ -143,13 +113,11 @@
 				return
 			case <-time.After(50 * time.Millisecond):
 			}
-			checkPlaces(f, u, &mu, &jobs)
+			checkPlaces(f, known)
 		}
 	}()
 	if trouble {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
+		wg.Go(func() {
 			for time.Now().Before(end.Add(-25 * time.Second)) {
 				time.Sleep(time.Duration(200+rng.IntN(5000)) * time.Millisecond)
 				if rng.IntN(2) == 0 { // two at once
@@ -168,21 +136,23 @@
 				m.store.refuse.Store(false)
 				m.store.intercept.Store(nil)
 			}
-		}()
+		})
 	}
 	time.Sleep(time.Until(end))
 	close(stop)
 	wg.Wait()
 	unfinished := 0
-	mu.Lock()
-	for _, j := range jobs {
+	known.mu.Lock()
+	for _, j := range known.jobs {
+		j.mu.Lock()
 		if j.final == "" {
 			unfinished++
 		}
+		j.mu.Unlock()
 	}
-	rec.printf("jobs %d, unfinished %d", len(jobs), unfinished)
-	fmt.Printf("seed %d jobs %d unfinished %d\n", seed, len(jobs), unfinished)
-	mu.Unlock()
+	rec.printf("jobs %d, unfinished %d", len(known.jobs), unfinished)
+	fmt.Printf("seed %d jobs %d unfinished %d\n", seed, len(known.jobs), unfinished)
+	known.mu.Unlock()
 	f.stop()
 	for _, relay := range c.links {
 		relay.Block(false, false)
@@ -190,18 +160,92 @@
 	return append(append(f.broken, u.broken...), c.endedByThemselves()...)
 }
 
-var quotaScale = 1.0
+// startForSearch starts the controllers, and upgrades them if OLD names a program of the version before.
+// The result is true once all have the deploy file's program.
+func startForSearch(rec *record, c *cluster) *atomic.Bool {
+	upgraded := &atomic.Bool{}
+	old := os.Getenv("OLD")
+	for _, m := range c.controllers {
+		m.old = old
+	}
+	c.startAll()
+	if old == "" {
+		upgraded.Store(true)
+		return upgraded
+	}
+	time.AfterFunc(15*time.Second, func() {
+		for _, m := range c.controllers {
+			m.signal(syscall.SIGKILL)
+			m.old = ""
+			time.Sleep(time.Duration(300+rand.IntN(3000)) * time.Millisecond)
+			m.start()
+			time.Sleep(time.Duration(1000+rand.IntN(9000)) * time.Millisecond)
+		}
+		rec.printf("all are upgraded")
+		upgraded.Store(true)
+	})
+	return upgraded
+}
 
+// drawJob returns a job with drawn size and constraints.
+func drawJob(draw *rand.Rand, n, maxTasks int) *job {
+	id := fmt.Sprintf("j-%06d", draw.IntN(900000)*10+n%10)
+	j := newJob(id, "c", fmt.Sprintf("t%d", draw.IntN(2)), 1+draw.IntN(maxTasks), float64(1+draw.IntN(3)), 1+draw.Float64()*8)
+	switch draw.IntN(8) {
+	case 0:
+		j.body["samePlace"] = true
+	case 1:
+		j.body["apart"] = true
+	case 2:
+		j.body["praca"] = []string{"aracaju", "salvador", "feira"}[draw.IntN(3)]
+	case 3:
+		j.body["portes"] = []string{"guarda"}
+	case 4:
+		j.body["avulsas"] = false
+	case 5:
+		j.body["accelerators"] = 1.0
+	}
+	if draw.IntN(3) == 0 {
+		j.body["marcoS"], j.body["guardaS"] = 1.0, 1.0
+		j.spec.checkpoint, j.spec.save = 1, 1
+	}
+	return j
+}
+
+// follow submits a job, cancels it if asked to, and polls until stop is closed.
+func (u *users) follow(j *job, known *submitted, node int, cancels bool, cancelAfter time.Duration, stop <-chan struct{}) {
+	if !u.submit(j, node, 40*time.Second) {
+		return
+	}
+	known.mu.Lock()
+	known.jobs = append(known.jobs, j)
+	known.mu.Unlock()
+	if cancels {
+		time.Sleep(cancelAfter)
+		u.cancel(j, node+1, 40*time.Second)
+	}
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		u.poll(j, node+i)
+		time.Sleep(700 * time.Millisecond)
+	}
+}
+
+// placeSeen holds the tasks and jobs of which a broken rule has been noted.
 var placeSeen = map[string]bool{}
 
-// checkPlaces checks quotas, places and dependencies of all tasks on machines.
-func checkPlaces(f *fleet, u *users, mu *sync.Mutex, jobs *[]*job) {
-	mu.Lock()
+// checkPlaces checks limits, places, dependencies and cancellations of all tasks on machines.
+func checkPlaces(f *fleet, known *submitted) {
+	known.mu.Lock()
 	byID := map[string]*job{}
-	for _, j := range *jobs {
+	for _, j := range known.jobs {
 		byID[j.id] = j
 	}
-	mu.Unlock()
+	known.mu.Unlock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
@@ -271,6 +315,7 @@
 	}
 }
 
+// injectTrouble causes one drawn trouble and ends it.
 func injectTrouble(rec *record, rng *rand.Rand, c *cluster, f *fleet, store *fakes.Store) {
 	m := c.controllers[rng.IntN(len(c.controllers))]
 	if rng.IntN(2) == 0 {
@@ -340,7 +385,7 @@
 		f.mu.Lock()
 		n := 0
 		for _, x := range f.machines {
-			if n++; n > max(4, limitOf(f)/5) {
+			if n++; n > max(4, f.limit/5) {
 				break
 			}
 			x.hungUntil = time.Now().Add(for_(16000))
@@ -351,7 +396,7 @@
 		f.mu.Lock()
 		n := 0
 		for _, x := range f.machines {
-			if n++; n > max(4, limitOf(f)/5) {
+			if n++; n > max(4, f.limit/5) {
 				break
 			}
 			x.cut = true
@@ -454,7 +499,7 @@
 		f.mu.Lock()
 		n := 0
 		for _, x := range f.machines {
-			if n++; n > max(4, limitOf(f)/5) {
+			if n++; n > max(4, f.limit/5) {
 				break
 			}
 			x.deaf = true
@@ -466,7 +511,7 @@
 		f.mu.Lock()
 		n := 0
 		for _, x := range f.machines {
-			if n++; n > max(4, limitOf(f)/5) {
+			if n++; n > max(4, f.limit/5) {
 				break
 			}
 			rec.printf("%s taken", x.name)
@@ -495,10 +540,9 @@
 	}
 }
 
+// discard is the answer to a call whose answer is lost.
 type discard struct{ header http.Header }
 
 func (d discard) Header() http.Header         { return d.header }
 func (d discard) Write(b []byte) (int, error) { return len(b), nil }
 func (d discard) WriteHeader(int)             {}
-
-func limitOf(f *fleet) int { return f.limit }
