Review: a checkpoint time without a limit ends the controllers

Cause: a job's save time is doubled without a limit, becomes infinite and can't be encoded; the panic ends the leader's process. Change: case 2 is the crash, case 3 the waiting jobs (case 2 before). The search checks 'orphaned' too.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -8,4 +8,4 @@
     exit 2
   fi
 done
-exec target/standin waiting review/2/record.txt
+exec target/standin crash review/2/record.txt
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -8,4 +8,4 @@
     exit 2
   fi
 done
-exec target/standin faulty review/3/record.txt
+exec target/standin waiting review/3/record.txt
--- a/review/_standin/case_crash.go
+++ b/review/_standin/case_crash.go
@@ -9,9 +9,9 @@
 
 func init() { cases["crash"] = caseCrash }
 
-// caseCrash runs a job whose tasks save checkpoints, and whose owner gives the largest decimal number as
-// the time that a save takes. With the trouble, one of the two machines runs its tasks four times slower.
-// No controller may end by itself.
+// caseCrash runs a job whose tasks save checkpoints, and whose owner gives the largest decimal number that
+// JSON decoders commonly hold as the time that a save takes. With the trouble, one of the two machines runs
+// its tasks four times slower. No controller may end by itself.
 func caseCrash(rec *record, trouble bool) []string {
 	s := frotaSettings()
 	store, err := fakes.NewStore(0)
@@ -31,8 +31,9 @@
 	stop := make(chan struct{})
 	go c.keepRunning(8*time.Second, stop)
 	defer close(stop)
-	j := newJob("j-000412", "mapas-calor", "operacoes-frota", 120, 1, 5)
-	j.body["marcoS"], j.body["guardaS"] = 30.0, math.MaxFloat64
+	const tasks = 28
+	j := newJob("j-000412", "mapas-calor", "operacoes-frota", tasks, 4, 8)
+	j.body["vez"], j.body["ramGb"], j.body["marcoS"], j.body["guardaS"] = "low", 6.7, 30.0, math.MaxFloat64
 	j.spec.checkpoint, j.spec.save = 30, math.MaxFloat64
 	if !u.submit(j, 0, 30*time.Second) {
 		cannotRun("the job was not accepted")
@@ -47,12 +48,13 @@
 			f.mu.Unlock()
 		}
 	}
-	for end := time.Now().Add(75 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Second) {
+	for end := time.Now().Add(90 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Second) {
 		if u.poll(j, int(time.Until(end).Seconds())) == "done" {
 			break
 		}
 	}
-	rec.printf("%d of 120 tasks are done", f.doneTasks(j.id, 120))
+	rec.printf("%d of %d tasks are done; processes that ended by themselves: %d", f.doneTasks(j.id, tasks), tasks,
+		len(c.endedByThemselves()))
 	f.stop()
 	return append(c.endedByThemselves(), u.broken...)
 }
--- a/review/_standin/search.go
+++ b/review/_standin/search.go
@@ -93,7 +93,7 @@
 		for n := 0; time.Now().Before(end.Add(-20 * time.Second)); n++ {
 			j := drawJob(draw, n, maxTasks)
 			if first := known.recentAccepted(draw); first != nil && draw.IntN(3) == 0 && upgraded.Load() {
-				j.needs = []string{first.id}
+				j.needs, j.first = []string{first.id}, first
 				j.body["aguarda"] = j.needs
 			}
 			node, cancelAfter := draw.IntN(3), time.Duration(draw.IntN(6000))*time.Millisecond
--- a/review/_standin/users.go
+++ b/review/_standin/users.go
@@ -13,6 +13,7 @@
 	spec  *jobSpec
 	id    string
 	needs []string
+	first *job // the job that it needs; nil: none
 
 	mu         sync.Mutex
 	acceptedAt time.Time
@@ -80,6 +81,15 @@
 	if j.final != "" && asked.After(j.finalAt) && s.Situacao != j.final {
 		u.breaks("went_back: %s of %s at %s says %s after %s", what, j.id, by, s.Situacao, j.final)
 	}
+	if first := j.first; first != nil && (s.Situacao == "queued" || s.Situacao == "running") {
+		first.mu.Lock()
+		cancelled := first.final == "withdrawn" && asked.Sub(first.finalAt).Seconds() > u.f.s.cancelS
+		first.mu.Unlock()
+		if cancelled {
+			u.breaks("orphaned: %s is called %s by %s more than %v s after the cancellation of %s", j.id, s.Situacao, by,
+				u.f.s.cancelS, first.id)
+		}
+	}
 	if s.Situacao == "done" && u.f.doneTasks(j.id, j.spec.tasks) < j.spec.tasks {
 		u.breaks("not_done: %s is called done by %s with %d of %d tasks done", j.id, by, u.f.doneTasks(j.id, j.spec.tasks), j.spec.tasks)
 	}
