layering: leave out the modules below the ignored directory target

The test now leaves out a directory with a go.mod, as the go command does. TestImportsOfTestsAreExempt has such a directory and failed without the change (import graph with target/copy/internal/a).

--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -176,7 +176,8 @@
 }
 
 // TestImportsOfTestsAreExempt guards against a graph that includes the imports of test files, lacks a
-// package that has only test files, or includes files in testdata.
+// package that has only test files, or includes files in testdata or of another module, such as a copy of
+// the sources below the ignored directory target.
 func TestImportsOfTestsAreExempt(t *testing.T) {
 	root := t.TempDir()
 	files := map[string]string{
@@ -185,6 +186,8 @@
 		"internal/high/high.go":         "package high\n\nimport (\n\t_ \"fmt\"\n\t_ \"hitchdoor/internal/low\"\n)\n",
 		"internal/high/testdata/bad.go": "not Go\n",
 		"internal/checks/a_test.go":     "package checks\n",
+		"target/copy/go.mod":            "module hitchdoor\n",
+		"target/copy/internal/a/a.go":   "package a\n",
 	}
 	for name, text := range files {
 		file := filepath.Join(root, filepath.FromSlash(name))
@@ -261,7 +264,7 @@
 			return err
 		}
 		if entry.IsDir() {
-			if file != root && isIgnoredDirectory(entry.Name()) {
+			if file != root && (isIgnoredDirectory(entry.Name()) || isModule(file)) {
 				return filepath.SkipDir
 			}
 			return nil
@@ -279,6 +282,12 @@
 	return name == "testdata" || strings.HasPrefix(name, ".") || strings.HasPrefix(name, "_")
 }
 
+// isModule reports whether a directory is the root of a module, whose packages belong to no other module.
+func isModule(directory string) bool {
+	_, err := os.Stat(filepath.Join(directory, "go.mod"))
+	return err == nil
+}
+
 // addFile adds the file's package to the graph and, unless the file is a test file, the packages of
 // the module that it imports.
 func (graph importGraph) addFile(root, file string) error {
