--- a/internal/adminclient/adminclient.go
+++ b/internal/adminclient/adminclient.go
@@ -8,9 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/controller"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/transport"
 )
 
--- a/internal/adminclient/adminclient_test.go
+++ b/internal/adminclient/adminclient_test.go
@@ -9,9 +9,8 @@
 	"testing"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/admission"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/reachability"
 	"hitchdoor/internal/recovery"
 )
@@ -23,9 +22,11 @@
 	options := Options{Timeout: time.Second}
 	for _, value := range values {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			if err := json.NewEncoder(w).Encode(value); err != nil {
+			raw, err := json.Marshal(value)
+			if err != nil {
 				t.Error(err)
 			}
+			w.Write(raw)
 		}))
 		t.Cleanup(server.Close)
 		options.Addresses = append(options.Addresses, strings.TrimPrefix(server.URL, "http://"))
--- a/internal/admissioncontrol/follower.go
+++ b/internal/admissioncontrol/follower.go
@@ -8,11 +8,10 @@
 	"net/http"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/admission"
 	"hitchdoor/internal/clock"
 	"hitchdoor/internal/config"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
--- a/internal/autoscaler/arrival_forecast.go
+++ b/internal/autoscaler/arrival_forecast.go
@@ -1,11 +1,10 @@
 package autoscaler
 
 import (
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/clock"
 	"hitchdoor/internal/cluster"
 	"hitchdoor/internal/fleet"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/storage"
 )
 
--- a/internal/autoscaler/fakes_test.go
+++ b/internal/autoscaler/fakes_test.go
@@ -5,12 +5,11 @@
 	"testing"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/clock"
 	"hitchdoor/internal/cluster"
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/fleet"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/recovery"
 	"hitchdoor/internal/storage"
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -8,9 +8,8 @@
 	"slices"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/clock"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
--- a/internal/compatibility/golden_test.go
+++ b/internal/compatibility/golden_test.go
@@ -11,11 +11,11 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 
-	"github.com/segmentio/encoding/json"
-
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/storage"
 )
 
@@ -123,6 +123,24 @@
 		if reencoded := string(storage.Encode(decoded)); reencoded != want[i].value {
 			t.Errorf("%s: decoded and encoded again:\n got %s\nwant %s", c.name, reencoded, want[i].value)
 		}
+		c.checkExactNames(t, want[i].value)
+	}
+}
+
+// fieldName matches the name of a field in a JSON text.
+var fieldName = regexp.MustCompile(`"\w+":`)
+
+// checkExactNames checks that no field is decoded whose name differs from a known one in case: without a
+// field that it knows, a decoder returns an error or the zero value. The keys of maps are data, not names.
+func (c jsonCase) checkExactNames(t *testing.T, raw string) {
+	t.Helper()
+	if reflect.TypeOf(c.value).Kind() == reflect.Map {
+		return
+	}
+	renamed := fieldName.ReplaceAllStringFunc(raw, strings.ToUpper)
+	decoded, err := c.decode([]byte(renamed))
+	if err == nil && renamed != raw && !reflect.ValueOf(decoded).IsZero() {
+		t.Errorf("%s: decoding %s: got %+v, want the zero value or an error", c.name, renamed, decoded)
 	}
 }
 
--- a/internal/compatibility/records_test.go
+++ b/internal/compatibility/records_test.go
@@ -6,9 +6,8 @@
 	"slices"
 	"testing"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/admission"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
--- a/internal/compatibility/settings_test.go
+++ b/internal/compatibility/settings_test.go
@@ -75,6 +75,32 @@
 	}
 }
 
+// settingLine matches a line of the platform's file that sets a key.
+var settingLine = regexp.MustCompile(`(?m)^(\w+) = .*$`)
+
+// TestPlatformKeysAreExact guards against a key of a later version that replaces a known key, from which it
+// differs in case only.
+func TestPlatformKeysAreExact(t *testing.T) {
+	raw, err := os.ReadFile(filepath.Join("testdata", "platform.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	withVariants := settingLine.ReplaceAllStringFunc(string(raw), func(line string) string {
+		return line + "\n" + strings.ToUpper(settingLine.FindStringSubmatch(line)[1]) + ` = "other"`
+	}) + "\n[CLUSTER]\ncount = 9\n[[Known]]\nnode = \"n9\"\n"
+	path := filepath.Join(t.TempDir(), "platform.toml")
+	if err := os.WriteFile(path, []byte(withVariants), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	want, err := config.LoadPlatform(filepath.Join("testdata", "platform.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := config.LoadPlatform(path); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("platform file with other keys: got %+v, error %v; want %+v", got, err, want)
+	}
+}
+
 // edit replaces a text that occurs once in a settings file.
 type edit struct{ old, new string }
 
--- a/internal/compatibility/wire_test.go
+++ b/internal/compatibility/wire_test.go
@@ -16,11 +16,10 @@
 	"testing"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/admission"
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/controller"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/reachability"
 	"hitchdoor/internal/recovery"
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -142,7 +142,7 @@
 		return nil, fmt.Errorf("config: %w", err)
 	}
 	var platform Platform
-	if err := toml.Unmarshal(raw, &platform); err != nil {
+	if err := unmarshalTOML(raw, &platform); err != nil {
 		var decodeError *toml.DecodeError
 		if errors.As(err, &decodeError) {
 			return nil, fmt.Errorf("config: %s: %w", path, newTOMLSyntaxError(decodeError))
--- a/internal/controller/compatibility_test.go
+++ b/internal/controller/compatibility_test.go
@@ -14,10 +14,9 @@
 	"testing"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/clock"
 	"hitchdoor/internal/cluster"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
--- a/internal/controller/invariants_test.go
+++ b/internal/controller/invariants_test.go
@@ -8,13 +8,12 @@
 	"testing"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/admission"
 	"hitchdoor/internal/admissioncontrol"
 	"hitchdoor/internal/clock"
 	"hitchdoor/internal/cluster"
 	"hitchdoor/internal/config"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
--- a/internal/controller/protocol_levels.go
+++ b/internal/controller/protocol_levels.go
@@ -6,10 +6,9 @@
 	"strings"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/clock"
 	"hitchdoor/internal/config"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/records"
 	"hitchdoor/internal/storage"
 )
--- a/internal/controller/protocol_levels_test.go
+++ b/internal/controller/protocol_levels_test.go
@@ -7,9 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/cluster"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -6,11 +6,10 @@
 	"testing"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/clock"
 	"hitchdoor/internal/cluster"
 	"hitchdoor/internal/config"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
--- a/internal/controller/simulated_cloud_test.go
+++ b/internal/controller/simulated_cloud_test.go
@@ -7,10 +7,9 @@
 	"strings"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/clock"
 	"hitchdoor/internal/config"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
--- a/internal/controller/simulated_store_test.go
+++ b/internal/controller/simulated_store_test.go
@@ -9,8 +9,7 @@
 	"strings"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/ratelimit"
 	"hitchdoor/internal/storage"
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -12,10 +12,9 @@
 	"testing"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/clock"
 	"hitchdoor/internal/config"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -14,10 +14,9 @@
 	"testing"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/fakes"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 )
 
--- a/internal/election/candidacy.go
+++ b/internal/election/candidacy.go
@@ -4,9 +4,8 @@
 	"net/http"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/clock"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
--- a/internal/election/votes.go
+++ b/internal/election/votes.go
@@ -3,8 +3,7 @@
 import (
 	"strings"
 
-	"github.com/segmentio/encoding/json"
-
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
--- a/internal/emulator/controllers.go
+++ b/internal/emulator/controllers.go
@@ -16,10 +16,10 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
-	"github.com/segmentio/encoding/json"
 
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/fakes"
+	"hitchdoor/internal/json"
 )
 
 // controller is one controller process. It can be killed and started again.
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -12,12 +12,12 @@
 	"testing"
 	"time"
 
-	"github.com/segmentio/encoding/json"
 	"go.uber.org/goleak"
 
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/daemon"
 	"hitchdoor/internal/fakes"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/recovery"
 )
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -12,10 +12,9 @@
 	"sync"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/fakes"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 )
 
--- a/internal/emulator/measure.go
+++ b/internal/emulator/measure.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/segmentio/encoding/json"
 
 	"hitchdoor/internal/fakes"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/recovery"
 	"hitchdoor/internal/storage"
--- a/internal/emulator/report.go
+++ b/internal/emulator/report.go
@@ -8,7 +8,7 @@
 	"slices"
 	"text/tabwriter"
 
-	"github.com/segmentio/encoding/json"
+	"hitchdoor/internal/json"
 )
 
 // Report holds the measurements of an emulation. Apart from Processes, they are observed at the
--- a/internal/fakes/store.go
+++ b/internal/fakes/store.go
@@ -12,8 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/storage"
 )
 
--- a/internal/fakes/worker.go
+++ b/internal/fakes/worker.go
@@ -9,8 +9,7 @@
 	"slices"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
--- a/internal/jobstore/effective_state.go
+++ b/internal/jobstore/effective_state.go
@@ -4,8 +4,7 @@
 	"net/http"
 	"slices"
 
-	"github.com/segmentio/encoding/json"
-
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
--- a/internal/jobstore/reader.go
+++ b/internal/jobstore/reader.go
@@ -7,9 +7,8 @@
 	"net/http"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/clock"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/ratelimit"
 	"hitchdoor/internal/storage"
 )
--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -27,6 +27,7 @@
 		"internal/admission",
 		"internal/clock",
 		"internal/config",
+		"internal/json",
 		"internal/reachability",
 		"internal/recovery",
 		"internal/tracing",
@@ -89,6 +90,13 @@
 	"internal/fakes": {"internal/emulator"},
 }
 
+// restrictedLibraries lists, for packages outside the module that not every package may import, the only
+// package that may.
+var restrictedLibraries = map[string]string{
+	"encoding/json":                      "internal/json",
+	"github.com/segmentio/encoding/json": "internal/json",
+}
+
 // modulePath is the path of the module. The import paths of its packages begin with it.
 const modulePath = "hitchdoor"
 
@@ -101,8 +109,9 @@
 	packages []string
 }
 
-// importGraph maps each package of the module to the packages of the module that its files import,
-// except for test files. A package is named by its directory relative to the module's root.
+// importGraph maps each package of the module to the packages that its files import, except for test
+// files: those of the module, each named by its directory relative to the module's root, and the
+// restricted libraries, each named by its import path.
 type importGraph map[string][]string
 
 // TestImportsPointDownwards guards against an import that the layers don't allow, and against a
@@ -137,6 +146,8 @@
 		{"unlisted package", importGraph{"new": nil}, "new is in no layer: add it"},
 		{"import of an unlisted package", importGraph{"middle": {"gone"}}, "middle imports gone, which is in no layer"},
 		{"restricted package", importGraph{"high": {"fakes"}}, "high imports fakes, which only emulator may import"},
+		{"restricted library", importGraph{"high": {"encoding/json"}},
+			"high imports encoding/json, which only internal/json may import"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -219,6 +230,13 @@
 			continue
 		}
 		for _, imported := range graph[importer] {
+			if onlyImporter, isLibrary := restrictedLibraries[imported]; isLibrary {
+				if importer != onlyImporter {
+					violations = append(violations, fmt.Sprintf("%s imports %s, which only %s may import",
+						importer, imported, onlyImporter))
+				}
+				continue
+			}
 			importedRank, listed := ranks[imported]
 			switch allowed := restricted[imported]; {
 			case !listed:
@@ -312,7 +330,8 @@
 			return err
 		}
 		name, ok := strings.CutPrefix(path.Clean(imported), modulePath+"/")
-		if ok && !slices.Contains(graph[importer], name) {
+		_, isRestricted := restrictedLibraries[imported]
+		if (ok || isRestricted) && !slices.Contains(graph[importer], name) {
 			graph[importer] = append(graph[importer], name)
 		}
 	}
--- a/internal/protocol/cloud_response.go
+++ b/internal/protocol/cloud_response.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"github.com/segmentio/encoding/json"
+	"hitchdoor/internal/json"
 )
 
 // CloudResponse is the response of the cloud to a request. Status 0 means that no usable response
--- a/internal/protocol/cloud_responses.go
+++ b/internal/protocol/cloud_responses.go
@@ -7,7 +7,7 @@
 	"slices"
 	"strings"
 
-	"github.com/segmentio/encoding/json"
+	"hitchdoor/internal/json"
 )
 
 // CheckCloudResponse validates the body of a response of the cloud with status 200. It returns a
--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -3,8 +3,7 @@
 import (
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/reachability"
 )
 
--- a/internal/protocol/peers_test.go
+++ b/internal/protocol/peers_test.go
@@ -1,10 +1,11 @@
 package protocol
 
 import (
-	"encoding/json"
 	"errors"
 	"reflect"
 	"testing"
+
+	"hitchdoor/internal/json"
 )
 
 // goldenMessages are messages by their wire form. The wire forms were recorded from the last version that
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"github.com/segmentio/encoding/json"
+	"hitchdoor/internal/json"
 )
 
 // Limits and timeouts of the protocol.
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -33,6 +34,24 @@
 	}
 }
 
+// otherFields are unknown fields whose names differ from those of a submission only in case.
+const otherFields = `,"UID":"j-000999","Lote":"other","DONO":"other","Feitio":"other","VEZ":"low","Pecas":1,"CORES":1,
+ "Accelerators":9,"RAMGB":1,"ramGB":1,"Molde":"other","pullGB":9,"PORTES":["other"],"Praca":"other","sameplace":false,
+ "APART":true,"Avulsas":false,"previstos":1,"marcos":1,"GUARDAS":9,"prazos":1,"Aguarda":["j-000999"]}`
+
+// A field whose name differs in case from a known one must be ignored. Taken for the known one, it changed the
+// job: of four tasks only one ran, and the job was reported as done.
+func TestParseJobComparesNamesExactly(t *testing.T) {
+	want, err := ParseJob([]byte(validSubmission))
+	if err != nil {
+		t.Fatal(err)
+	}
+	job, err := ParseJob([]byte(strings.TrimSuffix(validSubmission, "}") + otherFields))
+	if err != nil || !reflect.DeepEqual(job, want) {
+		t.Errorf("submission with unknown fields: got %+v, error %v; want %+v", job, err, want)
+	}
+}
+
 // Each kind of invalid submission must be rejected. If accepted, the submission would be stored, and its
 // values would be used as keys, sizes and durations.
 func TestParseJobRejects(t *testing.T) {
--- a/internal/records/machine_loading.go
+++ b/internal/records/machine_loading.go
@@ -6,9 +6,8 @@
 	"slices"
 	"strings"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/cluster"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/storage"
 )
 
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -11,8 +11,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/segmentio/encoding/json"
-
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 )
 
--- a/internal/storage/response.go
+++ b/internal/storage/response.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"github.com/segmentio/encoding/json"
+	"hitchdoor/internal/json"
 )
 
 // Response is the response of the key-value store to a request. Status 0 means that no usable
--- a/internal/storage/responses.go
+++ b/internal/storage/responses.go
@@ -6,7 +6,7 @@
 	"net/url"
 	"strings"
 
-	"github.com/segmentio/encoding/json"
+	"hitchdoor/internal/json"
 )
 
 // ResponseError reports why a response can't come from the key-value store: it was truncated, or a
--- a/internal/storage/validate.go
+++ b/internal/storage/validate.go
@@ -5,8 +5,7 @@
 	"fmt"
 	"strings"
 
-	"github.com/segmentio/encoding/json"
-
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 )
 
--- a/internal/storage/validate_test.go
+++ b/internal/storage/validate_test.go
@@ -4,8 +4,7 @@
 	"errors"
 	"testing"
 
-	"github.com/segmentio/encoding/json"
-
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 )
 
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"slices"
 
-	"github.com/segmentio/encoding/json"
+	"hitchdoor/internal/json"
 )
 
 // Change is a set of writes that must be applied in one transaction. The Writer calls BuildWrites each
--- a/internal/submissions/queue.go
+++ b/internal/submissions/queue.go
@@ -6,10 +6,9 @@
 	"net/http"
 	"slices"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/clock"
 	"hitchdoor/internal/config"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/ratelimit"
 	"hitchdoor/internal/storage"
 )
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -11,10 +11,9 @@
 	"sync"
 	"time"
 
-	"github.com/segmentio/encoding/json"
-
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/controller"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 )
 
@@ -154,10 +153,11 @@
 // writeMessages sends the handshake and then the queued messages until the connection fails, a message
 // cannot be encoded or the context is cancelled.
 func (p *PeerLinks) writeMessages(ctx context.Context, conn net.Conn, queue chan protocol.PeerMessage) {
-	buffer := bytes.Buffer{}
-	if json.NewEncoder(&buffer).Encode(handshake{Node: p.node, AcceptsAcknowledgements: true}) != nil {
+	greeting, err := json.Marshal(handshake{Node: p.node, AcceptsAcknowledgements: true})
+	if err != nil {
 		return
 	}
+	buffer := *bytes.NewBuffer(append(greeting, '\n'))
 	for {
 		conn.SetWriteDeadline(time.Now().Add(p.idleTimeout))
 		if _, err := conn.Write(buffer.Bytes()); err != nil {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"github.com/gofiber/fiber/v2"
-	"github.com/segmentio/encoding/json"
 	"github.com/valyala/fasthttp"
 
 	"hitchdoor/internal/controller"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/tracing"
 )
