--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -368,6 +368,7 @@
 		"zero step":        func(p *Policy) { p.Shares = []Share{{Steps: []uint64{5, 0}}} },
 		"too many steps":   func(p *Policy) { p.DefaultShare.Steps = []uint64{1, 1, 1, 1} },
 		"demand is NaN":    func(p *Policy) { p.DefaultShare.Demand = math.NaN() },
+		"absurd demand":    func(p *Policy) { p.DefaultShare.Demand = 1e300 },
 		"no default share": func(p *Policy) { p.DefaultShare = Share{} },
 		"step above Ring":  func(p *Policy) { p.DefaultShare.Steps = []uint64{Ring + 1} },
 	} {
--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -46,6 +46,10 @@
 	Demand float64  `json:"demand"` // estimated number of jobs that wait to be admitted
 }
 
+// maxDemand is the largest demand of a valid share. It is more than any number of jobs, and the sum of
+// all demands stays finite.
+const maxDemand = 1e15
+
 // FullShare returns a share that admits every job of a group.
 func FullShare(group Group) Share { return Share{Group: group, Steps: []uint64{Ring}} }
 
@@ -146,7 +150,8 @@
 	}
 	for _, share := range append([]Share{p.DefaultShare}, p.Shares...) {
 		invalidStep := slices.ContainsFunc(share.Steps, func(step uint64) bool { return step == 0 || step > Ring })
-		if invalidStep || len(share.Steps) == 0 || len(share.Steps) > graceEpochs+1 || !(share.Demand >= 0) {
+		validDemand := share.Demand >= 0 && share.Demand <= maxDemand
+		if invalidStep || len(share.Steps) == 0 || len(share.Steps) > graceEpochs+1 || !validDemand {
 			return &InvalidPolicyError{fmt.Sprintf("invalid share of team %q, class %q: steps or demand out of range",
 				share.Team, share.Class)}
 		}
--- a/internal/autoscaler/consolidation.go
+++ b/internal/autoscaler/consolidation.go
@@ -28,7 +28,7 @@
 		}
 		freeCores -= machine.UsedCores
 		for _, attempt := range machine.AttemptsInOrder {
-			a.state.RequestStop(attempt, a.state.CheckpointGraceSeconds(attempt))
+			a.state.RequestStop(attempt, a.state.CheckpointGrace(attempt).Seconds())
 		}
 	}
 }
--- a/internal/cluster/estimates.go
+++ b/internal/cluster/estimates.go
@@ -99,12 +99,19 @@
 		bias = &estimateBias{}
 		e.biasByClass[job.Spec.Class] = bias
 	}
+	logError := math.Log(duration.Seconds()) - math.Log(job.Spec.EstimatedSeconds)
+	logError = min(max(logError, -maxLogError), maxLogError)
 	bias.samples = min(bias.samples+1, maxBiasSamples)
-	bias.logBias += (math.Log(duration.Seconds()/job.Spec.EstimatedSeconds) - bias.logBias) / bias.samples
+	bias.logBias += (logError - bias.logBias) / bias.samples
 }
 
-// maxBiasSamples is the number of finished tasks over which the bias is averaged.
-const maxBiasSamples = 60
+const (
+	// maxBiasSamples is the number of finished tasks over which the bias is averaged.
+	maxBiasSamples = 60
+	// maxLogError limits the logarithm of one estimate's error, to a factor of about 1,000. An estimate that
+	// is further off says nothing about the other jobs of its class.
+	maxLogError = 7
+)
 
 // RemainingDuration returns the expected remaining run time of an attempt.
 func (e *Estimates) RemainingDuration(attempt *TaskAttempt) time.Duration {
@@ -120,10 +127,10 @@
 	return expected
 }
 
-// CheckpointGraceSeconds returns the grace period, in seconds, in which an attempt can save a checkpoint.
-// The period includes a margin for slow machines.
-func (e *Estimates) CheckpointGraceSeconds(attempt *TaskAttempt) float64 {
-	return 2*attempt.Job.Spec.CheckpointSaveSeconds + e.HeartbeatInterval().Seconds()
+// CheckpointGrace returns the grace period in which an attempt can save a checkpoint. The period includes
+// a margin for slow machines.
+func (e *Estimates) CheckpointGrace(attempt *TaskAttempt) time.Duration {
+	return config.Seconds(2*attempt.Job.Spec.CheckpointSaveSeconds) + e.HeartbeatInterval()
 }
 
 // RemainingCoreSeconds returns the remaining work of a job in core seconds. It includes image pulls.
--- a/internal/cluster/health.go
+++ b/internal/cluster/health.go
@@ -135,6 +135,9 @@
 // the job's other tasks. The user's estimate is not suitable for the comparison, because its error is
 // the same for all tasks of a job.
 func (s *State) RecordSlowdown(machine *Machine, job *Job, duration time.Duration) {
+	if duration <= 0 {
+		return
+	}
 	if typical, ok := job.typicalTaskDuration(); ok {
 		if len(machine.logDurationRatios) == maxSlowdownSamples {
 			machine.logDurationRatios = machine.logDurationRatios[1:]
@@ -197,15 +200,15 @@
 }
 
 // moveOffSlowMachine stops an attempt on a slow machine so that its task restarts on another one, unless
-// the attempt is expected to end sooner where it is. An attempt that is not running yet or that can save
-// a checkpoint is always stopped.
+// the attempt is expected to end sooner where it is. An attempt that is not running yet, or that can save
+// a checkpoint before it would end, is always stopped.
 func (s *State) moveOffSlowMachine(attempt *TaskAttempt, slowdown float64) {
 	expected := s.ExpectedTaskDuration(attempt.Job)
 	if typical, ok := attempt.Job.typicalTaskDuration(); ok {
 		expected = typical
 	}
 	elapsed := s.Clock.Now() - attempt.RunningSince
-	remaining := time.Duration(float64(expected)*slowdown) - elapsed
+	remaining := config.Seconds(expected.Seconds()*slowdown) - elapsed
 	if remaining < elapsed && elapsed > expected {
 		remaining = elapsed // the attempt should have ended, so slowdown is only a lower bound
 	}
@@ -213,8 +216,8 @@
 	case attempt.StopGrace != nil || attempt.Job.RescheduledTasks[attempt.TaskIndex]:
 	case attempt.Phase != AttemptRunning:
 		s.RequestStop(attempt, 0)
-	case attempt.Job.Spec.CheckpointIntervalSeconds > 0:
-		s.RescheduleAttempt(attempt, s.CheckpointGraceSeconds(attempt))
+	case attempt.Job.Spec.CheckpointIntervalSeconds > 0 && s.CheckpointGrace(attempt) < remaining:
+		s.RescheduleAttempt(attempt, s.CheckpointGrace(attempt).Seconds())
 	case remaining > expected:
 		s.RescheduleAttempt(attempt, 0)
 	}
--- a/internal/cluster/transitions_test.go
+++ b/internal/cluster/transitions_test.go
@@ -241,6 +241,31 @@
 	}
 }
 
+// A task on a slow machine is stopped with the time that it needs to save a checkpoint, but not if the save
+// takes longer than the rest of the task: a task whose owner gives years for it saved without end.
+func TestSlowMachineGivesNoEndlessGrace(t *testing.T) {
+	for name, c := range map[string]struct {
+		saveSeconds float64
+		want        string // grace period of the stop in seconds
+	}{
+		"a short save":                     {5, "14"},
+		"a save of days":                   {1e6, "0"},
+		"a save without any end":           {1e308, "0"},
+		"a save of the longest limit":      {config.MaxDuration.Seconds(), "0"},
+		"a save that takes almost no time": {5e-324, "4"},
+	} {
+		state, clock := newTestState()
+		job := newTestJob(state, "j-1", protocol.PriorityLow)
+		job.Spec.EstimatedSeconds, job.Spec.CheckpointIntervalSeconds, job.Spec.CheckpointSaveSeconds = 60, 30, c.saveSeconds
+		attempt := placeAttempt(state, job, 0, newTestMachine(state, "m-1"), AttemptRunning)
+		attempt.RunningSince = clock.now
+		state.moveOffSlowMachine(attempt, 4)
+		if attempt.StopGrace == nil || fmt.Sprint(*attempt.StopGrace) != c.want {
+			t.Errorf("%s: grace of the stop: got %v, want %s s", name, attempt.StopGrace, c.want)
+		}
+	}
+}
+
 // A job that fails on three machines without any success must count as faulty. Repeated failures on one
 // machine must count against the machine if a single faulty job cannot explain them. Otherwise a faulty
 // job drains healthy machines, or a faulty machine keeps failing the tasks of healthy jobs.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"time"
 
@@ -155,18 +156,20 @@
 	return &platform, nil
 }
 
-// maxDuration bounds the durations that Seconds returns, so that sums of several do not overflow,
+// MaxDuration bounds the durations that Seconds returns, so that sums of several do not overflow,
 // whatever numbers a user or another service sends.
-const maxDuration = 10 * 365 * 24 * time.Hour
+const MaxDuration = 10 * 365 * 24 * time.Hour
 
-// Seconds converts a number of seconds to a duration, limited to the range from -maxDuration to
-// maxDuration.
+// Seconds converts a number of seconds to a duration, limited to the range from -MaxDuration to
+// MaxDuration. The result for NaN is 0.
 func Seconds(seconds float64) time.Duration {
 	switch nanoseconds := seconds * float64(time.Second); {
-	case nanoseconds >= float64(maxDuration):
-		return maxDuration
-	case nanoseconds <= -float64(maxDuration):
-		return -maxDuration
+	case math.IsNaN(nanoseconds):
+		return 0
+	case nanoseconds >= float64(MaxDuration):
+		return MaxDuration
+	case nanoseconds <= -float64(MaxDuration):
+		return -MaxDuration
 	default:
 		return time.Duration(nanoseconds)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
@@ -123,6 +124,10 @@
 		{`count = 2`, `count = 3`, "cluster.count"},
 		{`"127.0.0.1:4"`, `"nowhere"`, "outside.cloud"},
 		{`cpus_max = 4.0`, `cpus_max = -4.0`, "cluster.teams[0]"},
+		{`cpus_max = 4.0`, `cpus_max = nan`, "cluster.teams[0]"},
+		{`cpus_max = 4.0`, `cpus_max = inf`, "cluster.teams[0]"},
+		{`lease_s = 14.0`, `lease_s = inf`, "cluster.workers.lease_s"},
+		{`mem_mb = 98.0`, `mem_mb = 1e300`, "mem_mb"},
 		{`mem_mb = 98.0`, `mem_mb = 0.0`, "mem_mb"},
 		{`[cluster]`, `[cluster`, "line"},
 		{`txn_ops = 20`, "txn_ops = 20\nnext = { txn_ops = 2 }", "cluster.state.next.txn_ops"},
@@ -172,6 +177,9 @@
 // Numbers of seconds that users and other services send may be huge. They must become durations whose sums
 // do not overflow to the other sign.
 func TestSecondsAreBounded(t *testing.T) {
+	if Seconds(math.NaN()) != 0 {
+		t.Errorf("Seconds(NaN): got %v, want 0", Seconds(math.NaN()))
+	}
 	for _, seconds := range []float64{0, 1.5, 1e9, 1e18, 1e300, -1e300} {
 		t.Run(fmt.Sprint(seconds), func(t *testing.T) {
 			duration := Seconds(seconds)
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 )
 
@@ -65,7 +66,10 @@
 	return nil
 }
 
-// validateAmounts checks that intervals, rates and sizes are above 0.
+// maxSetting is the largest interval, rate or size that is accepted. Products of several stay finite.
+const maxSetting = 1e12
+
+// validateAmounts checks that intervals, rates and sizes are above 0 and at most maxSetting.
 func (c *Cluster) validateAmounts() error {
 	for _, setting := range []struct {
 		name  string
@@ -87,6 +91,9 @@
 		if !(setting.value > 0) {
 			return invalidSetting(setting.name, "must be above 0, is %v", setting.value)
 		}
+		if setting.value > maxSetting {
+			return invalidSetting(setting.name, "must be at most %v, is %v", maxSetting, setting.value)
+		}
 	}
 	return nil
 }
@@ -127,6 +134,9 @@
 			if amount < 0 {
 				return invalidSetting(fmt.Sprintf("cluster.teams[%d]", i), "%s: amounts can't be negative", team.Name)
 			}
+			if math.IsNaN(amount) || math.IsInf(amount, 0) {
+				return invalidSetting(fmt.Sprintf("cluster.teams[%d]", i), "%s: amounts must be finite", team.Name)
+			}
 		}
 	}
 	return nil
@@ -135,7 +145,7 @@
 // validateObjectives checks that shares are within 0..1 and that no time limit is negative.
 func (c *Cluster) validateObjectives() error {
 	for i, objective := range c.Objectives {
-		if objective.MinShare < 0 || objective.MinShare > 1 || objective.WithinS < 0 {
+		if !(objective.MinShare >= 0 && objective.MinShare <= 1 && objective.WithinS >= 0) {
 			return invalidSetting(fmt.Sprintf("cluster.objectives[%d]", i),
 				"share must be within 0..1 and within_s not negative")
 		}
--- a/internal/controller/one_way_cuts_test.go
+++ b/internal/controller/one_way_cuts_test.go
@@ -262,6 +262,7 @@
 		{IncomingLinks: []reachability.IncomingLink{{Node: "nobody"}}},
 		{IncomingLinks: []reachability.IncomingLink{{Node: peer}}},
 		{IncomingLinks: []reachability.IncomingLink{{Node: leaderNode.name, AgeMS: -1}}}, {RecentWorkers: -1},
+		{IncomingLinks: []reachability.IncomingLink{{Node: leaderNode.name, AgeMS: 1 << 50}}},
 	} {
 		leaderNode.Step(leaderNode.monotonicNow(sim.now),
 			[]Command{InboundMessage{From: peer, Message: protocol.PeerHeartbeat{ProcessID: 3, Links: report}}})
--- a/internal/controller/timing.go
+++ b/internal/controller/timing.go
@@ -41,7 +41,8 @@
 // nowUnixMilli returns the current wall clock in Unix milliseconds.
 func (t *timing) nowUnixMilli() int64 { return t.unixMilli(t.now) }
 
-// instantFromUnixMilli converts a stored wall clock time to an instant.
+// instantFromUnixMilli converts a stored wall clock time to an instant, limited to the range in which
+// time spans can be added to it.
 func (t *timing) instantFromUnixMilli(milliseconds int64) clock.Instant {
-	return time.UnixMilli(milliseconds).Sub(t.startTime)
+	return min(max(time.UnixMilli(milliseconds).Sub(t.startTime), clock.Never), config.MaxDuration)
 }
--- a/internal/dependency/deadlines.go
+++ b/internal/dependency/deadlines.go
@@ -7,6 +7,7 @@
 
 	"hitchdoor/internal/clock"
 	"hitchdoor/internal/cluster"
+	"hitchdoor/internal/config"
 )
 
 // tightenDeadlines propagates deadlines and ranks (lower is more urgent) from the given jobs to their
@@ -48,7 +49,7 @@
 	if latestEnd == clock.Forever {
 		return clock.Forever
 	}
-	return latestEnd - g.ExpectedJobDuration(job, pullRate)
+	return max(latestEnd-g.ExpectedJobDuration(job, pullRate), clock.Never) // a long path can't overflow
 }
 
 // RelaxDeadlines recomputes LatestEnd and InheritedRank of the jobs on which the cancelled jobs
@@ -79,7 +80,7 @@
 // heartbeats, one that carries the start command and one that reports the end.
 func (g *Graph) ExpectedJobDuration(job *cluster.Job, pullRate cluster.ImagePullRate) time.Duration {
 	longestTaskFactor := math.Exp(taskDurationLogDeviation * math.Sqrt(2*math.Log(float64(job.Spec.TaskCount))))
-	longestTask := time.Duration(longestTaskFactor * float64(g.state.ExpectedTaskDuration(job)))
+	longestTask := config.Seconds(longestTaskFactor * g.state.ExpectedTaskDuration(job).Seconds())
 	return longestTask + pullRate.PullDuration(job.Spec.ImageGB) + 2*g.state.HeartbeatInterval()
 }
 
--- a/internal/fleet/forecast.go
+++ b/internal/fleet/forecast.go
@@ -178,15 +178,22 @@
 // Restore loads the forecast that an earlier leader recorded at storedAt.
 func (f *Forecast) Restore(record storage.ArrivalForecastRecord, storedAt time.Duration) {
 	f.decayedAt = storedAt
-	f.countingSince = storedAt - config.Seconds(record.WindowSeconds)
+	f.countingSince = storedAt - config.Seconds(max(record.WindowSeconds, 0))
 	for class, stored := range record.Classes {
 		f.classes[class] = &classArrivals{
-			recentWork: stored.RecentWork, longTermWork: stored.LongTermWork,
-			jobCount: stored.JobCount, dueAfter: config.Seconds(stored.DueSeconds),
+			recentWork: limitStored(stored.RecentWork), longTermWork: limitStored(stored.LongTermWork),
+			jobCount: limitStored(stored.JobCount), dueAfter: config.Seconds(max(stored.DueSeconds, 0)),
 		}
 	}
 }
 
+// maxStored is the largest sum that is restored from a record. It is more than the work of the largest
+// possible jobs, and powers and sums of it stay finite.
+const maxStored = 1e50
+
+// limitStored returns a stored sum within the range of possible sums.
+func limitStored(sum float64) float64 { return min(max(sum, 0), maxStored) }
+
 // StartCounting starts the counting of arrivals at now, for a leader that found no stored forecast.
 func (f *Forecast) StartCounting(now time.Duration) { f.decayedAt, f.countingSince = now, now }
 
--- a/internal/json/json.go
+++ b/internal/json/json.go
@@ -8,6 +8,7 @@
 package json
 
 import (
+	"errors"
 	"fmt"
 	"io"
 
@@ -39,8 +40,17 @@
 	return err
 }
 
-// Marshal encodes a value.
-func Marshal(value any) ([]byte, error) { return json.Marshal(value) }
+// Marshal encodes a value. JSON has no infinite numbers and no NaN: an infinite number is encoded as the
+// largest finite one of its sign, and NaN as 0. A computed number therefore never prevents a message or a
+// record from being encoded.
+func Marshal(value any) ([]byte, error) {
+	raw, err := json.Marshal(value)
+	var unsupported *json.UnsupportedValueError
+	if errors.As(err, &unsupported) && unsupported.Value.IsValid() && unsupported.Value.CanFloat() {
+		return json.Marshal(finiteCopy(value))
+	}
+	return raw, err
+}
 
 // MarshalIndent encodes a value for people to read. Each line begins with the prefix, followed by the
 // indentation.
--- a/internal/protocol/cloud_responses.go
+++ b/internal/protocol/cloud_responses.go
@@ -94,19 +94,14 @@
 	return t.Name != "" && t.Cores > 0 && t.MemoryGB > 0 && !(t.Accelerators < 0)
 }
 
-// UsableTypes returns the machine types that can hold a task, with prices, pull rates, cache sizes and
-// boot times raised to their lower bounds.
+// UsableTypes returns the machine types that can hold a task, with their amounts within the limits.
 func (c *Catalog) UsableTypes() []MachineType {
 	var usable []MachineType
 	for _, machineType := range c.Types {
 		if !machineType.canHoldTasks() {
 			continue
 		}
-		machineType.OnDemandPrice = max(machineType.OnDemandPrice, minPrice)
-		machineType.SpotPrice = max(machineType.SpotPrice, minPrice)
-		machineType.PullGBPerSecond = max(machineType.PullGBPerSecond, minPullGBPerSecond)
-		machineType.ImageCacheGB = max(machineType.ImageCacheGB, 0)
-		machineType.BootSeconds = max(machineType.BootSeconds, 0)
+		machineType.limitAmounts()
 		usable = append(usable, machineType)
 	}
 	return usable
--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -322,6 +322,9 @@
 		if group.RejectedForCapacity < 0 || group.RejectedByPolicy < 0 || group.PriorityRank < 0 {
 			return nil, "a negative amount"
 		}
+		if max(group.RejectedForCapacity, group.RejectedByPolicy) > maxRejectionsPerGroup {
+			return nil, "an amount over its limit"
+		}
 	}
 	return AdmissionLoad{PolicyRevision: w.PolicyRevision, Groups: w.GroupLoads}, ""
 }
--- a/internal/protocol/peers_test.go
+++ b/internal/protocol/peers_test.go
@@ -79,7 +79,8 @@
 		`{"type":"ask","id":1,"kind":"query"}`, `{"type":"ask","id":1,"kind":"submit","job":"j-1"}`,
 		`{"type":"ask","id":1,"kind":"report"}`,
 		`{"type":"beat","room":-1}`, `{"type":"load"}`, `{"type":"load","loads":[{"away":-1}]}`,
-		`{"type":"load","loads":[{"rank":-1}]}`,
+		`{"type":"load","loads":[{"rank":-1}]}`, `{"type":"load","loads":[{"away":9223372036854775807}]}`,
+		`{"type":"load","loads":[{"refused":9223372036854775807}]}`,
 		`{"type":"answer","id":1}`, `{"type":"answer","code":200}`, `{"type":"answer","id":1,"code":200,"retry":-1}`,
 	} {
 		t.Run(line, func(t *testing.T) {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -69,7 +69,8 @@
 var requiredFields = []string{"uid", "lote", "dono", "feitio", "vez", "pecas", "cores", "accelerators", "ramGb",
 	"molde", "pullGb", "samePlace", "apart", "avulsas", "previstoS", "marcoS", "guardaS"}
 
-// ParseJob decodes a submission and validates all that does not depend on the settings. The caller
+// ParseJob decodes a submission, validates all that does not depend on the settings, and reduces the
+// amounts to their limits. The caller
 // responds to any error with status 400. The error is an *InvalidBodyError, an *InvalidFieldError or a
 // *NegativeAmountError.
 func ParseJob(body []byte) (*Job, error) {
@@ -92,6 +93,7 @@
 	if err := job.Validate(); err != nil {
 		return nil, err
 	}
+	job.LimitAmounts()
 	job.Dependencies = withoutDuplicates(job.Dependencies)
 	return &job, nil
 }
@@ -197,6 +199,7 @@
 	if heartbeat.Machine == "" || heartbeat.Epoch == 0 {
 		return nil, &InvalidBodyError{Reason: "report without machine or session"}
 	}
+	heartbeat.limitAmounts()
 	return &heartbeat, nil
 }
 
--- a/internal/reachability/matrix.go
+++ b/internal/reachability/matrix.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -72,6 +73,9 @@
 	return m
 }
 
+// maxAgeMS is the largest age in milliseconds that a duration can hold.
+const maxAgeMS = int64(math.MaxInt64 / time.Millisecond)
+
 // InvalidReportError is the error of RecordReport for an invalid report.
 type InvalidReportError struct{ Reason string }
 
@@ -97,6 +101,9 @@
 		case link.AgeMS < 0:
 			return &InvalidReportError{fmt.Sprintf("%q reports a heartbeat from %q with the negative age %d ms",
 				from, link.Node, link.AgeMS)}
+		case link.AgeMS > maxAgeMS:
+			return &InvalidReportError{fmt.Sprintf("%q reports a heartbeat from %q with the impossible age %d ms",
+				from, link.Node, link.AgeMS)}
 		}
 	}
 	m.reports[from] = receivedReport{receivedAt: receivedAt, report: report}
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"hitchdoor/internal/cluster"
 	"hitchdoor/internal/config"
@@ -148,7 +147,7 @@
 			}
 			reclaimedCores[team] += victim.Job.Spec.Cores
 			missingCores -= victim.Job.Spec.Cores
-			s.RescheduleAttempt(victim, s.CheckpointGraceSeconds(victim))
+			s.RescheduleAttempt(victim, s.CheckpointGrace(victim).Seconds())
 			victims[i] = nil
 		}
 	}
@@ -160,6 +159,5 @@
 	if victim.Job.Spec.Team == job.Spec.Team || !cluster.Feasible(&job.Spec, victim.Machine) {
 		return false
 	}
-	preemption := time.Duration(2*victim.Job.Spec.CheckpointSaveSeconds*float64(time.Second)) + s.HeartbeatInterval()
-	return s.RemainingDuration(victim) >= preemption
+	return s.RemainingDuration(victim) >= s.CheckpointGrace(victim)
 }
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -353,8 +353,8 @@
 // Delete returns a write that deletes a key.
 func Delete(key string) Write { return Write{DeleteKey: key} }
 
-// Encode returns the JSON of a record. It panics on a value that can't be encoded as JSON; all records of
-// this package can.
+// Encode returns the JSON of a record. It panics on a value of a type that can't be encoded as JSON. No
+// number makes it panic, see json.Marshal.
 func Encode(record any) []byte {
 	raw, err := json.Marshal(record)
 	if err != nil {
--- a/internal/storage/validate.go
+++ b/internal/storage/validate.go
@@ -40,7 +40,8 @@
 	return nil
 }
 
-// ReadJob decodes and validates the record of an open job. The error is a *RecordError.
+// ReadJob decodes and validates the record of an open job, and reduces the job's amounts to their limits,
+// which earlier versions did not do. The error is a *RecordError.
 func ReadJob(item Item) (JobRecord, error) {
 	var record JobRecord
 	if err := decodeObject(item, &record); err != nil {
@@ -55,6 +56,7 @@
 	if record.DependencyRecords < 0 {
 		return record, newRecordError(item, "names %d records of the jobs that it needs", record.DependencyRecords)
 	}
+	record.Spec.LimitAmounts()
 	return record, nil
 }
 
