controller: serve the admission page of a job while the stored policy is invalid

GET /admission/ID ended the process for a job that this node has rejected by policy, while the stored policy is invalid.

Cause: the page asked how long the policy makes the job wait, without a policy in force.

Change: the page says that the policy is invalid and gives no time; hitchdoor admission says so too.

TestAdmissionPageWithInvalidPolicy failed before with a nil pointer panic. Sound: submissions are answered with a 503 before the policy is asked; a missing policy admits every job.

--- a/internal/adminclient/admission.go
+++ b/internal/adminclient/admission.go
@@ -187,6 +187,10 @@
 			fmt.Fprintf(out, "%s: was refused by %s as a job of team %q, class %q; a new submission is admitted now\n",
 				job, response.value.Node, status.RejectedGroup.Team, status.RejectedGroup.Class)
 			known = true
+		case status.RejectedGroup != nil && response.value.Invalid:
+			fmt.Fprintf(out, "%s: refused by %s, where the stored admission policy is invalid and admits no job\n",
+				job, response.value.Node)
+			known = true
 		case status.RejectedGroup != nil:
 			fmt.Fprintf(out,
 				"%s: refused by %s, because more jobs of team %q, class %q, priority %s are submitted than can be "+
--- a/internal/admission/status.go
+++ b/internal/admission/status.go
@@ -26,7 +26,9 @@
 	Accepted bool   `json:"accepted"` // this node knows that the job was accepted
 	// RejectedGroup is the job's group if the policy rejected the job on this node and the job has
 	// not been accepted since.
-	RejectedGroup        *Group `json:"refused,omitempty"`
-	AdmittedNow          bool   `json:"admit,omitempty"`   // the policy admits the job now
-	SecondsUntilAdmitted int    `json:"turnInS,omitempty"` // seconds until the policy admits the job; 0 if it does now
+	RejectedGroup *Group `json:"refused,omitempty"`
+	AdmittedNow   bool   `json:"admit,omitempty"` // the policy admits the job now
+	// SecondsUntilAdmitted is the time until the policy admits the job; 0 if it does now, or if the
+	// policy is invalid.
+	SecondsUntilAdmitted int `json:"turnInS,omitempty"`
 }
--- a/internal/controller/admission_status.go
+++ b/internal/controller/admission_status.go
@@ -38,8 +38,11 @@
 		return status
 	}
 	status.RejectedGroup = &group
+	if n.admissionPolicy.Invalid {
+		return status // nothing is admitted until the leader has removed the policy
+	}
 	verdict := n.admissionPolicy.Current.Evaluate(group, jobID)
-	status.AdmittedNow = verdict.Admit && !n.admissionPolicy.Invalid
+	status.AdmittedNow = verdict.Admit
 	if !status.AdmittedNow {
 		status.SecondsUntilAdmitted = n.admissionPolicy.RetryAfterSeconds(verdict)
 	}
--- a/internal/controller/admission_test.go
+++ b/internal/controller/admission_test.go
@@ -9,6 +9,7 @@
 
 	"hitchdoor/internal/admission"
 	"hitchdoor/internal/admissioncontrol"
+	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
@@ -331,6 +332,23 @@
 	}
 }
 
+// The admission page of a job that the policy has rejected must be served while the stored policy is invalid. It
+// once ended the process, because no policy was in force from which to tell when the job will be admitted.
+func TestAdmissionPageWithInvalidPolicy(t *testing.T) {
+	sim := newOverloadedSimulation(t, 3, true)
+	node := sim.nodes[sim.followers()[0]]
+	node.policyRejections.Put("j-rejected", admission.Group{Team: "free", Class: "c", PriorityRank: 2})
+	node.admissionPolicy.ApplyRecord(storage.Item{Key: storage.AdmissionPolicyKey, Value: []byte(`"no policy"`),
+		ModRevision: sim.store.revision})
+	reply := sim.requestAndWait(node.name, Request{Kind: protocol.RequestAdmission, JobID: "j-rejected"})
+	var status admission.NodeStatus
+	if err := json.Unmarshal(reply.Body, &status); err != nil || reply.Status != 200 || status.Job == nil ||
+		!status.Invalid || status.Job.AdmittedNow || status.Job.RejectedGroup == nil {
+		t.Errorf("admission page: got status %d, %s, error %v; want the job as rejected by an invalid policy",
+			reply.Status, reply.Body, err)
+	}
+}
+
 // A node of an earlier version accepts jobs without regard to the policy, and the invariant checker
 // does not check its transactions. So a policy must be published only while every node supports
 // policies, and must be removed when a node returns to an earlier version.
