--- a/internal/cluster/attempt.go
+++ b/internal/cluster/attempt.go
@@ -18,6 +18,7 @@
 	RunningSince clock.Instant // when a heartbeat to this leader first reported the task as running
 	StopGrace    *float64      // grace period of the requested stop, in seconds; nil: no stop requested
 	Reported     bool          // the heartbeat being processed contains the attempt
+	slots        SlotUnits     // scheduler slots that the attempt occupies
 	cachedKey    string        // result of Key; empty: not computed yet
 }
 
--- a/internal/cluster/health.go
+++ b/internal/cluster/health.go
@@ -30,9 +30,10 @@
 	unhealthyAfterFailures = 2
 )
 
-// maxProbeDelay is the longest delay until a job that fails everywhere is probed: one of its tasks is
-// tried again. The fault may lie in the job's input, and no job may be left without an attempt for 90 s.
-const maxProbeDelay = MaxStartDelay / 4
+// maxRetryDelay is the longest delay until a failed task is retried, or until a job that fails everywhere is
+// probed: one of its tasks is tried again. The fault may lie in the job's input, and no job may be left without
+// an attempt for 90 s.
+const maxRetryDelay = MaxStartDelay / 4
 
 // RecordTaskFailure records the failure of a task that ran for runDuration. After the first failure the
 // task is retried at once on another machine. From the second failure on, it is retried after a backoff
@@ -69,14 +70,14 @@
 }
 
 // backOffTask counts a failure of a task. From the second failure on, it delays the next attempt
-// exponentially, up to four worker leases.
+// exponentially, up to four worker leases or maxRetryDelay.
 func (s *State) backOffTask(job *Job, taskIndex int, machine *Machine) {
 	s.DelayTask(job, taskIndex, machine, 0)
 	history := job.FailureHistories[taskIndex]
 	history.failures++
 	if history.failures > 1 {
 		backoff := s.HeartbeatInterval() << min(history.failures-1, 10)
-		history.RetryAfter = s.Clock.Now() + min(backoff, 4*s.workerLease())
+		history.RetryAfter = s.Clock.Now() + min(backoff, 4*s.workerLease(), maxRetryDelay)
 	}
 }
 
@@ -87,7 +88,7 @@
 		return // the failed attempt started before the job was known to fail everywhere
 	}
 	job.FailedProbes++
-	job.NextProbeAt = s.Clock.Now() + min(s.workerLease()<<min(job.FailedProbes, 10)/2, maxProbeDelay)
+	job.NextProbeAt = s.Clock.Now() + min(s.workerLease()<<min(job.FailedProbes, 10)/2, maxRetryDelay)
 }
 
 // recordMachineFailure counts a task failure against its machine. It drains the machine once a single
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -191,6 +191,7 @@
 type Reservation struct {
 	Machine    *Machine      // nil: none
 	SearchedAt clock.Instant // last search for a machine to reserve
+	StartsAt   clock.Instant // when the machine is expected to have room for the reserved task
 }
 
 // WaitReason is the check that failed when the scheduler last tried to start a task of a job. The status
--- a/internal/cluster/machine.go
+++ b/internal/cluster/machine.go
@@ -59,6 +59,7 @@
 	RetainedResults    int                     // reported results that the worker must retain until they are stored
 	UsedCores, UsedRAM float64                 // resources that its attempts use; RAM in GB
 	usedAccelerators   float64
+	reportBytes        int           // size that the reports of its attempts may have in a heartbeat
 	Images             []CachedImage // least recently used first
 	ReservedFor        *Job          // job for which it is reserved; nil: none
 }
@@ -137,11 +138,18 @@
 		m.UseDurable && !m.Terminating && m.MachineType != nil
 }
 
-// HasSpareCapacity reports whether a machine has any free cores and any free memory.
+// HasSpareCapacity reports whether a machine has any free cores and any free memory. Only a task that
+// requires none of either may fit on a machine without (RequiresNothing).
 func (m *Machine) HasSpareCapacity() bool {
 	return m.UsedCores+ResourceTolerance < m.MachineType.Cores && m.UsedRAM+ResourceTolerance < m.MachineType.MemoryGB
 }
 
+// RequiresNothing reports whether a task of a job requires no cores or no memory, so that it may fit on a
+// machine without spare capacity.
+func RequiresNothing(spec *protocol.Job) bool {
+	return spec.Cores <= ResourceTolerance || spec.MemoryGB <= ResourceTolerance
+}
+
 // MayForceReturn reports whether a draining machine may be returned to the cloud without waiting until it
 // is empty. That is so if it sends no heartbeats, is missing from the cloud's list or is listed as failed.
 // A machine that commands do not reach may be returned if it has no attempts and results or is not
@@ -190,6 +198,7 @@
 // attempts while they iterate over it.
 func (m *Machine) addAttempt(attempt *TaskAttempt) {
 	m.Attempts[attempt.Key()] = attempt
+	m.reportBytes += taskReportBytes(&attempt.Job.Spec)
 	if n := len(m.AttemptsInOrder); n == 0 || m.AttemptsInOrder[n-1].Number < attempt.Number {
 		m.AttemptsInOrder = append(m.AttemptsInOrder, attempt)
 		return
@@ -203,6 +212,7 @@
 // AttemptsInOrder unchanged.
 func (m *Machine) removeAttempt(attempt *TaskAttempt) {
 	delete(m.Attempts, attempt.Key())
+	m.reportBytes -= taskReportBytes(&attempt.Job.Spec)
 	m.AttemptsInOrder = slices.DeleteFunc(slices.Clone(m.AttemptsInOrder),
 		func(other *TaskAttempt) bool { return other == attempt })
 }
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -70,7 +70,7 @@
 	RunnableJobs map[string]*Job           // open jobs without pending dependencies
 	EndedJobs    map[string]bool           // jobs that became terminal in this term
 	TeamUsage    map[string]*ResourceUsage // by team
-	ActiveTasks  [2]int                    // number of attempts: batch, latency-sensitive
+	UsedSlots    [2]SlotUnits              // slots that attempts occupy: batch, latency-sensitive
 }
 
 // newJobTable returns a job table without jobs, with zero usage for each team of the settings.
@@ -156,7 +156,8 @@
 	}
 	job.Attempts[attempt.TaskIndex] = attempt
 	machine.addAttempt(attempt)
-	s.countActiveTasks(job, 1)
+	attempt.slots = s.TaskSlots(&job.Spec)
+	s.addUsedSlots(job, attempt.slots)
 	machine.TouchImage(job.Spec.Image, job.Spec.ImageGB) // cached already, or pulled once for all tasks
 	machine.UsedCores += job.Spec.Cores
 	machine.UsedRAM += job.Spec.MemoryGB
@@ -175,7 +176,7 @@
 		return
 	}
 	machine.removeAttempt(attempt)
-	s.countActiveTasks(job, -1)
+	s.addUsedSlots(job, -attempt.slots)
 	if job.Attempts[attempt.TaskIndex] == attempt {
 		delete(job.Attempts, attempt.TaskIndex)
 	}
@@ -212,15 +213,6 @@
 	attempt.StopGrace = &grace
 }
 
-// countActiveTasks adds delta to the number of active tasks of the job's class.
-func (s *State) countActiveTasks(job *Job, delta int) {
-	class := 0
-	if IsLatencySensitive(&job.Spec) {
-		class = 1
-	}
-	s.ActiveTasks[class] += delta
-}
-
 // ReleaseReservation frees the machine that is reserved for a job, if there is one.
 func (s *State) ReleaseReservation(job *Job) {
 	if machine := job.Reservation.Machine; machine != nil {
--- a/internal/scheduler/checks.go
+++ b/internal/scheduler/checks.go
@@ -5,16 +5,16 @@
 	"hitchdoor/internal/config"
 )
 
-// slotUsage counts the scheduler slots of all machines that are up, and the tasks that occupy one slot
-// each, by kind of work: batch, and latency-sensitive (priorities prod and urgent).
+// slotUsage counts the scheduler slots of all machines that are up, and the slots that tasks occupy, by
+// kind of work: batch, and latency-sensitive (priorities prod and urgent).
 type slotUsage struct {
 	totalSlots                        float64
-	batchTasks, latencySensitiveTasks int
+	batchSlots, latencySensitiveSlots float64
 	latencySensitiveDelayed           bool // batch tasks must not borrow slots; see withinSlotLimit
 }
 
 // takenSlots returns the number of slots that tasks of both kinds of work occupy.
-func (u *slotUsage) takenSlots() int { return u.batchTasks + u.latencySensitiveTasks }
+func (u *slotUsage) takenSlots() float64 { return u.batchSlots + u.latencySensitiveSlots }
 
 // schedulingPass holds what all checks and placements of one scheduling pass share.
 type schedulingPass struct {
@@ -27,7 +27,8 @@
 func (s *Scheduler) newSchedulingPass(latencySensitiveDelayed bool) *schedulingPass {
 	pass := &schedulingPass{MachineTotals: s.CurrentMachineTotals()}
 	pass.slotUsage = slotUsage{
-		totalSlots: pass.MachineTotals.Slots, batchTasks: s.ActiveTasks[0], latencySensitiveTasks: s.ActiveTasks[1],
+		totalSlots: pass.MachineTotals.Slots, batchSlots: s.UsedSlots[0].Slots(),
+		latencySensitiveSlots:   s.UsedSlots[1].Slots(),
 		latencySensitiveDelayed: latencySensitiveDelayed,
 	}
 	return pass
@@ -62,7 +63,7 @@
 func (s *Scheduler) scheduleRank(sameRank []QueuedJob, pass *schedulingPass, mayPull bool) bool {
 	for _, queued := range sameRank {
 		s.CandidatesExamined++
-		if len(pass.machines) == 1 && !pass.machines[0].HasSpareCapacity() {
+		if len(pass.machines) == 1 && !s.mayHaveRoom(pass.machines[0]) {
 			return false
 		}
 		job := queued.Job
@@ -86,6 +87,7 @@
 	pass       *schedulingPass
 	team       *config.Team
 	teamUsage  *cluster.ResourceUsage
+	taskSlots  float64 // scheduler slots that one task occupies
 	mayPull    bool
 	candidates *candidateHeap // nil until the first task passes the checks
 }
@@ -101,7 +103,7 @@
 	if job.FailsEverywhere {
 		maxTasks = 1 // a single task probes whether the job still fails
 	}
-	placement := jobPlacement{job: job, pass: pass, mayPull: mayPull,
+	placement := jobPlacement{job: job, pass: pass, mayPull: mayPull, taskSlots: s.TaskSlots(&job.Spec).Slots(),
 		team: s.Config.Team(job.Spec.Team), teamUsage: s.TeamUsage[job.Spec.Team]}
 	reason := cluster.WaitNone
 	noneSkipped := true // all tasks with a lower index are active or done
@@ -201,27 +203,37 @@
 	})
 	placement.candidates.rescore(machine)
 	if cluster.IsLatencySensitive(&placement.job.Spec) {
-		placement.pass.latencySensitiveTasks++
+		placement.pass.latencySensitiveSlots += placement.taskSlots
 	} else {
-		placement.pass.batchTasks++
+		placement.pass.batchSlots += placement.taskSlots
 	}
 }
 
 // checkLimits checks whether the limits allow one more task of a job, in this order: scheduler slots,
 // team quota, overall quota. It returns the first limit that does not, or WaitNone.
+//
+// The slots and the overall quota hold work back until slots become free, but no longer than until the job
+// has been pending for maxPendingBesideRoom. From then on, only the team's quota and the room on the machines
+// hold it back.
 func (s *Scheduler) checkLimits(placement *jobPlacement) cluster.WaitReason {
-	pass := placement.pass
+	needsSlots := !s.pendingTooLong(placement.job)
 	switch {
-	case !s.withinSlotLimit(placement.job, pass):
+	case needsSlots && !s.withinSlotLimit(placement):
 		return cluster.WaitSlots
 	case exceedsTeamQuota(placement):
 		return cluster.WaitTeamQuota
-	case float64(pass.takenSlots()+1) > pass.totalSlots:
+	case needsSlots && exceedsSlots(placement, placement.pass.takenSlots(), placement.pass.totalSlots):
 		return cluster.WaitOverallQuota
 	}
 	return cluster.WaitNone
 }
 
+// exceedsSlots reports whether one more task of the job would take more slots than the limit, in addition to
+// those that are taken.
+func exceedsSlots(placement *jobPlacement, taken, limit float64) bool {
+	return taken+placement.taskSlots > limit+cluster.ResourceTolerance
+}
+
 // exceedsTeamQuota reports whether one more task of the job would exceed its team's quota. All resources
 // that attempts unknown to this leader may use are added to the team's usage. A quota of 0 means no limit.
 func exceedsTeamQuota(placement *jobPlacement) bool {
@@ -237,13 +249,14 @@
 // latency-sensitive, within that kind's limit. Either kind may take all slots, except that batch work is
 // limited to the share BatchShare while latency-sensitive work is delayed. Tasks of the other kind are
 // not counted here: the caller compares the tasks of both kinds with the total.
-func (s *Scheduler) withinSlotLimit(job *cluster.Job, pass *schedulingPass) bool {
-	if cluster.IsLatencySensitive(&job.Spec) {
-		return float64(pass.latencySensitiveTasks+1) <= pass.totalSlots
+func (s *Scheduler) withinSlotLimit(placement *jobPlacement) bool {
+	pass := placement.pass
+	if cluster.IsLatencySensitive(&placement.job.Spec) {
+		return !exceedsSlots(placement, pass.latencySensitiveSlots, pass.totalSlots)
 	}
 	limit := pass.totalSlots
 	if pass.latencySensitiveDelayed {
 		limit *= s.Settings.BatchShare
 	}
-	return float64(pass.batchTasks+1) <= limit
+	return !exceedsSlots(placement, pass.batchSlots, limit)
 }
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -84,7 +84,7 @@
 // acceptsTask reports whether a task of the job may start on a machine now, whether or not the machine
 // has the image.
 func (s *Scheduler) acceptsTask(machine *cluster.Machine, job *cluster.Job) bool {
-	available := machine.Schedulable() || machine.IsLastResort() && s.mayUseLastResort(job)
+	available := machine.Schedulable() || machine.IsLastResort() && s.pendingTooLong(job)
 	return available && s.fitsBesideReservation(job, machine) && cluster.Feasible(&job.Spec, machine)
 }
 
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -31,14 +31,16 @@
 	RankLate             = 3
 )
 
-// mayUseLastResort reports whether tasks of the job have waited so long that they may start on a slow
-// machine. No job may wait for 90 s while any machine has room for it.
-func (s *Scheduler) mayUseLastResort(job *cluster.Job) bool {
-	return s.Clock.Now()-job.PendingSince > lastResortAfter
+// pendingTooLong reports whether the job has been pending for so long that only the quota of its team and the
+// room on the machines may hold it back. Its tasks may start without a free slot, on a slow machine, and beside
+// a reservation that they end before.
+func (s *Scheduler) pendingTooLong(job *cluster.Job) bool {
+	return s.Clock.Now()-job.PendingSince > maxPendingBesideRoom
 }
 
-// lastResortAfter is the waiting time after which a task may start on a slow machine.
-const lastResortAfter = cluster.MaxStartDelay / 4
+// maxPendingBesideRoom is the pending time after which a job starts on any machine with room. No job may wait for
+// 90 s while any machine has room for it; the rest of that time is left for the start.
+const maxPendingBesideRoom = cluster.MaxStartDelay / 4
 
 // LatencySensitiveWorkDelayed reports whether a latency-sensitive job has waited longer than
 // BorrowWaitS. If so, batch work may not borrow the slots reserved for latency-sensitive work.
@@ -65,9 +67,11 @@
 	})
 	s.DemoteLargestJobs(all)
 	var queue []QueuedJob
+	s.pendingRequiresNothing = false
 	for _, queued := range all {
 		if queued.Job.PendingTasks > 0 {
 			queue = append(queue, *queued)
+			s.pendingRequiresNothing = s.pendingRequiresNothing || cluster.RequiresNothing(&queued.Job.Spec)
 		}
 	}
 	slices.SortFunc(queue, func(a, b QueuedJob) int {
--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -73,8 +73,9 @@
 			continue
 		}
 		job.Reservation.SearchedAt = now
-		if machine := s.machineWithEarliestRoom(job); machine != nil {
+		if machine, wait := s.machineWithEarliestRoom(job); machine != nil {
 			job.Reservation.Machine, machine.ReservedFor = machine, job
+			job.Reservation.StartsAt = now + wait
 			s.Log.Debug("machine reserved for a job that has waited too long",
 				"machine", machine.Name, "job", job.Spec.ID, "age", now-job.EligibleAt)
 		}
@@ -83,10 +84,8 @@
 }
 
 // machineWithEarliestRoom returns the machine that is expected to be the first with both room for a
-// task of the job and the job's image. It returns nil if no machine is feasible.
-func (s *Scheduler) machineWithEarliestRoom(job *cluster.Job) *cluster.Machine {
-	var best *cluster.Machine
-	var soonest time.Duration
+// task of the job and the job's image, and the time until then. It returns nil if no machine is feasible.
+func (s *Scheduler) machineWithEarliestRoom(job *cluster.Job) (best *cluster.Machine, soonest time.Duration) {
 	for _, machine := range s.MachinesByName() {
 		if !machine.Schedulable() || machine.Draining || machine.ReservedFor != nil ||
 			!cluster.Feasible(&job.Spec, machine) {
@@ -100,7 +99,7 @@
 			best, soonest = machine, wait
 		}
 	}
-	return best
+	return best, soonest
 }
 
 // timeToFreeCapacity returns the expected time until enough attempts on a machine have ended for a
@@ -122,12 +121,23 @@
 	return wait
 }
 
+// endsBeforeReservedStart reports whether a task of the job, started now, is expected to end before the machine
+// has room for the task for which it is reserved (backfill).
+func (s *Scheduler) endsBeforeReservedStart(job *cluster.Job, machine *cluster.Machine) bool {
+	duration := s.ExpectedTaskDuration(job)
+	if !machine.HasImage(job.Spec.Image) {
+		duration += config.Seconds(job.Spec.ImageGB / machine.MachineType.PullGBPerSecond)
+	}
+	return s.Clock.Now()+duration <= machine.ReservedFor.Reservation.StartsAt
+}
+
 // fitsBesideReservation reports whether a task of the job fits on a machine now, in addition to the
 // task for which the machine is reserved. Work within a guarantee does not wait for other teams, so a
-// reservation keeps it out only if the reserved job would otherwise start too late.
+// reservation keeps it out only if the reserved job would otherwise start too late. A job that has been
+// pending too long may use the reserved capacity as long as the reserved task doesn't need it.
 func (s *Scheduler) fitsBesideReservation(job *cluster.Job, machine *cluster.Machine) bool {
 	free := machine.FreeCapacity()
-	if !free.Fits(&job.Spec) {
+	if !free.Fits(&job.Spec) || !machine.CanReport(&job.Spec) {
 		return false
 	}
 	reservedJob := machine.ReservedFor
@@ -138,6 +148,9 @@
 	if s.guaranteedJobs[job] && !reservationIsFirm {
 		return true
 	}
+	if s.pendingTooLong(job) && s.endsBeforeReservedStart(job, machine) {
+		return true
+	}
 	free.Cores -= reservedJob.Spec.Cores
 	free.RAM -= reservedJob.Spec.MemoryGB
 	free.Accelerators -= reservedJob.Spec.Accelerators
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -36,6 +36,7 @@
 	PendingOrder            []QueuedJob           // pending jobs in scheduling order
 	guaranteedJobs          map[*cluster.Job]bool // see jobsWithinGuarantee
 	latencySensitiveDelayed bool                  // see LatencySensitiveWorkDelayed
+	pendingRequiresNothing  bool                  // some pending job requires no cores or no memory
 	preemptionTriedAt       clock.Instant         // time of the last search for tasks to preempt
 	ReconciledOnce          bool                  // all machines were reconciled in some pass of this term
 }
@@ -60,7 +61,7 @@
 		s.Log.Info("all machines reconciled", "after", s.Clock.Now()-s.StartedAt)
 	}
 	for _, machine := range s.MachinesByName() {
-		if (machine.Schedulable() || machine.IsLastResort()) && machine.HasSpareCapacity() {
+		if (machine.Schedulable() || machine.IsLastResort()) && s.mayHaveRoom(machine) {
 			pass.machines = append(pass.machines, machine)
 		}
 	}
@@ -73,7 +74,7 @@
 // response can start new tasks in place of finished ones. It uses the queue order of the last full
 // pass, because a full pass for each heartbeat would cost machines x tasks.
 func (s *Scheduler) ScheduleOnMachine(machine *cluster.Machine) {
-	if len(s.PendingOrder) == 0 || !machine.Schedulable() || machine.Draining || !machine.HasSpareCapacity() {
+	if len(s.PendingOrder) == 0 || !machine.Schedulable() || machine.Draining || !s.mayHaveRoom(machine) {
 		return
 	}
 	pass := s.newSchedulingPass(s.latencySensitiveDelayed)
@@ -81,6 +82,11 @@
 	s.scheduleQueue(pass)
 }
 
+// mayHaveRoom reports whether a machine may have room for a task of a pending job.
+func (s *Scheduler) mayHaveRoom(machine *cluster.Machine) bool {
+	return machine.HasSpareCapacity() || s.pendingRequiresNothing
+}
+
 // ReleaseUndelivered releases attempts whose start command has not reached their machine in time,
 // because the machine's heartbeats have stopped or the responses to them are lost. The time limit
 // also applies to machines whose heartbeats arrive, because those may never receive a response.
