--- a/internal/cluster/failures.go
+++ b/internal/cluster/failures.go
@@ -1,7 +1,12 @@
 package cluster
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
+
+	"hitchdoor/internal/clock"
 )
 
 // DelayTask delays the next attempt of a task. For one worker lease after the delay, the task is not
@@ -46,7 +51,25 @@
 		job.FailureHistories[taskIndex].RetryAfter = s.Clock.Now() // NextProbeAt delays the retry instead
 		return
 	}
-	s.recordMachineFailure(machine, job)
+	machine.Failures[job]++
+	s.drainIfUnhealthy(machine)
+}
+
+// RecordTaskSuccess resets the failures of a machine and of a job after a task of the job has completed on the
+// machine, in an attempt that was placed at placedAt. If the attempt has probed an unhealthy machine, the machine
+// is used again, and the jobs that failed on it without a completed task are at fault.
+func (s *State) RecordTaskSuccess(machine *Machine, job *Job, placedAt clock.Instant) {
+	clear(job.FailedMachines)
+	if machine.Unhealthy && placedAt >= machine.ProbedAt {
+		byID := func(a, b *Job) int { return cmp.Compare(a.Spec.ID, b.Spec.ID) }
+		for _, failed := range slices.SortedFunc(maps.Keys(machine.Failures), byID) {
+			if failed.DoneTasks == 0 && failed != job && !failed.Terminal {
+				s.markFailsEverywhere(failed)
+			}
+		}
+		s.markHealthy(machine)
+	}
+	clear(machine.Failures)
 }
 
 // markFailsEverywhere marks a job as failing everywhere: its failures are not the fault of the machines.
@@ -56,6 +79,7 @@
 	if job.FailsEverywhere {
 		return
 	}
+	s.ExcuseMachines(job)
 	s.Log.Info("tasks of the job fail on several machines, retrying one task at a time", "job", job.Spec.ID)
 	for _, attempt := range job.Attempts {
 		if attempt.Phase == AttemptAssigned {
@@ -87,17 +111,59 @@
 	job.NextProbeAt = s.Clock.Now() + min(s.workerLease()<<min(job.FailedProbes, 10)/2, maxRetryDelay)
 }
 
-// recordMachineFailure counts a task failure against its machine. It drains the machine once a single
-// faulty job cannot explain the machine's consecutive failures.
-func (s *State) recordMachineFailure(machine *Machine, job *Job) {
-	machine.ConsecutiveFailures++
-	machine.FailedJobs[job.Spec.ID] = true
-	if machine.Unhealthy || machine.ConsecutiveFailures < unhealthyAfterFailures {
+// drainIfUnhealthy drains a machine once a single faulty job cannot explain its consecutive failures.
+func (s *State) drainIfUnhealthy(machine *Machine) {
+	if machine.Unhealthy || !machine.failuresShowFault() {
+		return
+	}
+	machine.Unhealthy, machine.ProbedAt = true, s.Clock.Now()
+	s.BeginDrain(machine, Unhealthy)
+}
+
+// failuresShowFault reports whether the machine is at fault for its consecutive failures. Those of a single job
+// show it if other tasks of the job have completed, or if they are many and the job has failed on no other machine.
+func (m *Machine) failuresShowFault() bool {
+	total, failsOnlyHere, hasCompletedTasks := 0, false, false
+	for job, count := range m.Failures {
+		total += count
+		failsOnlyHere = len(job.FailedMachines) <= 1
+		hasCompletedTasks = job.DoneTasks > 0
+	}
+	switch {
+	case total < unhealthyAfterFailures:
+		return false
+	case len(m.Failures) > 1 || hasCompletedTasks:
+		return true
+	default:
+		return failsOnlyHere && total >= 2*unhealthyAfterFailures
+	}
+}
+
+// ExcuseMachines takes back the failures of a job that is at fault, or that has ended without a completed task, so
+// that nothing shows any more whose fault they were. An unhealthy machine is used again unless its other
+// failures show that it is at fault.
+func (s *State) ExcuseMachines(job *Job) {
+	for _, machine := range s.MachinesByName() {
+		if machine.Failures[job] == 0 {
+			continue
+		}
+		delete(machine.Failures, job)
+		if machine.Unhealthy && !machine.failuresShowFault() {
+			s.markHealthy(machine)
+		}
+	}
+}
+
+// markHealthy cancels the drain of an unhealthy machine, unless it is drained for another reason or its return was
+// requested.
+func (s *State) markHealthy(machine *Machine) {
+	if !machine.Unhealthy {
 		return
 	}
-	if len(machine.FailedJobs) > 1 || job.DoneTasks > 0 || machine.ConsecutiveFailures >= 2*unhealthyAfterFailures {
-		machine.Unhealthy = true
-		s.BeginDrain(machine, Unhealthy)
+	s.Log.Info("machine is healthy after all, using it again", "machine", machine.Name)
+	machine.Unhealthy = false
+	if machine.DrainReason == Unhealthy && !machine.Terminating && !machine.TerminationRequested {
+		s.CancelDrain(machine)
 	}
 }
 
--- a/internal/cluster/machine.go
+++ b/internal/cluster/machine.go
@@ -66,10 +66,11 @@
 
 // MachineHealth holds the signs of a faulty or slow machine: failures and run times of its tasks.
 type MachineHealth struct {
-	ConsecutiveFailures int             // consecutive task failures
-	FailedJobs          map[string]bool // distinct jobs among those failures
-	Unhealthy           bool            // tasks fail on it although their jobs are not at fault
-	logDurationRatios   []float64       // log(actual / typical run time) of its last tasks
+	// Failures counts the consecutive failures by job, without those of jobs that are at fault.
+	Failures          map[*Job]int
+	Unhealthy         bool          // tasks fail on it although their jobs are not at fault
+	ProbedAt          clock.Instant // when it was found unhealthy, or a task last probed it since then
+	logDurationRatios []float64     // log(actual / typical run time) of its last tasks
 }
 
 // DrainState is the progress of returning a machine to the cloud.
@@ -124,10 +125,10 @@
 	return m.usable() && (!m.Draining || m.DrainReason == SurplusCapacity)
 }
 
-// IsLastResort reports whether a machine is usable but slow. Such a machine accepts only tasks of jobs
-// that have waited long.
+// IsLastResort reports whether a machine is usable but slow or unhealthy. Such a machine accepts only tasks of
+// jobs that have been pending for long.
 func (m *Machine) IsLastResort() bool {
-	return m.usable() && m.Draining && m.DrainReason == SlowExecution
+	return m.usable() && m.Draining && (m.DrainReason == SlowExecution || m.DrainReason == Unhealthy)
 }
 
 // usable reports whether a task that is placed on the machine reaches it and is tracked. The machine's
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -109,7 +109,7 @@
 		Name: name, TypeName: typeName, Zone: zone, Spot: spot, MachineType: s.Catalog[typeName], RentedAt: now,
 		WorkerLink:    WorkerLink{LastHeartbeat: clock.Never, LastResponse: clock.Never, LastDelivery: clock.Never},
 		Occupancy:     Occupancy{Attempts: map[string]*TaskAttempt{}},
-		MachineHealth: MachineHealth{FailedJobs: map[string]bool{}},
+		MachineHealth: MachineHealth{Failures: map[*Job]int{}},
 		DrainState:    DrainState{SurplusSince: now, preemptionNotice: clock.Never},
 	}
 	s.Machines[name] = machine
--- a/internal/cluster/transitions_test.go
+++ b/internal/cluster/transitions_test.go
@@ -241,6 +241,47 @@
 	}
 }
 
+// The failures of a job that is cancelled, or found at fault, must not keep a machine out of use, but failures of
+// other jobs must. A task that succeeds on an unhealthy machine shows which jobs were at fault, and one that was
+// placed before the failures shows nothing.
+func TestUnhealthyMachineIsUsedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(state *State, machine *Machine, jobs []*Job)
+		want   string // unhealthy, drain reason, whether the first job fails everywhere
+	}{
+		"nothing happens":      {func(*State, *Machine, []*Job) {}, "true sick false"},
+		"one job is cancelled": {func(s *State, _ *Machine, jobs []*Job) { s.ExcuseMachines(jobs[0]) }, "false  false"},
+		"another job is cancelled": {func(s *State, m *Machine, jobs []*Job) {
+			s.RecordTaskFailure(m, jobs[2], 0, time.Second)
+			s.ExcuseMachines(jobs[0])
+		}, "true sick false"},
+		"a job fails on three machines": {func(s *State, _ *Machine, jobs []*Job) {
+			s.RecordTaskFailure(newTestMachine(s, "m-2"), jobs[0], 0, time.Second)
+			s.RecordTaskFailure(newTestMachine(s, "m-3"), jobs[0], 0, time.Second)
+		}, "false  true"},
+		"a probe succeeds": {func(s *State, m *Machine, jobs []*Job) { s.RecordTaskSuccess(m, jobs[2], m.ProbedAt) },
+			"false  true"},
+		"an earlier task succeeds": {func(s *State, m *Machine, jobs []*Job) { s.RecordTaskSuccess(m, jobs[2], m.ProbedAt-1) },
+			"true sick false"},
+		"its return is requested": {func(s *State, m *Machine, jobs []*Job) {
+			m.TerminationRequested = true
+			s.ExcuseMachines(jobs[0])
+		}, "false sick false"},
+	} {
+		state, _ := newTestState()
+		machine, jobs := newTestMachine(state, "m-1"), []*Job{}
+		for i := range 3 {
+			jobs = append(jobs, newTestJob(state, fmt.Sprint("j-", i+1), protocol.PriorityStandard))
+		}
+		state.RecordTaskFailure(machine, jobs[0], 0, time.Second)
+		state.RecordTaskFailure(machine, jobs[1], 0, time.Second)
+		c.change(state, machine, jobs)
+		if got := fmt.Sprint(machine.Unhealthy, " ", machine.DrainReason, " ", jobs[0].FailsEverywhere); got != c.want {
+			t.Errorf("%s: got %q, want %q", name, got, c.want)
+		}
+	}
+}
+
 // A task that keeps failing is retried at least once a minute: no job may be left without an attempt for 90 s, however
 // long the worker lease is from which the delays follow.
 func TestRetryDelayIsLimited(t *testing.T) {
@@ -297,6 +338,7 @@
 		"a job with successes twice":        {[]string{"11", "11"}, 1, "[] [m-1]"},
 		"two jobs on a machine":             {[]string{"11", "21"}, 0, "[] [m-1]"},
 		"a job on two machines":             {[]string{"11", "12"}, 0, "[] []"},
+		"a job four times on two machines":  {[]string{"11", "12", "11", "12", "11", "12", "11", "12"}, 0, "[] []"},
 		"a job on three machines":           {[]string{"11", "12", "13"}, 0, "[j-1] []"},
 		"with successes, on three machines": {[]string{"11", "12", "13"}, 1, "[] []"},
 		"failures of a job known to fail":   {[]string{"11", "12", "13", "13", "13", "23"}, 0, "[j-1] []"},
--- a/internal/reconcile/reconciler_test.go
+++ b/internal/reconcile/reconciler_test.go
@@ -185,9 +185,8 @@
 			if released := len(f.job.Attempts) == 0; released != c.released {
 				t.Errorf("got %d tracked attempts, want the attempt released: %v", len(f.job.Attempts), c.released)
 			}
-			if f.machine.ConsecutiveFailures != c.failures {
-				t.Errorf("got %d consecutive failures of the machine, want %d",
-					f.machine.ConsecutiveFailures, c.failures)
+			if f.machine.Failures[f.job] != c.failures {
+				t.Errorf("got %d consecutive failures of the machine, want %d", f.machine.Failures[f.job], c.failures)
 			}
 			retryIn := clock.Never
 			if history := f.job.FailureHistories[0]; history != nil {
@@ -216,9 +215,9 @@
 		t.Error("completion of task 0 did not request a stop of its other attempt without grace")
 	}
 	f.placeAttempt(1, cluster.AttemptRunning)
-	f.machine.ConsecutiveFailures, f.machine.FailedJobs["j-9"], f.job.FailedMachines["m-9"] = 1, true, true
+	f.machine.Failures[&cluster.Job{}], f.machine.Failures[f.job], f.job.FailedMachines["m-9"] = 1, 1, true
 	f.sendHeartbeat(t, f.taskStatus(1, protocol.TaskExited, protocol.ExitDone))
-	if f.machine.ConsecutiveFailures+len(f.machine.FailedJobs)+len(f.job.FailedMachines) != 0 {
+	if len(f.machine.Failures)+len(f.job.FailedMachines) != 0 {
 		t.Error("failures of the machine or the job still recorded after a completed task, want none")
 	}
 }
--- a/internal/reconcile/reported_tasks.go
+++ b/internal/reconcile/reported_tasks.go
@@ -249,9 +249,7 @@
 		r.RecordSlowdown(machine, job, duration)
 		r.RecordTaskDuration(job, duration)
 	}
-	machine.ConsecutiveFailures = 0
-	clear(machine.FailedJobs)
-	clear(job.FailedMachines)
+	r.RecordTaskSuccess(machine, job, attempt.AssignedAt)
 	machine.TouchImage(job.Spec.Image, job.Spec.ImageGB)
 	r.ReleaseAttempt(attempt)
 }
--- a/internal/records/job_completion.go
+++ b/internal/records/job_completion.go
@@ -19,6 +19,9 @@
 	job.Terminal, job.Cancelled = true, state == protocol.JobCancelled
 	terminal := storage.TerminalRecord{State: state, TaskCount: job.Spec.TaskCount, DoneTasks: job.DoneTasks}
 	r.stopAttempts(job)
+	if job.DoneTasks == 0 {
+		r.state.ExcuseMachines(job)
+	}
 	if job.Cancelled && !job.DependencyCancelled {
 		r.host.RelaxDeadlines(job)
 	}
--- a/internal/scheduler/checks.go
+++ b/internal/scheduler/checks.go
@@ -197,6 +197,9 @@
 	if machine.Draining && machine.DrainReason == cluster.SurplusCapacity {
 		s.CancelDrain(machine)
 	}
+	if machine.Unhealthy {
+		machine.ProbedAt = s.Clock.Now()
+	}
 	s.PlaceAttempt(&cluster.TaskAttempt{
 		Job: placement.job, TaskIndex: index, Number: s.Host.NextAttemptNumber(), Machine: machine,
 		Phase: cluster.AttemptAssigned, AssignedAt: s.Clock.Now(),
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -84,10 +84,24 @@
 // acceptsTask reports whether a task of the job may start on a machine now, whether or not the machine
 // has the image.
 func (s *Scheduler) acceptsTask(machine *cluster.Machine, job *cluster.Job) bool {
-	available := machine.Schedulable() || machine.IsLastResort() && s.pendingTooLong(job)
+	available := machine.Schedulable() || machine.IsLastResort() && s.mayUseLastResort(machine, job)
 	return available && s.fitsBesideReservation(job, machine) && cluster.Feasible(&job.Spec, machine)
 }
 
+// mayUseLastResort reports whether a task of the job may start on a slow or unhealthy machine now. On an
+// unhealthy one, a single task after the other probes whether tasks still fail. A job whose own tasks have failed
+// lately would tell nothing about the machine.
+func (s *Scheduler) mayUseLastResort(machine *cluster.Machine, job *cluster.Job) bool {
+	if !s.pendingTooLong(job) {
+		return false
+	}
+	probeDue := s.Clock.Now()-machine.ProbedAt > unhealthyProbeInterval && len(job.FailedMachines) == 0
+	return machine.DrainReason != cluster.Unhealthy || probeDue
+}
+
+// unhealthyProbeInterval is the time between two probes of an unhealthy machine.
+const unhealthyProbeInterval = cluster.MaxStartDelay / 8
+
 // maxPullSeconds returns how long a task of the job may take to pull its image; infinity means no
 // limit. If a job's start objective is too short to rent a machine within it, and some machine has the
 // image, the job waits for that machine rather than for a longer pull, which would certainly miss the
@@ -131,7 +145,7 @@
 	}
 	if machine.Draining {
 		scored.drainPenalty = 1 // a surplus machine stays empty unless no other machine has room
-		if machine.DrainReason == cluster.SlowExecution {
+		if machine.IsLastResort() {
 			scored.drainPenalty = 2
 		}
 	}
@@ -185,7 +199,7 @@
 // task of the job fits.
 func (c *candidateHeap) rescore(machine *cluster.Machine) {
 	position := slices.IndexFunc(c.entries, func(x candidate) bool { return x.machine == machine })
-	if c.scheduler.fitsBesideReservation(c.job, machine) {
+	if c.scheduler.acceptsTask(machine, c.job) {
 		c.entries[position] = c.score(machine)
 		heap.Fix(c, position)
 	} else {
