json: limit the depth of lists and objects

A heartbeat of 500 KB with 250,000 opening brackets in an unknown field grew the stack by 128 MB, more than the 98 MB that a controller of one deployment has (measured with runtime.MemStats); 60 KB took 8 MB.

Cause: the JSON library decodes each level with a recursive call and has no limit.

Sound: sizes of bodies and lines, numbers of connections, lists of at most 512 KiB side by side.

--- a/internal/json/json.go
+++ b/internal/json/json.go
@@ -31,8 +31,12 @@
 	return fmt.Sprintf("json: invalid character %q after the value", e.First)
 }
 
-// Unmarshal decodes data, which must be exactly one JSON value, into the variable that value points to.
+// Unmarshal decodes data, which must be exactly one JSON value of at most maxDepth levels, into the variable
+// that value points to.
 func Unmarshal(data []byte, value any) error {
+	if err := checkDepth(data); err != nil {
+		return err
+	}
 	rest, err := json.Parse(data, value, json.DontMatchCaseInsensitiveStructFields)
 	if err == nil && len(rest) > 0 {
 		err = &TrailingDataError{First: rest[0]}
--- a/internal/json/json_test.go
+++ b/internal/json/json_test.go
@@ -39,6 +39,30 @@
 	}
 }
 
+// A text must not take more stack than a controller has memory: 500 KB of brackets in an unknown field once took 128 MB.
+// Many values side by side, and brackets within strings, are no levels.
+func TestNestingIsLimited(t *testing.T) {
+	nested := func(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
+	for name, c := range map[string]struct {
+		text  string
+		valid bool
+	}{
+		"at the limit":       {`{"unknown":` + nested(maxDepth-1) + `}`, true},
+		"over the limit":     {`{"unknown":` + nested(maxDepth) + `}`, false},
+		"lists":              {nested(250_000), false},
+		"objects":            {strings.Repeat(`{"a":`, 50_000) + "1" + strings.Repeat("}", 50_000), false},
+		"unclosed lists":     {strings.Repeat("[", 250_000), false},
+		"side by side":       {`{"unknown":[` + strings.Repeat("[],", 5000) + `{}]}`, true},
+		"within a string":    {`{"unknown":"` + strings.Repeat(`[\"{`, 5000) + `"}`, true},
+		"escaped at the end": {`{"unknown":"\\","other":` + nested(maxDepth) + `}`, false},
+	} {
+		var decoded record
+		if err := Unmarshal([]byte(c.text), &decoded); (err == nil) != c.valid {
+			t.Errorf("%s: got error %v, want it decoded: %v", name, err, c.valid)
+		}
+	}
+}
+
 // A decoder must compare names exactly and must not accept text after the value.
 func TestUnmarshal(t *testing.T) {
 	var decoded record
