records: write rejected bitmaps and terminal records again

If the key-value store rejects a part of a bitmap or a terminal record that is sent alone, it was never written again in that term: the workers retained the results, and the users of a job that had ended were told "queued" (seen in the new test).

Change: an abandoned change may say what happens next (storage.Change.OnAbandoned); bitmaps and terminal records are queued again after a worker lease.

TestRejectedRecordsAreWrittenAgain failed before in both rows.

--- a/internal/controller/durability_test.go
+++ b/internal/controller/durability_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"hitchdoor/internal/config"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
 )
@@ -306,3 +309,49 @@
 		t.Errorf("worker routes after 4 worker leases: got %d, want 0", len(follower.workerRouter.Routes))
 	}
 }
+
+// A record that the key-value store rejects as invalid must be written again later. Otherwise nothing frees what
+// waits for it in the term: the workers retain the results of completed tasks, or the users of a job never learn
+// that it has ended.
+func TestRejectedRecordsAreWrittenAgain(t *testing.T) {
+	for name, prefix := range map[string]string{"bitmap": storage.BitmapPrefix, "terminal record": storage.TerminalPrefix} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 1)
+			leaderNode := sim.waitForLeader()
+			sim.startMachines(2)
+			sim.taskDuration = func(task string, _ int) time.Duration {
+				if task == "j-1/7" && prefix == storage.BitmapPrefix {
+					return 50 * time.Second // the job is still open when its bitmap is accepted again
+				}
+				return 2 * time.Second
+			}
+			rejections := 0
+			sim.store.rejectTransaction = func(txn storage.Txn) bool {
+				rejected := slices.ContainsFunc(txn.Writes, func(w storage.Write) bool { return strings.HasPrefix(w.PutKey, prefix) })
+				if rejected {
+					rejections++
+				}
+				return rejected
+			}
+			sim.submit(leaderNode.name, jobSpec("j-1", 8))
+			if !sim.advanceUntil(80*time.Second, func() bool { return rejections > 0 }) {
+				t.Fatal("the store has rejected no transaction after 80 s")
+			}
+			term := leaderNode.leader.term
+			sim.advance(5 * time.Second)
+			sim.store.rejectTransaction = nil
+			durable := func() bool {
+				for key := range sim.store.keys {
+					if strings.HasPrefix(key, prefix) {
+						return true
+					}
+				}
+				return false
+			}
+			if !sim.advanceUntil(2*config.Seconds(sim.cfg.Workers.LeaseS), durable) || leaderNode.leader.term != term {
+				t.Errorf("record %s* is not stored in the same term two worker leases after it is accepted again", prefix)
+			}
+			sim.waitForJobState("j-1", protocol.JobDone, 2*time.Minute)
+		})
+	}
+}
--- a/internal/records/job_completion.go
+++ b/internal/records/job_completion.go
@@ -26,10 +26,16 @@
 		r.host.RelaxDeadlines(job)
 	}
 	completion := &jobCompletion{records: r, job: job, terminal: terminal}
-	r.writer.Enqueue(r.host.CompletionPriority(job), storage.Change{
-		BuildWrites: completion.buildWrites,
-		OnSent:      completion.onSent,
-		OnApplied:   completion.onApplied,
+	completion.enqueue()
+}
+
+// enqueue queues the change. If the key-value store rejects it, it is queued again after a while.
+func (c *jobCompletion) enqueue() {
+	c.records.writer.Enqueue(c.records.host.CompletionPriority(c.job), storage.Change{
+		BuildWrites: c.buildWrites,
+		OnSent:      c.onSent,
+		OnApplied:   c.onApplied,
+		OnAbandoned: func() { c.records.callAfterAbandoned(c.enqueue) },
 	})
 }
 
--- a/internal/records/jobs.go
+++ b/internal/records/jobs.go
@@ -19,6 +19,7 @@
 // JobHost is the part of the leader that Jobs calls.
 type JobHost interface {
 	JobDependencies
+	Delayer
 	// IsTerminal reports whether a job's terminal record is known.
 	IsTerminal(jobID string) bool
 	// LegacyLeaderPossible reports whether a controller of protocol level 0 (an earlier version, which
@@ -110,7 +111,18 @@
 	}
 	part.WriteQueued = true
 	write := &bitmapWrite{records: r, job: job, part: part}
-	r.writer.Enqueue(storage.PriorityLow, storage.Change{BuildWrites: write.buildWrites, OnApplied: write.onApplied})
+	r.writer.Enqueue(storage.PriorityLow, storage.Change{BuildWrites: write.buildWrites, OnApplied: write.onApplied,
+		OnAbandoned: write.onAbandoned})
+}
+
+// abandonedRetryLeases is the time, in worker leases, after which a record that the key-value store has rejected
+// as invalid is written again. Until then the workers retain the results, and the users of a job that has ended
+// are not told of its end.
+const abandonedRetryLeases = 1
+
+// callAfterAbandoned calls retry when a record that was rejected may be written again.
+func (r *Jobs) callAfterAbandoned(retry func()) {
+	r.host.CallAfter(abandonedRetryLeases*r.clock.WorkerLease(), retry)
 }
 
 // isObsolete reports whether the part need not be stored any more, because the job is terminal or its
@@ -127,6 +139,16 @@
 	return []storage.Write{storage.Put(w.part.Key, storage.EncodeBitmap(w.written))}
 }
 
+// onAbandoned writes the part again after a while.
+func (w *bitmapWrite) onAbandoned() {
+	w.records.callAfterAbandoned(func() {
+		w.part.WriteQueued = false
+		if !w.isObsolete() {
+			w.records.storeBitmapPart(w.job, w.part)
+		}
+	})
+}
+
 // onApplied records which bits are durable, and queues another write if further tasks have finished.
 func (w *bitmapWrite) onApplied() {
 	w.part.WriteQueued = false
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -18,6 +18,8 @@
 	// permanently. alone means that the transaction had no other change, so that only smaller writes
 	// can succeed. If OnRejected is nil, the change is queued again or, if it was alone, abandoned.
 	OnRejected func(alone bool)
+	// OnAbandoned is called after the change was abandoned; nil: nothing more happens to it.
+	OnAbandoned func()
 
 	priority Priority
 }
@@ -244,6 +246,9 @@
 			for _, write := range writes {
 				abandonedKeys = append(abandonedKeys, write.Key())
 			}
+			if change.OnAbandoned != nil {
+				change.OnAbandoned()
+			}
 		default:
 			w.queues[change.priority] = slices.Insert(w.queues[change.priority], 0, change)
 		}
