--- a/internal/cluster/machine.go
+++ b/internal/cluster/machine.go
@@ -140,14 +140,14 @@
 }
 
 // HasSpareCapacity reports whether a machine has any free cores and any free memory. Only a task that
-// requires none of either may fit on a machine without (RequiresNothing).
+// requires none of either may fit on a machine without (RequiresNoCoresOrMemory).
 func (m *Machine) HasSpareCapacity() bool {
 	return m.UsedCores+ResourceTolerance < m.MachineType.Cores && m.UsedRAM+ResourceTolerance < m.MachineType.MemoryGB
 }
 
-// RequiresNothing reports whether a task of a job requires no cores or no memory, so that it may fit on a
+// RequiresNoCoresOrMemory reports whether a task of a job requires no cores or no memory, so that it may fit on a
 // machine without spare capacity.
-func RequiresNothing(spec *protocol.Job) bool {
+func RequiresNoCoresOrMemory(spec *protocol.Job) bool {
 	return spec.Cores <= ResourceTolerance || spec.MemoryGB <= ResourceTolerance
 }
 
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -67,11 +67,13 @@
 	})
 	s.DemoteLargestJobs(all)
 	var queue []QueuedJob
-	s.pendingRequiresNothing = false
+	s.pendingWithoutCoresOrMemory = false
 	for _, queued := range all {
 		if queued.Job.PendingTasks > 0 {
 			queue = append(queue, *queued)
-			s.pendingRequiresNothing = s.pendingRequiresNothing || cluster.RequiresNothing(&queued.Job.Spec)
+			if cluster.RequiresNoCoresOrMemory(&queued.Job.Spec) {
+				s.pendingWithoutCoresOrMemory = true
+			}
 		}
 	}
 	slices.SortFunc(queue, func(a, b QueuedJob) int {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -32,13 +32,13 @@
 
 // ScheduleState holds the results of the last full scheduling pass.
 type ScheduleState struct {
-	LastPass                clock.Instant         // start of the pass
-	PendingOrder            []QueuedJob           // pending jobs in scheduling order
-	guaranteedJobs          map[*cluster.Job]bool // see jobsWithinGuarantee
-	latencySensitiveDelayed bool                  // see LatencySensitiveWorkDelayed
-	pendingRequiresNothing  bool                  // some pending job requires no cores or no memory
-	preemptionTriedAt       clock.Instant         // time of the last search for tasks to preempt
-	ReconciledOnce          bool                  // all machines were reconciled in some pass of this term
+	LastPass                    clock.Instant         // start of the pass
+	PendingOrder                []QueuedJob           // pending jobs in scheduling order
+	guaranteedJobs              map[*cluster.Job]bool // see jobsWithinGuarantee
+	latencySensitiveDelayed     bool                  // see LatencySensitiveWorkDelayed
+	pendingWithoutCoresOrMemory bool                  // some pending job requires no cores or no memory
+	preemptionTriedAt           clock.Instant         // time of the last search for tasks to preempt
+	ReconciledOnce              bool                  // all machines were reconciled in some pass of this term
 }
 
 // PassesPerHeartbeat is the maximum number of full scheduling passes per heartbeat interval.
@@ -84,7 +84,7 @@
 
 // mayHaveRoom reports whether a machine may have room for a task of a pending job.
 func (s *Scheduler) mayHaveRoom(machine *cluster.Machine) bool {
-	return machine.HasSpareCapacity() || s.pendingRequiresNothing
+	return machine.HasSpareCapacity() || s.pendingWithoutCoresOrMemory
 }
 
 // ReleaseUndelivered releases attempts whose start command has not reached their machine in time,
