cluster: successes of earlier tasks don't hide whose fault failures were

A task that was placed before a machine was found unhealthy cleared the machine's failures when it completed, so the end of the job to which they belonged did not put the machine back into use.

--- a/internal/cluster/failures.go
+++ b/internal/cluster/failures.go
@@ -56,22 +56,32 @@
 }
 
 // RecordTaskSuccess resets the failures of a machine and of a job after a task of the job has completed on the
-// machine, in an attempt that was placed at placedAt. If the attempt has probed an unhealthy machine, the machine
-// is used again, and the jobs that failed on it without a completed task are at fault.
+// machine, in an attempt that was placed at placedAt. On an unhealthy machine, only an attempt that was placed
+// since then shows anything: the machine is used again, and the jobs that failed on it without a completed task
+// are at fault.
 func (s *State) RecordTaskSuccess(machine *Machine, job *Job, placedAt clock.Instant) {
 	clear(job.FailedMachines)
-	if machine.Unhealthy && placedAt >= machine.ProbedAt {
-		byID := func(a, b *Job) int { return cmp.Compare(a.Spec.ID, b.Spec.ID) }
-		for _, failed := range slices.SortedFunc(maps.Keys(machine.Failures), byID) {
-			if failed.DoneTasks == 0 && failed != job && !failed.Terminal {
-				s.markFailsEverywhere(failed)
-			}
-		}
+	if machine.Unhealthy && placedAt < machine.ProbedAt {
+		return
+	}
+	if machine.Unhealthy {
+		s.blameFailedJobs(machine, job)
 		s.markHealthy(machine)
 	}
 	clear(machine.Failures)
 }
 
+// blameFailedJobs marks the jobs that failed on a machine and have completed no task as failing everywhere, except
+// for the job that has just succeeded on it.
+func (s *State) blameFailedJobs(machine *Machine, succeeded *Job) {
+	byID := func(a, b *Job) int { return cmp.Compare(a.Spec.ID, b.Spec.ID) }
+	for _, failed := range slices.SortedFunc(maps.Keys(machine.Failures), byID) {
+		if failed.DoneTasks == 0 && failed != succeeded && !failed.Terminal {
+			s.markFailsEverywhere(failed)
+		}
+	}
+}
+
 // markFailsEverywhere marks a job as failing everywhere: its failures are not the fault of the machines.
 // It releases the attempts that were not sent yet, because from now on only one task at a time probes
 // the job.
--- a/internal/cluster/transitions_test.go
+++ b/internal/cluster/transitions_test.go
@@ -263,6 +263,10 @@
 			"false  true"},
 		"an earlier task succeeds": {func(s *State, m *Machine, jobs []*Job) { s.RecordTaskSuccess(m, jobs[2], m.ProbedAt-1) },
 			"true sick false"},
+		"an earlier task succeeds, and then one job is cancelled": {func(s *State, m *Machine, jobs []*Job) {
+			s.RecordTaskSuccess(m, jobs[2], m.ProbedAt-1)
+			s.ExcuseMachines(jobs[0])
+		}, "false  false"},
 		"its return is requested": {func(s *State, m *Machine, jobs []*Job) {
 			m.TerminationRequested = true
 			s.ExcuseMachines(jobs[0])
