--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"math"
 	"os"
 	"time"
 
@@ -164,13 +163,13 @@
 // MaxDuration. The result for NaN is 0.
 func Seconds(seconds float64) time.Duration {
 	switch nanoseconds := seconds * float64(time.Second); {
-	case math.IsNaN(nanoseconds):
-		return 0
-	case nanoseconds >= float64(MaxDuration):
+	case nanoseconds > -float64(MaxDuration) && nanoseconds < float64(MaxDuration):
+		return time.Duration(nanoseconds)
+	case nanoseconds > 0:
 		return MaxDuration
-	case nanoseconds <= -float64(MaxDuration):
+	case nanoseconds < 0:
 		return -MaxDuration
 	default:
-		return time.Duration(nanoseconds)
+		return 0
 	}
 }
--- a/internal/json/json.go
+++ b/internal/json/json.go
@@ -49,13 +49,19 @@
 // record from being encoded.
 func Marshal(value any) ([]byte, error) {
 	raw, err := json.Marshal(value)
-	var unsupported *json.UnsupportedValueError
-	if errors.As(err, &unsupported) && unsupported.Value.IsValid() && unsupported.Value.CanFloat() {
+	if err != nil && isUnsupportedNumber(err) {
 		return json.Marshal(finiteCopy(value))
 	}
 	return raw, err
 }
 
+// isUnsupportedNumber reports whether a value could not be encoded because it contains a number that JSON can't
+// hold.
+func isUnsupportedNumber(err error) bool {
+	var unsupported *json.UnsupportedValueError
+	return errors.As(err, &unsupported) && unsupported.Value.IsValid() && unsupported.Value.CanFloat()
+}
+
 // MarshalIndent encodes a value for people to read. Each line begins with the prefix, followed by the
 // indentation.
 func MarshalIndent(value any, prefix, indent string) ([]byte, error) {
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -196,10 +196,10 @@
 }
 
 // rescore updates a machine's score after a task was placed on it, or removes the machine if no further
-// task of the job fits.
+// task of the job fits. An unhealthy machine is probed with one task only.
 func (c *candidateHeap) rescore(machine *cluster.Machine) {
 	position := slices.IndexFunc(c.entries, func(x candidate) bool { return x.machine == machine })
-	if c.scheduler.acceptsTask(machine, c.job) {
+	if !machine.Unhealthy && c.scheduler.fitsBesideReservation(c.job, machine) {
 		c.entries[position] = c.score(machine)
 		heap.Fix(c, position)
 	} else {
