daemon: lease renewals and health checks don't wait behind heartbeats

What callers saw: questions, submissions and cancellations got 503 for up to a minute after the last fault, because leader followed leader and no term lasted.

Cause: the owner took all commands from one queue. After a loss of controllers every machine sends a heartbeat at once, and the response to the leader's own lease renewal waited behind thousands of them for longer than the lease lasts. The leader stepped down, all workers turned to the next leader, and its queue filled in the same way. Peers' messages (lease grants, votes) and health checks waited there too, so the load balancer removed nodes. Class of bug: a right that lapses because the message that extends it waits behind ordinary work.

TestHeartbeatsDelayNeitherLeaseRenewalsNorHealthChecks failed before: the first batch after 4,000 heartbeats had neither the result of the call, nor the peer's message, nor the health check.

Why it works: results of calls, election messages and health checks have a queue of their own that the owner empties first. They come at rates that the settings limit (requests to the store, heartbeats between nodes, probes), so they can't starve the others, and they wait for one batch at most.

--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -51,6 +51,17 @@
 	return forwarded && request.Kind == protocol.RequestQuery
 }
 
+// IsForwarding reports whether the message forwards a request or a response to one. All other messages
+// are about elections, leases and the state of the controllers themselves.
+func (m InboundMessage) IsForwarding() bool {
+	switch m.Message.(type) {
+	case protocol.ForwardedRequest, protocol.ForwardedResponse:
+		return true
+	default:
+		return false
+	}
+}
+
 // UnavailableResponse returns the response to a forwarded read-only request that can't be processed
 // now: status 503, and a retry after a second.
 func (m InboundMessage) UnavailableResponse() OutboundMessage {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -148,7 +148,7 @@
 	transports.Go(func() { serverErrors <- d.peerLinks.Serve(transportContext, open.peers) })
 	transports.Go(func() { d.peerLinks.Maintain(transportContext) })
 	d.startCall = func(call controller.ServiceCall) {
-		transports.Go(func() { d.queue.add(transportContext, d.clients[call.Target].Do(call)) })
+		transports.Go(func() { d.queue.addControl(transportContext, d.clients[call.Target].Do(call)) })
 	}
 	return d.runOwner(ctx, tickInterval, serverErrors)
 }
@@ -195,6 +195,8 @@
 	for {
 		batch = batch[:0]
 		select {
+		case queued := <-d.queue.control:
+			batch = append(batch, d.queue.dequeue(queued))
 		case queued := <-d.queue.commands:
 			batch = append(batch, d.queue.dequeue(queued))
 		case queued := <-d.queue.queries:
@@ -221,8 +223,12 @@
 // receivePeerMessage queues a message of another controller. It rejects a forwarded query at once if
 // the query queue is full.
 func (d *daemon) receivePeerMessage(ctx context.Context, message controller.InboundMessage) {
-	if !message.IsReadOnly() {
-		d.queue.add(ctx, message)
+	switch {
+	case !message.IsForwarding():
+		d.queue.addControl(ctx, message)
+		return
+	case !message.IsReadOnly():
+		d.queue.addCommand(ctx, message)
 		return
 	}
 	if !d.queue.tryAddQuery(message) {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -68,3 +68,29 @@
 		}
 	}
 }
+
+// Guards against leaders that lose their lease, and nodes that count as unhealthy, because the results of
+// their calls, peers' messages and health checks wait behind the heartbeats of a large fleet.
+func TestHeartbeatsDelayNeitherLeaseRenewalsNorHealthChecks(t *testing.T) {
+	const fleetSize = 4000
+	d := &daemon{queue: newOwnerQueue(2 * fleetSize), rejections: rejection.NewCounters(),
+		pendingReplies: map[uint64]chan controller.Reply{}}
+	for range fleetSize {
+		d.Handle(t.Context(), controller.Request{Kind: protocol.RequestHeartbeat}, 0)
+	}
+	d.receivePeerMessage(t.Context(), controller.InboundMessage{From: "n1", Message: protocol.PeerHeartbeat{}})
+	d.Handle(t.Context(), controller.Request{Kind: protocol.RequestHealth}, 0)
+	d.queue.addControl(t.Context(), controller.CallResult{ID: 1})
+	found := map[string]bool{}
+	for _, command := range d.queue.fillBatch(nil) {
+		found[fmt.Sprintf("%T", command)] = true
+		if request, ok := command.(controller.Request); ok {
+			found[string(request.Kind)] = true
+		}
+	}
+	for _, want := range []string{"controller.CallResult", "controller.InboundMessage", "health", "report"} {
+		if !found[want] {
+			t.Errorf("the first batch after %d heartbeats has no %s", fleetSize, want)
+		}
+	}
+}
--- a/internal/daemon/queue.go
+++ b/internal/daemon/queue.go
@@ -29,6 +29,11 @@
 // ownerQueue holds the commands that wait for the owner goroutine. Any goroutine may add commands; only
 // the owner removes them.
 type ownerQueue struct {
+	// control holds what this node's role depends on: results of calls, among them renewals of the leader
+	// lease, the other controllers' messages about elections, and health checks. They come at limited
+	// rates and must not wait behind the heartbeats of the whole fleet.
+	control chan queuedCommand
+	// commands holds all other requests that change state.
 	commands chan queuedCommand
 	// queries holds read-only requests. During an overload there are many of them, and heartbeats,
 	// lease renewals, submissions and cancellations must not be queued behind them.
@@ -39,24 +44,39 @@
 
 // newOwnerQueue returns an empty queue for the given number of commands, and a quarter of it in queries.
 func newOwnerQueue(length int) *ownerQueue {
-	return &ownerQueue{commands: make(chan queuedCommand, length),
+	return &ownerQueue{control: make(chan queuedCommand, length), commands: make(chan queuedCommand, length),
 		queries: make(chan queuedCommand, length/queryDivisor)}
 }
 
-// add queues a command. It waits while the queue is full, and drops the command if ctx ends.
-func (q *ownerQueue) add(ctx context.Context, command controller.Command) {
+// addControl queues a command on which this node's role depends. It waits while the queue is full, and drops
+// the command if ctx ends.
+func (q *ownerQueue) addControl(ctx context.Context, command controller.Command) {
+	add(ctx, q.control, command)
+}
+
+// addCommand is addControl for a command that changes state otherwise.
+func (q *ownerQueue) addCommand(ctx context.Context, command controller.Command) {
+	add(ctx, q.commands, command)
+}
+
+// add sends a command to a channel. It waits while the channel is full, and drops the command if ctx ends.
+func add(ctx context.Context, queue chan queuedCommand, command controller.Command) {
 	select {
-	case q.commands <- queuedCommand{command, time.Now()}:
+	case queue <- queuedCommand{command, time.Now()}:
 	case <-ctx.Done():
 	}
 }
 
 // tryAddRequest queues a request, and reports false if its queue is full.
 func (q *ownerQueue) tryAddRequest(request controller.Request) bool {
-	if request.IsReadOnly() {
+	switch {
+	case request.Kind == protocol.RequestHealth:
+		return tryAdd(q.control, request)
+	case request.IsReadOnly():
 		return q.tryAddQuery(request)
+	default:
+		return tryAdd(q.commands, request)
 	}
-	return tryAdd(q.commands, request)
 }
 
 // tryAddQuery queues a command that changes no state, and reports false if the queue of queries is full.
@@ -72,8 +92,11 @@
 	}
 }
 
-// fillBatch adds queued commands to a batch, and then a limited number of queries.
+// fillBatch adds to a batch the control commands, then other commands, and then a limited number of queries.
 func (q *ownerQueue) fillBatch(batch []controller.Command) []controller.Command {
+	for len(batch) < maxBatchSize && len(q.control) > 0 {
+		batch = append(batch, q.dequeue(<-q.control))
+	}
 	for len(batch) < maxBatchSize && len(q.commands) > 0 {
 		batch = append(batch, q.dequeue(<-q.commands))
 	}
@@ -96,7 +119,7 @@
 
 // takeLoad returns the load of the queue since the last call.
 func (q *ownerQueue) takeLoad() controller.QueueLoad {
-	load := controller.QueueLoad{Depth: len(q.commands) + len(q.queries), LongestWait: q.longestWait,
+	load := controller.QueueLoad{Depth: len(q.control) + len(q.commands) + len(q.queries), LongestWait: q.longestWait,
 		HealthCheckDelay: q.healthCheckDelay}
 	q.longestWait, q.healthCheckDelay = 0, 0
 	return load
