Fault tests on real processes: seeded schedules, and a checker that sees what users see

Built on the emulator and the fakes: a proxy of the store (refusals, delays, lost answers, late transactions), a load balancer, late copies of heartbeats, links of workers that are blocked in one direction.

--- a/cmd/hitchdoor/main.go
+++ b/cmd/hitchdoor/main.go
@@ -68,7 +68,7 @@
 	flags.StringVar(&files.operators, "settings", "", "the operators' own settings (YAML)")
 	rootCommand.AddCommand(newCheckCommand(&files), newVersionCommand())
 	rootCommand.AddCommand(newOperatorCommands()...)
-	rootCommand.AddCommand(newEmulateCommand())
+	rootCommand.AddCommand(newEmulateCommand(), newFaultsCommand())
 	return rootCommand
 }
 
--- a/internal/emulator/controllers.go
+++ b/internal/emulator/controllers.go
@@ -27,6 +27,9 @@
 	name, clientAddress, peerAddress string
 	configFile                       string // path of the platform's settings file
 
+	// onLogLine gets each line that the process logs; nil: nobody.
+	onLogLine func(line string)
+
 	mu          sync.Mutex
 	command     *exec.Cmd
 	exited      chan struct{} // closed once the process has exited
@@ -50,9 +53,22 @@
 // a large one. By default the recovery of a small fleet is not paced.
 const smallFleetSettings = "recovery_from: 0\n"
 
+// routes are the addresses at which controllers reach the services and each other.
+type routes struct {
+	cloud string
+	store func(node string) string
+	peer  func(from, to *controller) string
+}
+
+// directRoutes returns routes without anything in between.
+func directRoutes(storeAddress, cloudAddress string) routes {
+	return routes{cloud: cloudAddress, store: func(string) string { return storeAddress },
+		peer: func(_, to *controller) string { return to.peerAddress }}
+}
+
 // newControllerSet reserves the controllers' addresses and writes their settings files into a
-// temporary directory.
-func newControllerSet(options *Options, storeAddress, cloudAddress string) (*controllerSet, error) {
+// temporary directory. route is called once the addresses are reserved.
+func newControllerSet(options *Options, route func(members []*controller) (routes, error)) (*controllerSet, error) {
 	directory, err := os.MkdirTemp("", "hitchdoor-emulate-")
 	if err != nil {
 		return nil, err
@@ -75,24 +91,36 @@
 			return nil, err
 		}
 	}
-	for _, member := range set.members {
-		if err := set.writeConfigFile(member, storeAddress, cloudAddress); err != nil {
-			set.close()
-			return nil, err
-		}
+	if err := set.writeConfigFiles(route); err != nil {
+		set.close()
+		return nil, err
 	}
 	return set, nil
 }
 
+// writeConfigFiles writes the settings files of all controllers.
+func (s *controllerSet) writeConfigFiles(route func(members []*controller) (routes, error)) error {
+	chosen, err := route(s.members)
+	if err != nil {
+		return err
+	}
+	for _, member := range s.members {
+		if err := s.writeConfigFile(member, chosen); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // writeConfigFile writes the platform's settings file of one controller.
-func (s *controllerSet) writeConfigFile(member *controller, storeAddress, cloudAddress string) error {
+func (s *controllerSet) writeConfigFile(member *controller, chosen routes) error {
 	platform := config.Platform{Node: member.name, Location: "a", ClientListen: member.clientAddress,
 		PeerBind: member.peerAddress, Cluster: s.options.clusterConfig()}
-	platform.Services.Store, platform.Services.Cloud = storeAddress, cloudAddress
+	platform.Services.Store, platform.Services.Cloud = chosen.store(member.name), chosen.cloud
 	for _, other := range s.members {
 		if other != member {
 			platform.Peers = append(platform.Peers,
-				config.Peer{Node: other.name, Location: "a", Address: other.peerAddress})
+				config.Peer{Node: other.name, Location: "a", Address: chosen.peer(member, other)})
 		}
 	}
 	raw, err := toml.Marshal(platform)
@@ -189,6 +217,9 @@
 		c.mu.Lock()
 		c.lastLogLine = lines.Text()
 		c.mu.Unlock()
+		if c.onLogLine != nil {
+			c.onLogLine(lines.Text())
+		}
 	}
 	io.Copy(io.Discard, log)
 }
@@ -203,6 +234,27 @@
 	}
 }
 
+// pause stops the process, or lets a stopped one go on. It has no effect on a process that has ended.
+func (c *controller) pause(stop bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.command == nil {
+		return
+	}
+	if stop {
+		c.command.Process.Signal(syscall.SIGSTOP)
+		return
+	}
+	c.command.Process.Signal(syscall.SIGCONT)
+}
+
+// isRunning reports whether the process was started and has not been killed.
+func (c *controller) isRunning() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.command != nil && !c.killed
+}
+
 // waitForExit waits until the process has exited. It returns at once if it was never started.
 func (c *controller) waitForExit() {
 	c.mu.Lock()
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -60,8 +60,9 @@
 		return nil, err
 	}
 	defer run.fleet.Close()
-	if run.controllers, err = newControllerSet(&options, run.store.Server.Address(),
-		run.fleet.Server.Address()); err != nil {
+	if run.controllers, err = newControllerSet(&options, func([]*controller) (routes, error) {
+		return directRoutes(run.store.Server.Address(), run.fleet.Server.Address()), nil
+	}); err != nil {
 		return nil, err
 	}
 	defer run.controllers.close()
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -60,10 +60,7 @@
 // all jobs are terminal or the context is cancelled.
 func (g *loadGenerator) submitJobs(ctx context.Context, deadline time.Time) {
 	defer g.pollers.Wait()
-	runTime := max(minRunTime, heartbeatsPerRun*g.options.HeartbeatInterval)
-	busyCores := g.options.Load * coresPerMachine * float64(g.options.Machines)
-	jobRate := min(maxJobsPerSecond, busyCores/runTime.Seconds()/4)
-	tasksPerJob := busyCores / runTime.Seconds() / jobRate
+	jobRate, tasksPerJob, runTime := g.options.loadShape()
 	for number := 0; ; number++ {
 		pause := config.Seconds(g.rng.ExpFloat64() / jobRate)
 		if time.Now().Add(pause).After(deadline) || !sleep(ctx, pause) {
@@ -77,6 +74,15 @@
 	}
 }
 
+// loadShape returns the mean rate of jobs per second, their mean number of tasks and the mean run time of
+// a task, which together need the configured share of all cores.
+func (o *Options) loadShape() (jobRate, tasksPerJob float64, runTime time.Duration) {
+	runTime = max(minRunTime, heartbeatsPerRun*o.HeartbeatInterval)
+	busyCores := o.Load * coresPerMachine * float64(o.Machines)
+	jobRate = min(maxJobsPerSecond, busyCores/runTime.Seconds()/4)
+	return jobRate, busyCores / runTime.Seconds() / jobRate, runTime
+}
+
 // newJob returns a job with a random priority and team. Its number of tasks and its run time are
 // random, too, and deviate by at most half from the given means.
 func (g *loadGenerator) newJob(number int, meanTasks float64, runTime time.Duration) protocol.Job {
--- a/internal/fakes/fleet.go
+++ b/internal/fakes/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hitchdoor/internal/config"
+	"hitchdoor/internal/history"
 	"hitchdoor/internal/protocol"
 )
 
@@ -40,6 +41,9 @@
 	duplicatedTasks []string // tasks that ran on two machines at once
 	wronglyStopped  []string // tasks stopped although not cancelled and without a second copy
 
+	cloudUnavailable  bool
+	blockedTo         map[string]bool      // controllers that get no heartbeats, by name
+	blockedFrom       map[string]bool      // controllers whose responses do not arrive, by name
 	cancelRequested   map[string]bool      // jobs whose cancellation a user has requested
 	cancelConfirmedAt map[string]time.Time // when a controller confirmed the cancellation, by job ID
 }
@@ -54,7 +58,11 @@
 	MaxMachines       int           // upper bound of the machines up at the same time
 	InitialMachines   int           // number of machines that SetNodes starts
 	CoresPerMachine   float64       // 0: defaultCores
-	Seed              uint64
+	// LateHeartbeatShare is the share of heartbeats of which a copy is sent again after up to a lease.
+	// SetLateHeartbeats changes it.
+	LateHeartbeatShare float64
+	History            *history.Recorder // gets what the workers and the cloud observe; nil: none
+	Seed               uint64
 }
 
 // TaskTotals counts the tasks that the workers ran, by outcome.
@@ -228,6 +236,28 @@
 	}
 }
 
+// SetLateHeartbeats sets the share of heartbeats of which a copy arrives a second time, later.
+func (f *Fleet) SetLateHeartbeats(share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settings.LateHeartbeatShare = share
+}
+
+// BlockNodes sets which controllers, by name, get no heartbeats from the workers (toNode), and from which the
+// workers get no responses (fromNode).
+func (f *Fleet) BlockNodes(toNode, fromNode map[string]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.blockedTo, f.blockedFrom = toNode, fromNode
+}
+
+// SetCloudUnavailable begins or ends an outage of the cloud, during which it answers 503.
+func (f *Fleet) SetCloudUnavailable(unavailable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cloudUnavailable = unavailable
+}
+
 // PreemptMachine removes a machine, as the cloud does when it reclaims a spot machine.
 func (f *Fleet) PreemptMachine(machine string) {
 	f.mu.Lock()
@@ -240,6 +270,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
+	case f.cloudUnavailable:
+		writeJSON(w, 503, map[string]string{"error": "trouble"})
 	case r.URL.Path == "/catalog":
 		writeJSON(w, 200, protocol.Catalog{Types: []protocol.MachineType{{Name: machineType,
 			Cores: f.settings.CoresPerMachine, MemoryGB: 4 * f.settings.CoresPerMachine, ImageCacheGB: 40,
@@ -312,6 +344,7 @@
 	machine := &worker{fleet: f, name: fmt.Sprintf("m-%06d", f.lastMachineNumber), epoch: 1, rentedAt: time.Now(),
 		removed: make(chan struct{}), rng: rand.New(rand.NewPCG(f.settings.Seed, uint64(f.lastMachineNumber)))}
 	f.workers[machine.name] = machine
+	f.settings.History.Record(history.Event{Kind: history.MachineRented, Machine: machine.name})
 	f.workerLoops.Go(func() { machine.heartbeatLoop(f.workerContext) })
 	return machine.name
 }
@@ -321,7 +354,8 @@
 	if machine := f.workers[name]; machine != nil {
 		delete(f.workers, name)
 		close(machine.removed)
-		machine.killTasks()
+		machine.killTasks(time.Now())
+		f.settings.History.Record(history.Event{Kind: history.MachineGone, Machine: name})
 	}
 }
 
--- a/internal/fakes/relay.go
+++ b/internal/fakes/relay.go
@@ -15,8 +15,9 @@
 
 	mu                sync.Mutex
 	unblocked         *sync.Cond
-	blockedToTarget   bool // no bytes pass towards the target
-	blockedFromTarget bool // no bytes pass from the target
+	blockedToTarget   bool          // no bytes pass towards the target
+	blockedFromTarget bool          // no bytes pass from the target
+	delay             time.Duration // by which bytes are held back in either direction
 	closed            bool
 	connections       map[net.Conn]bool
 
@@ -49,6 +50,13 @@
 	r.unblocked.Broadcast()
 }
 
+// SetDelay sets by how long bytes are held back in either direction.
+func (r *Relay) SetDelay(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = delay
+}
+
 // Close closes the listener and all connections of the relay, and waits for its goroutines.
 func (r *Relay) Close() {
 	r.cancelDials()
@@ -124,7 +132,11 @@
 		for *blocked && !r.closed {
 			r.unblocked.Wait()
 		}
+		delay := r.delay
 		r.mu.Unlock()
+		if delay > 0 {
+			time.Sleep(delay)
+		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
--- a/internal/fakes/store.go
+++ b/internal/fakes/store.go
@@ -343,3 +343,23 @@
 		w.Write(storage.Encode(body))
 	}
 }
+
+// SetOutage begins or ends an outage, like SetUnavailable, and has no effect if nothing changes.
+func (s *Store) SetOutage(unavailable bool) {
+	s.mu.Lock()
+	changes := s.unavailable != unavailable
+	s.mu.Unlock()
+	if changes {
+		s.SetUnavailable(unavailable)
+	}
+}
+
+// LeaderName returns the name in the leader key, or "" if there is none.
+func (s *Store) LeaderName() string {
+	item, ok := s.Item(storage.LeaderKey)
+	var leader storage.Leader
+	if !ok || json.Unmarshal(item.Value, &leader) != nil {
+		return ""
+	}
+	return leader.Node
+}
--- a/internal/fakes/worker.go
+++ b/internal/fakes/worker.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
 
+	"hitchdoor/internal/history"
 	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/storage"
@@ -40,23 +42,26 @@
 // minHeartbeatDelay is the minimum delay of a heartbeat that is sent early because of a change.
 const minHeartbeatDelay = 500 * time.Millisecond
 
-// killTasks kills all tasks and removes them. The caller must hold the fleet's mutex.
-func (w *worker) killTasks() {
+// killTasks removes all tasks, which were killed at the given time. The caller must hold the fleet's mutex.
+func (w *worker) killTasks(at time.Time) {
 	for _, machineTask := range w.tasks {
 		if machineTask.State != protocol.TaskExited {
 			w.fleet.totals.LostByLease++
-			w.exitTask(machineTask, protocol.ExitStopped)
+			w.exitTask(machineTask, protocol.ExitStopped, at)
 		}
 	}
 	w.tasks = nil
 }
 
-// exitTask marks a task as exited, unless it has exited before, and updates the fleet's counts.
-func (w *worker) exitTask(exiting *task, reason protocol.ExitReason) {
+// exitTask marks a task as exited at the given time, unless it has exited before, and updates the fleet's
+// counts.
+func (w *worker) exitTask(exiting *task, reason protocol.ExitReason, at time.Time) {
 	if exiting.State == protocol.TaskExited {
 		return
 	}
 	exiting.State, exiting.ExitReason = protocol.TaskExited, reason
+	w.fleet.settings.History.RecordAt(history.Event{Kind: history.TaskEnded, Task: exiting.TaskID,
+		Attempt: exiting.Attempt, Machine: w.name, Completed: reason == protocol.ExitDone}, at)
 	w.fleet.runningTasks--
 	if w.fleet.runningCopies[exiting.TaskID]--; w.fleet.runningCopies[exiting.TaskID] == 0 {
 		delete(w.fleet.runningCopies, exiting.TaskID)
@@ -86,14 +91,15 @@
 // tasks, and the completion of tasks.
 func (w *worker) advanceToNow() {
 	now := time.Now()
-	if !w.leaseRenewedAt.IsZero() && now.Sub(w.leaseRenewedAt) > w.fleet.settings.LeaseDuration {
+	leaseEnd := w.leaseRenewedAt.Add(w.fleet.settings.LeaseDuration)
+	if !w.leaseRenewedAt.IsZero() && now.After(leaseEnd) {
 		w.epoch++
-		w.killTasks()
+		w.killTasks(leaseEnd)
 		w.leaseRenewedAt = now
 	}
 	for _, machineTask := range w.tasks {
 		if machineTask.State == protocol.TaskRunning && now.After(machineTask.endsAt) {
-			w.exitTask(machineTask, protocol.ExitDone)
+			w.exitTask(machineTask, protocol.ExitDone, machineTask.endsAt)
 		}
 	}
 }
@@ -113,6 +119,7 @@
 		sentAt := time.Now()
 		status, body := 0, []byte(nil)
 		if heartbeat := w.nextHeartbeat(); heartbeat != nil {
+			w.repeatLate(ctx, heartbeat)
 			status, body = w.sendHeartbeat(ctx, client, heartbeat)
 		}
 		if !w.sleep(ctx, w.heartbeatDelay(w.handleResponse(status, body, sentAt))) {
@@ -183,7 +190,22 @@
 		w.node = w.nextNode()
 	}
 	address := nodes[w.node]
+	blockedTo, blockedFrom := w.fleet.blockedTo[w.node], w.fleet.blockedFrom[w.node]
 	w.fleet.mu.Unlock()
+	status, response := 0, []byte(nil)
+	if !blockedTo {
+		status, response = postHeartbeat(ctx, client, address, body)
+	}
+	if blockedTo || blockedFrom {
+		w.sleep(ctx, protocol.HeartbeatTimeout)
+		return 0, nil
+	}
+	return status, response
+}
+
+// postHeartbeat posts a heartbeat to a controller and returns the status and the body of the response. The
+// status is 0 if there is no response.
+func postHeartbeat(ctx context.Context, client *http.Client, address string, body []byte) (int, []byte) {
 	url := "http://" + address + "/v1/report"
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
@@ -202,6 +224,26 @@
 	return resp.StatusCode, raw
 }
 
+// repeatLate sends a copy of some heartbeats to a random controller after up to a worker lease, as a
+// network that delivers a message late does. Its response is dropped.
+func (w *worker) repeatLate(ctx context.Context, heartbeat []byte) {
+	fleet := w.fleet
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	if w.rng.Float64() >= fleet.settings.LateHeartbeatShare {
+		return
+	}
+	delay := time.Duration(w.rng.Float64() * float64(fleet.settings.LeaseDuration))
+	names := slices.Sorted(maps.Keys(fleet.settings.Nodes))
+	address := fleet.settings.Nodes[names[w.rng.IntN(len(names))]]
+	fleet.workerLoops.Go(func() {
+		client := &http.Client{Timeout: protocol.HeartbeatTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+		if w.sleep(ctx, delay) {
+			postHeartbeat(ctx, client, address, heartbeat)
+		}
+	})
+}
+
 // nextNode returns the name of the controller that follows the worker's current one in sorted order, or
 // of a random one if the current one is unknown.
 func (w *worker) nextNode() string {
@@ -225,6 +267,10 @@
 	receivedAt := time.Now()
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
+	epoch := w.epoch
+	if w.advanceToNow(); w.epoch != epoch {
+		status = 0 // the lease has expired meanwhile, and responses to earlier heartbeats are dropped
+	}
 	switch status {
 	case 200:
 		var response protocol.HeartbeatResponse
@@ -234,8 +280,10 @@
 		}
 		w.stateChanged = w.stateChanged || response.FencingToken > w.fencingToken
 		w.fencingToken, w.leaseRenewedAt = response.FencingToken, sentAt
+		fleet.settings.History.Record(history.Event{Kind: history.MachineServed, Machine: w.name})
 		for _, command := range response.Commands {
-			w.executeCommand(command, receivedAt)
+			w.recordCommand(command, response.FencingToken, sentAt)
+			w.executeCommand(command, receivedAt, sentAt)
 		}
 		return true
 	case 421:
@@ -251,13 +299,13 @@
 
 // executeCommand executes a command. It ignores a repeated start, and a stop or forget of an attempt
 // that the worker does not know.
-func (w *worker) executeCommand(command protocol.Command, receivedAt time.Time) {
+func (w *worker) executeCommand(command protocol.Command, receivedAt, sentAt time.Time) {
 	index := slices.IndexFunc(w.tasks, func(candidate *task) bool {
 		return candidate.TaskID == command.TaskID && candidate.Attempt == command.Attempt
 	})
 	switch {
 	case command.Kind == protocol.CommandStart && index < 0:
-		w.startTask(command, receivedAt)
+		w.startTask(command, receivedAt, sentAt)
 	case command.Kind == protocol.CommandStop && index >= 0:
 		w.stopTask(w.tasks[index], receivedAt)
 	case command.Kind == protocol.CommandForget && index >= 0:
@@ -265,9 +313,20 @@
 	}
 }
 
-// startTask starts the attempt that a command names.
-func (w *worker) startTask(command protocol.Command, receivedAt time.Time) {
+// recordCommand adds a command of a response with the given token to the history.
+func (w *worker) recordCommand(command protocol.Command, token uint64, sentAt time.Time) {
+	recorder := w.fleet.settings.History
+	recorder.Record(history.Event{Kind: history.CommandExecuted, Task: command.TaskID, Attempt: command.Attempt,
+		Machine: w.name, Command: command.Kind, Token: token, HighestToken: w.fencingToken,
+		SentAt: recorder.Since(sentAt)})
+}
+
+// startTask starts the attempt that a command names. sentAt is when the heartbeat was sent whose response
+// contained the command.
+func (w *worker) startTask(command protocol.Command, receivedAt, sentAt time.Time) {
 	fleet := w.fleet
+	fleet.settings.History.Record(history.Event{Kind: history.TaskStarted, Task: command.TaskID,
+		Attempt: command.Attempt, Machine: w.name, SentAt: fleet.settings.History.Since(sentAt)})
 	fleet.operations.record(receivedAt, OperationStartTask, 1, false)
 	fleet.startCounts[command.TaskID]++
 	fleet.totals.Started++
@@ -290,5 +349,5 @@
 		fleet.wronglyStopped = append(fleet.wronglyStopped, stopping.TaskID)
 	}
 	fleet.totals.Stopped++
-	w.exitTask(stopping, protocol.ExitStopped)
+	w.exitTask(stopping, protocol.ExitStopped, receivedAt)
 }
--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -37,6 +37,7 @@
 		"internal/ratelimit",
 	}},
 	{"stored records and counters", []string{
+		"internal/history",
 		"internal/rejection",
 		"internal/storage",
 	}},
