election: renew the leader lease without waiting for the response before

Cause: a leader sent the next renewal only after the response to the last one. The lease counts from the time at which a renewal was sent. In an overloaded process the response is late by itself (with 2,800 goroutines, 0.7 to 2.4 s, in a trial in which the store answered within milliseconds), so that two responses in a row that take more than half of the lease let it expire, although the store had renewed it each time. The same class: a right that lapses because the message that extends it waits.

TestLateRenewalResponsesKeepLeaderLease (fake clock, each response after 0.7 leases) failed before: "leader lease expired".

Why it works: renewals are sent four times per lease, whatever is in flight (four at most), each counts from its own sending, and so the lease lasts as long as responses take less than three quarters of it. A response to an older renewal does not overrule that to a newer one.

--- a/internal/election/election_step_test.go
+++ b/internal/election/election_step_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,16 +19,28 @@
 	now             clock.Instant
 	election        *Election
 	storeStatus     int
+	renewalDelay    time.Duration // time until the response to a lease renewal reaches the node
+	delayed         []delayedResponse
 	condition       LeaderCondition
 	sent            []protocol.PeerMessage
 	ledTerms        []uint64 // terms in which the node became the leader
 	stepDownReasons []string
 }
 
+// delayedResponse is a response of the key-value store that reaches the node later.
+type delayedResponse struct {
+	dueAt   clock.Instant
+	deliver func()
+}
+
 func (h *recordingHost) Now() clock.Instant { return h.now }
 
 func (h *recordingHost) CallStore(_, path string, _ any, onResponse func(storage.Response)) {
 	response := storage.Response{Status: h.storeStatus}
+	if strings.HasSuffix(path, "/touch") && h.renewalDelay > 0 {
+		h.delayed = append(h.delayed, delayedResponse{h.now + h.renewalDelay, func() { onResponse(response) }})
+		return
+	}
 	switch path {
 	case "/store/" + storage.LeaderKey, "/store/" + storage.TermKey:
 		response.Status = 404
@@ -68,6 +81,10 @@
 // whether the condition became true.
 func (h *recordingHost) runUntil(timeout time.Duration, condition func() bool) bool {
 	for end := h.now + timeout; h.now < end; h.now += 5 * time.Millisecond {
+		for len(h.delayed) > 0 && h.now >= h.delayed[0].dueAt {
+			h.delayed[0].deliver()
+			h.delayed = h.delayed[1:]
+		}
 		h.election.Tick()
 		if condition() {
 			return true
@@ -156,3 +173,15 @@
 		}
 	}
 }
+
+// Guards against a leader that loses its lease although the key-value store renews it, because an overloaded
+// process gets each response late, but within three quarters of the lease.
+func TestLateRenewalResponsesKeepLeaderLease(t *testing.T) {
+	e, host := newTestElection()
+	host.becomeLeader(t)
+	host.renewalDelay = e.LeaderLease() * 7 / 10
+	host.runUntil(e.workerLease(), func() bool { return len(host.stepDownReasons) > 0 })
+	if len(host.stepDownReasons) > 0 || !e.HoldsLeaderLease() {
+		t.Errorf("step-down reasons: got %q, want none", host.stepDownReasons)
+	}
+}
--- a/internal/election/leader_lease.go
+++ b/internal/election/leader_lease.go
@@ -17,8 +17,9 @@
 	leaseValidUntil clock.Instant            // end of the leader lease, without lease grants
 	grantedUntil    map[string]clock.Instant // end of each peer's lease grant, by peer name
 	renewalSentAt   clock.Instant            // when the last renewal was sent
-	renewalInFlight bool
-	renewalFailed   bool // the last renewal failed, so heartbeats request lease grants
+	renewals        int                      // renewals in flight
+	answeredSentAt  clock.Instant            // when the latest renewal that has a response was sent
+	renewalFailed   bool                     // that renewal failed, so heartbeats request lease grants
 }
 
 // newLeadership returns the state of a term that begins now, with a lease that was requested at
@@ -36,14 +37,16 @@
 	return started
 }
 
-// renewalDue reports whether the leader lease is due for renewal and no renewal is in flight.
+// renewalDue reports whether the leader lease is due for renewal. A renewal does not wait for the response to
+// the one before: if responses took longer than half of the lease, it would be sent too late.
 func (l *leadership) renewalDue(now clock.Instant, leaderLease time.Duration) bool {
-	return !l.renewalInFlight && now >= l.renewalSentAt+leaderLease/renewalsPerLeaderLease
+	return l.renewals < renewalsPerLeaderLease && now >= l.renewalSentAt+leaderLease/renewalsPerLeaderLease
 }
 
 // Durations of a leader's actions as fractions of a lease.
 const (
-	// A leader renews its lease renewalsPerLeaderLease times in the duration of a leader lease.
+	// A leader renews its lease renewalsPerLeaderLease times in the duration of a leader lease. As many
+	// renewals may be in flight.
 	renewalsPerLeaderLease = 4
 	// A leader that has received no message from any peer or worker for the isolation timeout,
 	// a quarter of a worker lease, steps down.
@@ -121,19 +124,22 @@
 // renewal is sent; becomeLeader states the reason.
 func (e *Election) renewLease() {
 	current, sentAt := e.leadership, e.host.Now()
-	current.renewalInFlight, current.renewalSentAt = true, sentAt
+	current.renewals++
+	current.renewalSentAt = sentAt
 	e.host.CallStore("POST", leasePath(current.leaseID)+"/touch", nil, func(response storage.Response) {
 		if e.leadership != current {
 			return
 		}
-		current.renewalInFlight = false
-		switch response.Status {
-		case http.StatusOK:
+		current.renewals--
+		isLatest := sentAt >= current.answeredSentAt
+		current.answeredSentAt = max(current.answeredSentAt, sentAt)
+		switch {
+		case response.Status == http.StatusOK:
 			current.leaseValidUntil = max(current.leaseValidUntil, sentAt+GuaranteedLeaseDuration(e.LeaderLease()))
-			current.renewalFailed = false
-		case http.StatusNotFound:
+			current.renewalFailed = current.renewalFailed && !isLatest
+		case response.Status == http.StatusNotFound:
 			e.StepDown("leader lease no longer exists in the key-value store")
-		default:
+		case isLatest:
 			current.renewalFailed = true
 			e.heartbeatSentAt = clock.Never // request lease grants in the next step
 		}
