daemon: queries get their part of each batch, and expired requests none

What callers saw: questions about accepted jobs got 503 from all nodes for tens of seconds after a loss of controllers, with a leader in place.

Cause: a batch was filled with up to 256 heartbeats, submissions and cancellations, and queries got what was left of it. While more heartbeats waited than a batch holds, that was nothing. Followers gave up on each query after a 30th of a worker lease (forward_timeout) and used up the budget for reads from the store (budget). The owner also processed requests whose senders had given up already, so that under overload every answer came too late. Class of bug: a limit that protects one kind of work starves the other, and work for an answer that nobody waits for.

TestHeartbeatsDoNotStarveQueries failed before: "a batch beside 4000 heartbeats has 0 queries, want 64"; TestExpiredRequestsAreRejectedUnprocessed failed before, as the batch had the expired heartbeat.

Why it works: the quarter of a batch that queries may fill is reserved for them while they wait. A request that has waited for three quarters of the time that its sender waits (the protocol's timeouts; a forwarding controller's own) gets 503 with Retry-After and is not processed. A worker drops such a response, and commands in it would be lost; no answer becomes older than before.

--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// UnavailableResponse returns the response to a forwarded read-only request that can't be processed
-// now: status 503, and a retry after a second.
+// UnavailableResponse returns the response to a forwarded request that can't be processed now: status 503,
+// and a retry after a second.
 func (m InboundMessage) UnavailableResponse() OutboundMessage {
 	request, _ := m.Message.(protocol.ForwardedRequest)
 	response := protocol.ForwardedResponse{ID: request.ID, Status: http.StatusServiceUnavailable, RetryAfter: 1}
--- a/internal/controller/user_requests.go
+++ b/internal/controller/user_requests.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"hitchdoor/internal/forwarding"
 	"hitchdoor/internal/jobstore"
@@ -60,10 +59,10 @@
 	}
 }
 
-// forwardToPeer forwards a request to a peer. If no response arrives within the timeout, the request
-// is served without the leader.
-func (n *Node) forwardToPeer(target *peer, request Request, timeout time.Duration) {
-	id := n.forwards.Add(request, n.now+timeout)
+// forwardToPeer forwards a request to a peer. If no response arrives in time, the request is served without
+// the leader.
+func (n *Node) forwardToPeer(target *peer, request Request) {
+	id := n.forwards.Add(request, n.now+forwardTimeout(request.Kind, n.workerLease()))
 	// The body is encoded again from the parsed value, because the original may contain line
 	// breaks, which would break the framing of messages between peers.
 	message := protocol.ForwardedRequest{ID: id, Kind: request.Kind, JobID: request.JobID}
@@ -99,7 +98,7 @@
 		n.rejections.Add(request.Kind, rejection.ForwardLimit)
 		return false
 	}
-	n.forwardToPeer(leaderPeer, request, n.workerLease()/30)
+	n.forwardToPeer(leaderPeer, request)
 	return true
 }
 
--- a/internal/controller/worker_routes_test.go
+++ b/internal/controller/worker_routes_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/workerrouting"
 )
 
 // newConnectionLimitedSimulation returns a simulation with the given number of running machines, in
@@ -272,7 +273,7 @@
 	for _, test := range []struct {
 		delay  time.Duration
 		status int // that the worker gets
-	}{{follower.workerRouter.RelayTimeout() - step, 200}, {follower.workerRouter.RelayTimeout(), 503}} {
+	}{{workerrouting.RelayTimeout(follower.workerLease()) - step, 200}, {workerrouting.RelayTimeout(follower.workerLease()), 503}} {
 		follower.workerRouter.RouteOf("m-1").RelayUntil = follower.now + time.Hour
 		follower.Step(follower.monotonicNow(sim.now),
 			[]Command{InboundMessage{From: leader.name,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,11 +69,14 @@
 	budget := budgetConnections(cluster)
 	d := &daemon{
 		startedAt:      time.Now(),
-		queue:          newOwnerQueue(commandsPerConnection * cluster.Resources.MaxConnections),
 		rejections:     rejection.NewCounters(),
 		clients:        newClients(platform, budget, workerLease),
 		pendingReplies: map[uint64]chan controller.Reply{},
 	}
+	senderTimeout := func(command controller.Command) time.Duration {
+		return controller.SenderTimeout(command, cluster)
+	}
+	d.queue = newOwnerQueue(commandsPerConnection*cluster.Resources.MaxConnections, senderTimeout, d.rejectExpired)
 	d.node = controller.New(controller.Options{
 		Platform: platform, Settings: settings, Build: build, Log: log, StartTime: d.startedAt,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Rejections: d.rejections,
@@ -196,11 +199,11 @@
 		batch = batch[:0]
 		select {
 		case queued := <-d.queue.control:
-			batch = append(batch, d.queue.dequeue(queued))
+			batch = d.queue.appendUnexpired(batch, queued)
 		case queued := <-d.queue.commands:
-			batch = append(batch, d.queue.dequeue(queued))
+			batch = d.queue.appendUnexpired(batch, queued)
 		case queued := <-d.queue.queries:
-			batch = append(batch, d.queue.dequeue(queued))
+			batch = d.queue.appendUnexpired(batch, queued)
 		case <-ticker.C:
 			load := d.server.ConnectionLoad()
 			load.Queue = d.queue.takeLoad()
@@ -238,6 +241,21 @@
 	}
 }
 
+// rejectExpired rejects a request that has waited until its sender has, or almost has, given up.
+func (d *daemon) rejectExpired(command controller.Command) {
+	switch command := command.(type) {
+	case controller.Request:
+		d.rejections.Add(command.Kind, rejection.Expired)
+		d.deliverReply(controller.Reply{RequestID: command.Origin.RequestID, Status: 503, RetryAfter: 1})
+	case controller.InboundMessage:
+		if request, ok := command.Message.(protocol.ForwardedRequest); ok {
+			d.rejections.Add(request.Kind, rejection.Expired)
+		}
+		response := command.UnavailableResponse()
+		d.peerLinks.Send(response.To, response.Message)
+	}
+}
+
 // execute carries out one effect that the node returned, without waiting for its result.
 func (d *daemon) execute(effect controller.Effect) {
 	switch effect := effect.(type) {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/controller"
@@ -31,13 +32,24 @@
 	}
 }
 
+// newQueueTestDaemon returns a daemon of which only the queue is used. Its senders wait as long as those of a
+// cluster with a worker lease of 22 s.
+func newQueueTestDaemon(queueLength int) *daemon {
+	d := &daemon{rejections: rejection.NewCounters(), pendingReplies: map[uint64]chan controller.Reply{}}
+	cluster := &config.Cluster{}
+	cluster.Workers.LeaseS = 22
+	d.queue = newOwnerQueue(queueLength, func(command controller.Command) time.Duration {
+		return controller.SenderTimeout(command, cluster)
+	}, d.rejectExpired)
+	return d
+}
+
 // A flood of queries must delay neither the heartbeats of workers nor those of other controllers.
 // Queries that do not fit into their queue must be rejected at once, and the others must fill only a
 // part of a batch, behind all other commands.
 func TestQueriesDoNotDelayOtherCommands(t *testing.T) {
 	const size = 4096
-	d := &daemon{queue: newOwnerQueue(size), rejections: rejection.NewCounters(),
-		pendingReplies: map[uint64]chan controller.Reply{}}
+	d := newQueueTestDaemon(size)
 	replies := make(chan controller.Reply, 2*size)
 	for range 2 * cap(d.queue.queries) {
 		go func() {
@@ -73,8 +85,7 @@
 // their calls, peers' messages and health checks wait behind the heartbeats of a large fleet.
 func TestHeartbeatsDelayNeitherLeaseRenewalsNorHealthChecks(t *testing.T) {
 	const fleetSize = 4000
-	d := &daemon{queue: newOwnerQueue(2 * fleetSize), rejections: rejection.NewCounters(),
-		pendingReplies: map[uint64]chan controller.Reply{}}
+	d := newQueueTestDaemon(2 * fleetSize)
 	for range fleetSize {
 		d.Handle(t.Context(), controller.Request{Kind: protocol.RequestHeartbeat}, 0)
 	}
@@ -94,3 +105,46 @@
 		}
 	}
 }
+
+// Guards against a flood of heartbeats that leaves no room in a batch for queries.
+func TestHeartbeatsDoNotStarveQueries(t *testing.T) {
+	const fleetSize = 4000
+	d := newQueueTestDaemon(4 * fleetSize)
+	for range fleetSize {
+		d.Handle(t.Context(), controller.Request{Kind: protocol.RequestHeartbeat}, 0)
+		d.Handle(t.Context(), controller.Request{Kind: protocol.RequestQuery, JobID: "j-1"}, 0)
+	}
+	queries := 0
+	for _, command := range d.queue.fillBatch(nil) {
+		if request, ok := command.(controller.Request); ok && request.Kind == protocol.RequestQuery {
+			queries++
+		}
+	}
+	if want := maxBatchSize / queryDivisor; queries != want {
+		t.Errorf("a batch beside %d heartbeats has %d queries, want %d", fleetSize, queries, want)
+	}
+}
+
+// Guards against an overloaded owner that spends its time on requests whose senders have given up.
+func TestExpiredRequestsAreRejectedUnprocessed(t *testing.T) {
+	d := newQueueTestDaemon(16)
+	now := time.Now()
+	d.queue.now = func() time.Time { return now }
+	reply := make(chan controller.Reply, 1)
+	go func() {
+		reply <- d.Handle(t.Context(), controller.Request{Kind: protocol.RequestHeartbeat}, time.Minute)
+	}()
+	for len(d.queue.commands) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	now = now.Add(protocol.HeartbeatTimeout)
+	d.queue.addControl(t.Context(), controller.CallResult{ID: 1})
+	d.Handle(t.Context(), controller.Request{Kind: protocol.RequestCancel, JobID: "j-1"}, 0)
+	batch := d.queue.fillBatch(nil)
+	if len(batch) != 2 {
+		t.Errorf("the batch is %+v, want the result of the call and the cancellation only", batch)
+	}
+	if got := <-reply; got.Status != 503 || got.RetryAfter == 0 {
+		t.Errorf("expired heartbeat: got status %d, Retry-After %d, want 503 with Retry-After", got.Status, got.RetryAfter)
+	}
+}
--- a/internal/daemon/queue.go
+++ b/internal/daemon/queue.go
@@ -16,10 +16,15 @@
 	// maxBatchSize is the maximum number of commands that the node processes in one step.
 	maxBatchSize = 256
 	// queryDivisor limits queries, so that they don't delay other commands. Their queue has
-	// 1/queryDivisor of the command queue's length, and they fill at most 1/queryDivisor of a batch.
+	// 1/queryDivisor of the command queue's length, and they fill at most 1/queryDivisor of a batch. The
+	// same part of a batch is reserved for them, so that other commands don't delay them either.
 	queryDivisor = 4
 )
 
+// A request that has waited for replyShareOfTimeout of the time that its sender waits is not processed any
+// more. The rest of that time is left for the reply.
+const replyShareOfTimeout = 0.75
+
 // queuedCommand is a command that waits for the owner.
 type queuedCommand struct {
 	command  controller.Command
@@ -39,30 +44,37 @@
 	// lease renewals, submissions and cancellations must not be queued behind them.
 	queries chan queuedCommand
 
+	senderTimeout func(controller.Command) time.Duration // 0: the sender does not give up
+	onExpired     func(controller.Command)               // called with each command that is not processed
+	now           func() time.Time
+
 	longestWait, healthCheckDelay time.Duration // since the last call of takeLoad
 }
 
-// newOwnerQueue returns an empty queue for the given number of commands, and a quarter of it in queries.
-func newOwnerQueue(length int) *ownerQueue {
-	return &ownerQueue{control: make(chan queuedCommand, length), commands: make(chan queuedCommand, length),
+// newOwnerQueue returns an empty queue for the given number of commands, and a quarter of it in queries. It
+// takes no command out of it whose sender has given up; onExpired gets those.
+func newOwnerQueue(length int, senderTimeout func(controller.Command) time.Duration,
+	onExpired func(controller.Command)) *ownerQueue {
+	return &ownerQueue{senderTimeout: senderTimeout, onExpired: onExpired, now: time.Now,
+		control: make(chan queuedCommand, length), commands: make(chan queuedCommand, length),
 		queries: make(chan queuedCommand, length/queryDivisor)}
 }
 
 // addControl queues a command on which this node's role depends. It waits while the queue is full, and drops
 // the command if ctx ends.
 func (q *ownerQueue) addControl(ctx context.Context, command controller.Command) {
-	add(ctx, q.control, command)
+	q.add(ctx, q.control, command)
 }
 
 // addCommand is addControl for a command that changes state otherwise.
 func (q *ownerQueue) addCommand(ctx context.Context, command controller.Command) {
-	add(ctx, q.commands, command)
+	q.add(ctx, q.commands, command)
 }
 
 // add sends a command to a channel. It waits while the channel is full, and drops the command if ctx ends.
-func add(ctx context.Context, queue chan queuedCommand, command controller.Command) {
+func (q *ownerQueue) add(ctx context.Context, queue chan queuedCommand, command controller.Command) {
 	select {
-	case queue <- queuedCommand{command, time.Now()}:
+	case queue <- queuedCommand{command, q.now()}:
 	case <-ctx.Done():
 	}
 }
@@ -71,21 +83,23 @@
 func (q *ownerQueue) tryAddRequest(request controller.Request) bool {
 	switch {
 	case request.Kind == protocol.RequestHealth:
-		return tryAdd(q.control, request)
+		return q.tryAdd(q.control, request)
 	case request.IsReadOnly():
 		return q.tryAddQuery(request)
 	default:
-		return tryAdd(q.commands, request)
+		return q.tryAdd(q.commands, request)
 	}
 }
 
 // tryAddQuery queues a command that changes no state, and reports false if the queue of queries is full.
-func (q *ownerQueue) tryAddQuery(command controller.Command) bool { return tryAdd(q.queries, command) }
+func (q *ownerQueue) tryAddQuery(command controller.Command) bool {
+	return q.tryAdd(q.queries, command)
+}
 
 // tryAdd sends a command to a channel, and reports false if the channel is full.
-func tryAdd(queue chan queuedCommand, command controller.Command) bool {
+func (q *ownerQueue) tryAdd(queue chan queuedCommand, command controller.Command) bool {
 	select {
-	case queue <- queuedCommand{command, time.Now()}:
+	case queue <- queuedCommand{command, q.now()}:
 		return true
 	default:
 		return false
@@ -94,27 +108,40 @@
 
 // fillBatch adds to a batch the control commands, then other commands, and then a limited number of queries.
 func (q *ownerQueue) fillBatch(batch []controller.Command) []controller.Command {
-	for len(batch) < maxBatchSize && len(q.control) > 0 {
-		batch = append(batch, q.dequeue(<-q.control))
-	}
-	for len(batch) < maxBatchSize && len(q.commands) > 0 {
-		batch = append(batch, q.dequeue(<-q.commands))
-	}
-	limit := min(maxBatchSize, len(batch)+maxBatchSize/queryDivisor)
-	for len(batch) < limit && len(q.queries) > 0 {
-		batch = append(batch, q.dequeue(<-q.queries))
-	}
+	batch, _ = q.drain(q.control, batch, maxBatchSize)
+	reserved := min(len(q.queries), maxBatchSize/queryDivisor)
+	batch, _ = q.drain(q.commands, batch, maxBatchSize-reserved)
+	batch, _ = q.drain(q.queries, batch, min(maxBatchSize, len(batch)+maxBatchSize/queryDivisor))
 	return batch
 }
 
-// dequeue returns the command of a queue entry and records how long it has waited.
-func (q *ownerQueue) dequeue(queued queuedCommand) controller.Command {
-	waited := time.Since(queued.queuedAt)
+// drain adds queued commands to a batch until the batch has the given length or the channel is empty. It
+// reports whether it found the channel empty.
+func (q *ownerQueue) drain(queue chan queuedCommand, batch []controller.Command,
+	length int) (filled []controller.Command, empty bool) {
+	for len(batch) < length {
+		if len(queue) == 0 {
+			return batch, true
+		}
+		batch = q.appendUnexpired(batch, <-queue)
+	}
+	return batch, false
+}
+
+// appendUnexpired adds the command of a queue entry to a batch, unless its sender has given up. It records
+// how long the command has waited.
+func (q *ownerQueue) appendUnexpired(batch []controller.Command, queued queuedCommand) []controller.Command {
+	waited := q.now().Sub(queued.queuedAt)
 	q.longestWait = max(q.longestWait, waited)
 	if request, ok := queued.command.(controller.Request); ok && request.Kind == protocol.RequestHealth {
 		q.healthCheckDelay = max(q.healthCheckDelay, waited)
 	}
-	return queued.command
+	timeout := q.senderTimeout(queued.command)
+	if timeout > 0 && waited.Seconds() >= replyShareOfTimeout*timeout.Seconds() {
+		q.onExpired(queued.command)
+		return batch
+	}
+	return append(batch, queued.command)
 }
 
 // takeLoad returns the load of the queue since the last call.
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -23,6 +23,10 @@
 	// HeartbeatTimeout is how long a worker waits for the response to a heartbeat. The worker drops
 	// a response that arrives later.
 	HeartbeatTimeout = 4 * time.Second
+	// QueryTimeout is how long a user waits for the response to a query.
+	QueryTimeout = 2 * time.Second
+	// SubmissionTimeout is how long a user waits for the response to a submission or a cancellation.
+	SubmissionTimeout = 5 * time.Second
 	// HealthCheckTimeout is how long the load balancer waits for the response to a health check.
 	HealthCheckTimeout = time.Second
 	// NextNodeDelay is how long a worker waits after a heartbeat without a response before it sends
--- a/internal/rejection/rejection.go
+++ b/internal/rejection/rejection.go
@@ -23,6 +23,8 @@
 	QueueFull Reason = "queue"
 	// ReplyTimeout means that the request was queued, but no reply came in time.
 	ReplyTimeout Reason = "timeout"
+	// Expired means that the request waited in the queue until its sender had, or almost had, given up.
+	Expired Reason = "expired"
 	// NoLeader means that this controller neither leads nor knows a leader.
 	NoLeader Reason = "no_leader"
 	// NotLeader means that a peer forwarded the request to this controller, which does not lead.
--- a/internal/workerrouting/router.go
+++ b/internal/workerrouting/router.go
@@ -81,10 +81,10 @@
 	return time.Duration(r.cluster.ControllerCount) * (protocol.HeartbeatTimeout + protocol.NextNodeDelay)
 }
 
-// RelayTimeout returns how long this node waits for the leader's response to a relayed heartbeat. It
+// RelayTimeout returns how long a controller waits for the leader's response to a relayed heartbeat. It
 // is below protocol.HeartbeatTimeout, after which the worker discards the response.
-func (r *Router) RelayTimeout() time.Duration {
-	return min(r.cluster.WorkerLease()/6, protocol.HeartbeatTimeout*7/8)
+func RelayTimeout(workerLease time.Duration) time.Duration {
+	return min(workerLease/6, protocol.HeartbeatTimeout*7/8)
 }
 
 // recentlyRedirectedTo reports whether the worker was redirected to the node so recently that its
