controller: check at run time that answers agree with what the node knows

All answers about jobs pass one function, which counts and logs an answer that contradicts the terminal record that the node knows, or that denies a job that the node knew to be accepted when the request arrived. The owner's queue counts batches with other commands although a control command waits.

--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -29,7 +29,8 @@
 	Job       *protocol.Job             // parsed body of a submission
 	Heartbeat *protocol.WorkerHeartbeat // parsed body of a worker's heartbeat
 
-	forwarded bool // this node has already forwarded the submission to the leader
+	forwarded     bool // this node has already forwarded the submission to the leader
+	knownAccepted bool // this node knew when the request arrived that its job was accepted
 }
 
 // InboundMessage passes on to the node a message from the peer named From.
@@ -94,6 +95,7 @@
 	Depth            int           // commands that wait now
 	LongestWait      time.Duration // longest time that a command has waited
 	HealthCheckDelay time.Duration // longest time that a health check has waited
+	DelayedControls  int           // batches with other commands although a control command waited
 }
 
 func (r Request) apply(n *Node) { n.onRequest(r) }
--- a/internal/controller/dependency_host.go
+++ b/internal/controller/dependency_host.go
@@ -35,7 +35,7 @@
 func (h dependencyHost) CancelJob(job *cluster.Job) {
 	waiters := h.leader.cancelWaiters
 	for _, origin := range waiters[job.Spec.ID] {
-		h.leader.node.reply(origin, http.StatusOK, 0, job.State())
+		h.leader.node.replyJobStatus(origin, http.StatusOK, job.State())
 	}
 	delete(waiters, job.Spec.ID)
 	if !job.Terminal {
--- a/internal/controller/job_requests.go
+++ b/internal/controller/job_requests.go
@@ -53,7 +53,7 @@
 		l.node.replyFromStore(request, l, retryLater)
 		return
 	}
-	l.node.reply(request.Origin, http.StatusOK, 0, job.State())
+	l.node.replyJobStatus(request.Origin, http.StatusOK, job.State())
 }
 
 // onCancel handles a user's cancellation of a job. If the job is not in the job table, onCancel reads
@@ -76,7 +76,7 @@
 			n.reject(request, rejection.TermEnded)
 		case terminal != nil:
 			status := protocol.JobStatus{ID: request.JobID, State: terminal.State}
-			n.reply(request.Origin, http.StatusOK, 0, status)
+			n.replyJobStatus(request.Origin, http.StatusOK, status)
 		case open != nil:
 			if job := l.adoptStoredJob(request.JobID, *open); job != nil {
 				l.cancelJob(job, request)
@@ -84,7 +84,7 @@
 			}
 			n.reject(request, rejection.UnreadableRecord)
 		default:
-			n.reply(request.Origin, http.StatusNotFound, 0, nil)
+			n.replyUnknownJob(request)
 		}
 	})
 }
@@ -93,7 +93,7 @@
 // store is unavailable, it tells the user to retry; the cancellation remains in effect.
 func (l *leader) cancelJob(job *cluster.Job, request Request) {
 	if job.DependencyCancelled {
-		l.node.reply(request.Origin, http.StatusOK, 0, job.State())
+		l.node.replyJobStatus(request.Origin, http.StatusOK, job.State())
 		return
 	}
 	if !job.Terminal {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -62,6 +62,7 @@
 	rejections         *rejection.Counters
 	rejectionsLoggedAt clock.Instant
 	ownerQueue         QueueLoad // load of the queue of commands, as last reported
+	violations         map[Invariant]uint64
 }
 
 // Options are the dependencies and settings of a new Node.
@@ -90,6 +91,7 @@
 		peers:                     map[string]*peer{},
 		policyRejections:          jobstore.NewRecentJobs[admission.Group](jobstore.RecentJobsLimit),
 		unreadableTerminalRecords: map[string]*records.QuarantinedRecord{},
+		violations:                map[Invariant]uint64{},
 		rejections:                cmp.Or(options.Rejections, rejection.NewCounters()),
 	}
 	node.outbox = newOutbox(&node.timing, node.log, nodeStoreObserver{node})
--- a/internal/controller/records_host.go
+++ b/internal/controller/records_host.go
@@ -138,7 +138,7 @@
 		status = jobstore.TerminalState(jobID, terminal)
 	}
 	for _, origin := range l.cancelWaiters[jobID] {
-		l.node.reply(origin, http.StatusOK, 0, status)
+		l.node.replyJobStatus(origin, http.StatusOK, status)
 	}
 	delete(l.cancelWaiters, jobID)
 }
--- a/internal/controller/rejections.go
+++ b/internal/controller/rejections.go
@@ -42,6 +42,9 @@
 // may time out.
 func (n *Node) recordQueueLoad(load QueueLoad) {
 	n.ownerQueue = load
+	for range load.DelayedControls {
+		n.reportViolation(InvariantControlFirst, "")
+	}
 	if max(load.LongestWait, load.HealthCheckDelay) < protocol.HealthCheckTimeout/2 {
 		return
 	}
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -82,6 +82,12 @@
 		n.ownerQueue.LongestWait.Seconds())
 	page.Gauge("health_check_wait_seconds", "Longest wait of a health check in the last interval.",
 		n.ownerQueue.HealthCheckDelay.Seconds())
+	page.LabelledGauge("invariant_violations", "Violated invariants since the start.", "invariant",
+		func(emit func(labelValue string, value float64)) {
+			for _, invariant := range invariants {
+				emit(string(invariant), float64(n.violations[invariant]))
+			}
+		})
 	page.RejectionCounters(n.rejections.Totals())
 	p.recoveryMetrics(page)
 	if n.holdsLeaderLease() {
--- a/internal/controller/submissions.go
+++ b/internal/controller/submissions.go
@@ -188,5 +188,6 @@
 		}
 		submission.leader.jobRecords.Add(submission.write.Record, revision)
 	}
-	n.reply(submission.request.Origin, http.StatusCreated, 0, protocol.JobStatus{ID: jobID, State: protocol.JobQueued})
+	n.replyJobStatus(submission.request.Origin, http.StatusCreated,
+		protocol.JobStatus{ID: jobID, State: protocol.JobQueued})
 }
--- a/internal/controller/user_requests.go
+++ b/internal/controller/user_requests.go
@@ -33,9 +33,10 @@
 		n.reply(request.Origin, status, 0, body)
 		return
 	}
+	request.knownAccepted = n.jobReader.KnownAccepted(requestedJob(request))
 	if record, ok := n.jobReader.TerminalRecord(request.JobID); ok {
 		// A terminal state never changes, so any node may return it.
-		n.reply(request.Origin, http.StatusOK, 0, jobstore.TerminalState(request.JobID, record))
+		n.replyJobStatus(request.Origin, http.StatusOK, jobstore.TerminalState(request.JobID, record))
 		return
 	}
 	if n.holdsLeaderLease() {
@@ -208,22 +209,22 @@
 			n.rejections.Add(request.Kind, readFailureReason(err))
 			n.reply(request.Origin, http.StatusServiceUnavailable, ifUnknown.retryAfterSeconds, ifUnknown)
 		case terminal != nil:
-			n.reply(request.Origin, http.StatusOK, 0, jobstore.TerminalState(request.JobID, *terminal))
+			n.replyJobStatus(request.Origin, http.StatusOK, jobstore.TerminalState(request.JobID, *terminal))
 		case openItem != nil:
 			if asLeader != nil && n.leader == asLeader && n.holdsLeaderLease() {
 				if job := asLeader.adoptStoredJob(request.JobID, *openItem); job != nil {
-					n.reply(request.Origin, http.StatusOK, 0, job.State())
+					n.replyJobStatus(request.Origin, http.StatusOK, job.State())
 					return
 				}
 			}
 			// The job may have ended after its record was read. Then its terminal record is cached.
 			if record, isTerminal := n.jobReader.TerminalRecord(request.JobID); isTerminal {
-				n.reply(request.Origin, http.StatusOK, 0, jobstore.TerminalState(request.JobID, record))
+				n.replyJobStatus(request.Origin, http.StatusOK, jobstore.TerminalState(request.JobID, record))
 				return
 			}
-			n.reply(request.Origin, http.StatusOK, 0, queuedJobState(request.JobID))
+			n.replyJobStatus(request.Origin, http.StatusOK, queuedJobState(request.JobID))
 		default:
-			n.reply(request.Origin, ifUnknown.status, 0, ifUnknown)
+			n.replyError(request, ifUnknown)
 		}
 	}
 	n.jobReader.ReadEffectiveState(request.JobID, onState)
--- a/internal/daemon/queue.go
+++ b/internal/daemon/queue.go
@@ -48,6 +48,8 @@
 	onExpired     func(controller.Command)               // called with each command that is not processed
 	now           func() time.Time
 
+	delayedControls int // since the last call of takeLoad, see controller.QueueLoad
+
 	longestWait, healthCheckDelay time.Duration // since the last call of takeLoad
 }
 
@@ -108,10 +110,14 @@
 
 // fillBatch adds to a batch the control commands, then other commands, and then a limited number of queries.
 func (q *ownerQueue) fillBatch(batch []controller.Command) []controller.Command {
-	batch, _ = q.drain(q.control, batch, maxBatchSize)
+	batch, controlEmpty := q.drain(q.control, batch, maxBatchSize)
+	controls := len(batch)
 	reserved := min(len(q.queries), maxBatchSize/queryDivisor)
 	batch, _ = q.drain(q.commands, batch, maxBatchSize-reserved)
 	batch, _ = q.drain(q.queries, batch, min(maxBatchSize, len(batch)+maxBatchSize/queryDivisor))
+	if len(batch) > controls && !controlEmpty {
+		q.delayedControls++
+	}
 	return batch
 }
 
@@ -147,7 +153,7 @@
 // takeLoad returns the load of the queue since the last call.
 func (q *ownerQueue) takeLoad() controller.QueueLoad {
 	load := controller.QueueLoad{Depth: len(q.control) + len(q.commands) + len(q.queries), LongestWait: q.longestWait,
-		HealthCheckDelay: q.healthCheckDelay}
-	q.longestWait, q.healthCheckDelay = 0, 0
+		HealthCheckDelay: q.healthCheckDelay, DelayedControls: q.delayedControls}
+	q.longestWait, q.healthCheckDelay, q.delayedControls = 0, 0, 0
 	return load
 }
