emulator: measure what users notice after the loss of all controllers

The report has the queries after the restart and how many were answered, the longest time that a job had no answer, and the times until the first controller is healthy and a leader has loaded the stored records.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -161,6 +161,8 @@
 	if err := e.controllers.startAll(); err != nil {
 		return err
 	}
+	e.load.availability.restarted(e.controllersRestartedAt)
+	e.background.Go(func() { e.load.availability.watch(ctx, e.controllers.members) })
 	e.background.Go(func() { e.reconnectMachines(ctx, partitioned) })
 	return e.loseControllersAgain(ctx)
 }
@@ -263,6 +265,7 @@
 func (e *emulation) measureRecovery(report *Report) {
 	operations := e.fleet.OperationsSince(e.controllersRestartedAt)
 	end := time.Now()
+	report.Availability = e.load.availability.report()
 	baseline := e.sampler.baseline(e.controllersLostAt)
 	if elapsed, recovered := e.sampler.recoveryTime(e.controllersRestartedAt, baseline); recovered {
 		seconds := elapsed.Seconds()
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -38,8 +38,10 @@
 	fleet     *fakes.Fleet
 	addresses []string // client addresses of the controllers
 	client    *http.Client
-	rng       *rand.Rand
-	pollers   sync.WaitGroup // counts the goroutines that submit and poll a job
+	// availability gets each query of an accepted job.
+	availability *availability
+	rng          *rand.Rand
+	pollers      sync.WaitGroup // counts the goroutines that submit and poll a job
 
 	mu          sync.Mutex
 	accepted    map[string]bool              // IDs of the accepted jobs
@@ -49,7 +51,7 @@
 
 // newLoadGenerator returns a load generator that sends its requests to random controllers.
 func newLoadGenerator(options *Options, fleet *fakes.Fleet, addresses []string) *loadGenerator {
-	return &loadGenerator{options: options, fleet: fleet, addresses: addresses,
+	return &loadGenerator{options: options, fleet: fleet, addresses: addresses, availability: newAvailability(),
 		rng:      rand.New(rand.NewPCG(options.Seed, 1)),
 		client:   &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 		accepted: map[string]bool{}, finalStates: map[string]protocol.JobState{}, forgotten: map[string]bool{}}
@@ -154,6 +156,9 @@
 // the job is terminal.
 func (g *loadGenerator) requestState(ctx context.Context, rng *rand.Rand, method, path, id string) (terminal bool) {
 	status, body, _ := g.sendRequest(ctx, rng, method, path, nil)
+	if method == http.MethodGet {
+		g.availability.recordQuery(id, status == 200)
+	}
 	var state protocol.JobStatus
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/emulator/report.go
+++ b/internal/emulator/report.go
@@ -32,8 +32,10 @@
 	Tasks            TaskCounts     `json:"tasks"`
 	Operations       OperationRates `json:"orders_per_second"`
 	Recovery         RecoveryTimes  `json:"recovery_s"`
-	Mismatches       map[string]int `json:"mismatches"`
-	Processes        []ProcessUsage `json:"processes"`
+	// Availability is zero if the controllers were not lost.
+	Availability AvailabilityReport `json:"availability"`
+	Mismatches   map[string]int     `json:"mismatches"`
+	Processes    []ProcessUsage     `json:"processes"`
 }
 
 // TaskCounts counts the tasks by outcome.
@@ -101,6 +103,10 @@
 			r.LoseControllersAtS, r.ControllerDowntimeS, r.LossesDuringRecovery)
 		writeRow("first order", "%s", formatSeconds(r.Recovery.FirstOperation))
 		writeRow("work back to normal", "%s", formatSeconds(r.Recovery.BackToNormal))
+		writeRow("first controller healthy", "%s", formatSeconds(r.Availability.FirstHealthyS))
+		writeRow("records loaded by a leader", "%s", formatSeconds(r.Availability.LoadedS))
+		writeRow("queries after the restart", "%d of %d answered, a job had no answer for %.1f s at most",
+			r.Availability.Answered, r.Availability.Queries, r.Availability.LongestGapS)
 		writeRow("orders a second", "at most %d, limit %.0f (median %d, 99%% %d)",
 			r.Operations.Peak, r.Operations.Limit, r.Operations.P50, r.Operations.P99)
 		for _, kind := range slices.Sorted(maps.Keys(r.Operations.LimitByKind)) {
