--- a/internal/cluster/machine.go
+++ b/internal/cluster/machine.go
@@ -194,6 +194,15 @@
 	return name == "" || slices.ContainsFunc(m.Images, func(i CachedImage) bool { return i.name == name })
 }
 
+// PullSeconds returns the time in seconds that the machine needs to pull a job's image, 0 if it has the image.
+// The machine's type must be known.
+func (m *Machine) PullSeconds(spec *protocol.Job) float64 {
+	if m.HasImage(spec.Image) {
+		return 0
+	}
+	return spec.ImageGB / m.MachineType.PullGBPerSecond
+}
+
 // addAttempt adds an attempt to the machine. AttemptsInOrder is sorted by attempt number, so that every
 // step is deterministic. Its existing elements are never changed in place, because callers may release
 // attempts while they iterate over it.
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -140,9 +140,7 @@
 		load:    max(machine.UsedCores/machineType.Cores, machine.UsedRAM/machineType.MemoryGB),
 	}
 	scored.loadStep = int(scored.load * float64(c.scheduler.Settings.LoadSteps))
-	if image := c.job.Spec.Image; !machine.HasImage(image) {
-		scored.pullSeconds = c.job.Spec.ImageGB / machineType.PullGBPerSecond
-	}
+	scored.pullSeconds = machine.PullSeconds(&c.job.Spec)
 	if machine.Draining {
 		scored.drainPenalty = 1 // a surplus machine stays empty unless no other machine has room
 		if machine.IsLastResort() {
--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -91,10 +91,7 @@
 			!cluster.Feasible(&job.Spec, machine) {
 			continue
 		}
-		wait := s.timeToFreeCapacity(machine, &job.Spec)
-		if !machine.HasImage(job.Spec.Image) {
-			wait += config.Seconds(job.Spec.ImageGB / machine.MachineType.PullGBPerSecond)
-		}
+		wait := s.timeToFreeCapacity(machine, &job.Spec) + config.Seconds(machine.PullSeconds(&job.Spec))
 		if best == nil || wait < soonest {
 			best, soonest = machine, wait
 		}
@@ -124,10 +121,7 @@
 // endsBeforeReservedStart reports whether a task of the job, started now, is expected to end before the machine
 // has room for the task for which it is reserved (backfill).
 func (s *Scheduler) endsBeforeReservedStart(job *cluster.Job, machine *cluster.Machine) bool {
-	duration := s.ExpectedTaskDuration(job)
-	if !machine.HasImage(job.Spec.Image) {
-		duration += config.Seconds(job.Spec.ImageGB / machine.MachineType.PullGBPerSecond)
-	}
+	duration := s.ExpectedTaskDuration(job) + config.Seconds(machine.PullSeconds(&job.Spec))
 	return s.Clock.Now()+duration <= machine.ReservedFor.Reservation.StartsAt
 }
 
