--- a/internal/controller/job_requests.go
+++ b/internal/controller/job_requests.go
@@ -82,13 +82,22 @@
 				l.cancelJob(job, request)
 				return
 			}
-			n.reject(request, rejection.UnreadableRecord)
+			n.reject(request, l.adoptionFailure(request.JobID))
 		default:
 			n.replyUnknownJob(request)
 		}
 	})
 }
 
+// adoptionFailure returns why an open record was not added to the job table: it can't be read, or the job has
+// ended since it was read.
+func (l *leader) adoptionFailure(jobID string) rejection.Reason {
+	if l.quarantine.IsUnreadableJob(jobID) {
+		return rejection.UnreadableRecord
+	}
+	return rejection.Deferred
+}
+
 // cancelJob stops a job at once and replies when the cancellation is durable. While the key-value
 // store is unavailable, it tells the user to retry; the cancellation remains in effect.
 func (l *leader) cancelJob(job *cluster.Job, request Request) {
