fakes, emulator, daemon: remove dead code, and a test without a goroutine

LoadBalancer.HealthyCount and FaultTestResult.Schedule had no reader. It queues the request itself now; its assertions are unchanged. No behaviour changes.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -130,13 +130,9 @@
 	d := newQueueTestDaemon(16)
 	now := time.Now()
 	d.queue.now = func() time.Time { return now }
-	reply := make(chan controller.Reply, 1)
-	go func() {
-		reply <- d.Handle(t.Context(), controller.Request{Kind: protocol.RequestHeartbeat}, time.Minute)
-	}()
-	for len(d.queue.commands) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	requestID, reply := d.registerRequest()
+	d.queue.tryAddRequest(controller.Request{Kind: protocol.RequestHeartbeat,
+		Origin: controller.Origin{RequestID: requestID}})
 	now = now.Add(protocol.HeartbeatTimeout)
 	d.queue.addControl(t.Context(), controller.CallResult{ID: 1})
 	d.Handle(t.Context(), controller.Request{Kind: protocol.RequestCancel, JobID: "j-1"}, 0)
--- a/internal/emulator/fault_run.go
+++ b/internal/emulator/fault_run.go
@@ -40,7 +40,6 @@
 
 // FaultTestResult is the outcome of a fault test.
 type FaultTestResult struct {
-	Schedule   string
 	Violations []history.Violation
 	Jobs       int           // jobs that were accepted
 	LongestGap time.Duration // longest time after the faults that an open job had no answer
@@ -98,7 +97,7 @@
 	if err := run.play(ctx, planned); err != nil {
 		return nil, asInterrupted(ctx, err)
 	}
-	return run.result(planned), nil
+	return run.result(), nil
 }
 
 // setUp starts all parts of the test and waits until a controller leads.
@@ -242,14 +241,14 @@
 }
 
 // result checks the history of the run.
-func (f *faultTest) result(planned schedule) *FaultTestResult {
+func (f *faultTest) result() *FaultTestResult {
 	end := f.recorder.Since(time.Now())
 	limits := history.Limits{Answer: answerLimit, Cancel: f.options.cancelTimeout(), LateDone: lateDoneLimit,
 		Waiting: waitingLimit, Unused: unusedLeases * f.options.LeaseDuration, MemoryMB: memoryMB,
 		CoresPerMachine: coresPerMachine}
 	events := f.recorder.Events()
 	f.writeHistory(events)
-	result := &FaultTestResult{Schedule: planned.String(), Violations: history.Check(events, end, limits),
+	result := &FaultTestResult{Violations: history.Check(events, end, limits),
 		LongestGap: history.LongestAnswerGap(events, end)}
 	accepted := map[string]bool{}
 	for _, event := range events {
--- a/internal/fakes/load_balancer.go
+++ b/internal/fakes/load_balancer.go
@@ -68,19 +68,6 @@
 	b.client.CloseIdleConnections()
 }
 
-// HealthyCount returns the number of controllers that count as healthy.
-func (b *LoadBalancer) HealthyCount() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	count := 0
-	for _, candidate := range b.backends {
-		if candidate.healthy {
-			count++
-		}
-	}
-	return count
-}
-
 // Connect chooses a controller for a new connection, and counts the connection. It returns empty strings if
 // no controller is available. excluded are the controllers that have just refused this connection.
 func (b *LoadBalancer) Connect(excluded []string) (name, address string) {
