--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -6,6 +6,8 @@
 	"hitchdoor/internal/admissioncontrol"
 	"hitchdoor/internal/clock"
 	"hitchdoor/internal/election"
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/rejection"
 	"hitchdoor/internal/storage"
 )
 
@@ -79,6 +81,7 @@
 // left, it rejects the submission without looking for a record; the user retries.
 func (n *Node) rejectByPolicy(submission *userSubmission, response errorResponse) {
 	if !n.jobReader.HasSpareReads() {
+		n.rejections.Add(protocol.RequestSubmit, rejection.Deferred)
 		n.reply(submission.request.Origin, response.status, response.retryAfterSeconds, response)
 		return
 	}
@@ -93,7 +96,7 @@
 		n.admissionPolicy.CountCapacityRejection(job, submission.write.PolicyRevision)
 	}
 	n.traceStep(job.ID, stepRejected, "")
-	n.replyUnavailable(submission.request.Origin)
+	n.reject(submission.request, rejection.OverCapacity)
 }
 
 // tickAdmission reads the admission policy if a peer knows a newer one. It also reports to the leader
--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"hitchdoor/internal/protocol"
 )
@@ -70,9 +71,19 @@
 	Body   []byte
 }
 
-// ServerLoad tells the node how many connections of users and workers are open, and how many the
-// server accepts at most.
-type ServerLoad struct{ Open, Limit int }
+// ServerLoad tells the node how many connections of users and workers are open, how many the server
+// accepts at most, and how long commands wait for the node.
+type ServerLoad struct {
+	Open, Limit int
+	Queue       QueueLoad
+}
+
+// QueueLoad describes the queue of commands for the node since the previous report.
+type QueueLoad struct {
+	Depth            int           // commands that wait now
+	LongestWait      time.Duration // longest time that a command has waited
+	HealthCheckDelay time.Duration // longest time that a health check has waited
+}
 
 func (r Request) apply(n *Node) { n.onRequest(r) }
 
@@ -85,4 +96,7 @@
 	n.election.Drain()
 }
 
-func (l ServerLoad) apply(n *Node) { n.workerRouter.Connections.Update(l.Open, l.Limit) }
+func (l ServerLoad) apply(n *Node) {
+	n.workerRouter.Connections.Update(l.Open, l.Limit)
+	n.recordQueueLoad(l.Queue)
+}
--- a/internal/controller/dependency_host.go
+++ b/internal/controller/dependency_host.go
@@ -54,9 +54,9 @@
 // the read fails, ok is false. onRead is not called once the leader's term has ended.
 func (h dependencyHost) ReadTerminalRecord(jobID string, onRead func(ok bool, terminal *storage.TerminalRecord)) {
 	node := h.leader.node
-	node.jobReader.ReadTerminalRecord(jobID, func(ok bool, terminal *storage.TerminalRecord) {
+	node.jobReader.ReadTerminalRecord(jobID, func(terminal *storage.TerminalRecord, err error) {
 		if node.leader == h.leader {
-			onRead(ok, terminal)
+			onRead(err == nil, terminal)
 		}
 	})
 }
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -7,6 +7,7 @@
 	"hitchdoor/internal/cluster"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/recovery"
+	"hitchdoor/internal/rejection"
 )
 
 // onWorkerHeartbeat processes the heartbeat of a worker and responds with the commands for that worker.
@@ -20,19 +21,19 @@
 	if heartbeat.FencingToken > l.term {
 		l.recovery.NoteMismatch(recovery.NewerToken, heartbeat.Machine, "")
 		// The worker has seen the token of a newer leader and would discard this leader's response.
-		node.replyUnavailable(request.Origin)
+		node.reject(request, rejection.TermEnded)
 		node.stepDown("a worker has seen a higher token")
 		return
 	}
 	result, ok := l.reconciler.Reconcile(heartbeat, request.Origin.Peer)
 	if !ok {
-		node.replyUnavailable(request.Origin)
+		node.reject(request, rejection.HeartbeatRefused)
 		return
 	}
 	l.ScheduleOnMachine(result.Machine)
 	l.writer.SendNext()
 	if node.leader != l || !node.holdsLeaderLease() {
-		node.replyUnavailable(request.Origin)
+		node.reject(request, rejection.TermEnded)
 		return
 	}
 	node.reply(request.Origin, http.StatusOK, 0, l.reconciler.Respond(result))
@@ -42,7 +43,7 @@
 // the queue is full or the key-value store is unavailable.
 func (l *leader) queueEarlyHeartbeat(request Request) {
 	if len(l.earlyHeartbeats) >= l.node.maxEarlyHeartbeats() || l.node.election.StoreUnavailable() {
-		l.node.replyUnavailable(request.Origin)
+		l.node.reject(request, rejection.LeaderLoading)
 		return
 	}
 	l.earlyHeartbeats = append(l.earlyHeartbeats, request)
--- a/internal/controller/job_requests.go
+++ b/internal/controller/job_requests.go
@@ -5,6 +5,7 @@
 
 	"hitchdoor/internal/cluster"
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/rejection"
 	"hitchdoor/internal/storage"
 )
 
@@ -19,7 +20,7 @@
 			n.replyToQueryFromStore(request, l)
 			return
 		}
-		n.replyUnavailable(request.Origin)
+		n.reject(request, rejection.LeaderLoading)
 		return
 	}
 	switch request.Kind {
@@ -60,26 +61,28 @@
 func (l *leader) onCancel(request Request) {
 	n := l.node
 	if job := l.Jobs[request.JobID]; job != nil {
-		l.cancelJob(job, request.Origin)
+		l.cancelJob(job, request)
 		return
 	}
 	if !protocol.ValidJobID(request.JobID) {
 		n.reply(request.Origin, http.StatusNotFound, 0, nil)
 		return
 	}
-	n.jobReader.ReadJob(request.JobID, func(ok bool, open *storage.Item, terminal *storage.TerminalRecord) {
+	n.jobReader.ReadJob(request.JobID, func(open *storage.Item, terminal *storage.TerminalRecord, err error) {
 		switch {
-		case !ok || n.leader != l || !n.holdsLeaderLease():
-			n.replyUnavailable(request.Origin)
+		case err != nil:
+			n.rejectUnreadable(request, err)
+		case n.leader != l || !n.holdsLeaderLease():
+			n.reject(request, rejection.TermEnded)
 		case terminal != nil:
 			status := protocol.JobStatus{ID: request.JobID, State: terminal.State}
 			n.reply(request.Origin, http.StatusOK, 0, status)
 		case open != nil:
 			if job := l.adoptStoredJob(request.JobID, *open); job != nil {
-				l.cancelJob(job, request.Origin)
+				l.cancelJob(job, request)
 				return
 			}
-			n.replyUnavailable(request.Origin)
+			n.reject(request, rejection.UnreadableRecord)
 		default:
 			n.reply(request.Origin, http.StatusNotFound, 0, nil)
 		}
@@ -88,21 +91,21 @@
 
 // cancelJob stops a job at once and replies when the cancellation is durable. While the key-value
 // store is unavailable, it tells the user to retry; the cancellation remains in effect.
-func (l *leader) cancelJob(job *cluster.Job, origin Origin) {
+func (l *leader) cancelJob(job *cluster.Job, request Request) {
 	if job.DependencyCancelled {
-		l.node.reply(origin, http.StatusOK, 0, job.State())
+		l.node.reply(request.Origin, http.StatusOK, 0, job.State())
 		return
 	}
 	if !job.Terminal {
 		l.jobRecords.Finish(job, protocol.JobCancelled)
 	}
 	if l.node.election.StoreUnavailable() {
-		l.node.replyUnavailable(origin)
+		l.node.reject(request, rejection.StoreUnavailable)
 		return
 	}
-	waiters := append(l.cancelWaiters[job.Spec.ID], origin)
+	waiters := append(l.cancelWaiters[job.Spec.ID], request.Origin)
 	if len(waiters) > l.node.maxPendingRequests() {
-		l.node.replyUnavailable(waiters[0])
+		l.node.rejectOrigin(protocol.RequestCancel, waiters[0], rejection.WaitersLimit)
 		waiters = waiters[1:]
 	}
 	l.cancelWaiters[job.Spec.ID] = waiters
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -6,9 +6,11 @@
 	"hitchdoor/internal/clock"
 	"hitchdoor/internal/cluster"
 	"hitchdoor/internal/dependency"
+	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/reconcile"
 	"hitchdoor/internal/records"
 	"hitchdoor/internal/recoverygate"
+	"hitchdoor/internal/rejection"
 	"hitchdoor/internal/scheduler"
 )
 
@@ -82,17 +84,17 @@
 func (l *leader) rejectWaitingRequests() {
 	for _, waiters := range l.cancelWaiters {
 		for _, origin := range waiters {
-			l.node.replyUnavailable(origin)
+			l.node.rejectOrigin(protocol.RequestCancel, origin, rejection.TermEnded)
 		}
 	}
-	l.rejectEarlyHeartbeats()
+	l.rejectEarlyHeartbeats(rejection.TermEnded)
 }
 
 // rejectEarlyHeartbeats rejects the heartbeats that are queued until the records are loaded.
 // Otherwise their workers would wait for a response until their timeout of four seconds.
-func (l *leader) rejectEarlyHeartbeats() {
+func (l *leader) rejectEarlyHeartbeats(reason rejection.Reason) {
 	for _, request := range l.earlyHeartbeats {
-		l.node.replyUnavailable(request.Origin)
+		l.node.reject(request, reason)
 	}
 	l.earlyHeartbeats = nil
 }
@@ -134,7 +136,7 @@
 		}
 	}
 	if !l.recordsLoaded && node.election.StoreUnavailable() {
-		l.rejectEarlyHeartbeats()
+		l.rejectEarlyHeartbeats(rejection.StoreUnavailable)
 	}
 	l.tickRecovery()
 	if !l.recordsLoaded || node.leader != l {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -8,6 +8,7 @@
 package controller
 
 import (
+	"cmp"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -22,6 +23,7 @@
 	"hitchdoor/internal/jobstore"
 	"hitchdoor/internal/records"
 	"hitchdoor/internal/recovery"
+	"hitchdoor/internal/rejection"
 	"hitchdoor/internal/submissions"
 	"hitchdoor/internal/workerrouting"
 )
@@ -56,6 +58,10 @@
 	protocolLevels            *protocolLevels
 
 	submissionQueue *submissions.Queue
+
+	rejections         *rejection.Counters
+	rejectionsLoggedAt clock.Instant
+	ownerQueue         QueueLoad // load of the queue of commands, as last reported
 }
 
 // Options are the dependencies and settings of a new Node.
@@ -66,6 +72,8 @@
 	Rand      *rand.Rand
 	StartTime time.Time // wall clock at instant 0
 	Build     string    // build version, shown to operators
+	// Rejections counts the requests that are not served. Nil means that only this node counts them.
+	Rejections *rejection.Counters
 }
 
 // pollsPerWorkerLease is how often per worker lease a node polls the key-value store for terminal
@@ -82,6 +90,7 @@
 		peers:                     map[string]*peer{},
 		policyRejections:          jobstore.NewRecentJobs[admission.Group](jobstore.RecentJobsLimit),
 		unreadableTerminalRecords: map[string]*records.QuarantinedRecord{},
+		rejections:                cmp.Or(options.Rejections, rejection.NewCounters()),
 	}
 	node.outbox = newOutbox(&node.timing, node.log, nodeStoreObserver{node})
 	node.jobReader = jobstore.NewReader(jobReaderHost{node}, cluster.Store.RequestsPerS*followerReadShare,
@@ -125,7 +134,7 @@
 func (n *Node) tick() {
 	n.election.Tick()
 	n.catalog.Tick()
-	n.forwards.Expire(n.now, n.serveWithoutLeader)
+	n.forwards.Expire(n.now, n.onForwardExpired)
 	n.workerRouter.ExpireRoutes()
 	n.submissionQueue.WritePending()
 	n.jobReader.LoadTerminalJobs()
@@ -134,6 +143,7 @@
 	if n.leader != nil && n.holdsLeaderLease() {
 		n.leader.tick()
 	}
+	n.logRejections()
 }
 
 // clusterSupports reports whether every configured node is known to have at least the given protocol
--- a/internal/controller/records_host.go
+++ b/internal/controller/records_host.go
@@ -78,7 +78,7 @@
 // ReadTerminalRecord reads a job's terminal record. If there is one, jobReaderHost.TerminalRecordRead
 // handles it.
 func (h recordsHost) ReadTerminalRecord(jobID string) {
-	h.leader.node.jobReader.ReadTerminalRecord(jobID, func(bool, *storage.TerminalRecord) {})
+	h.leader.node.jobReader.ReadTerminalRecord(jobID, func(*storage.TerminalRecord, error) {})
 }
 
 // IsTerminal reports whether a job's terminal record is known.
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -75,6 +75,14 @@
 		float64(n.connectivityReport().StrandedWorkers))
 	page.BoolGauge("admission_policy", "1 while submissions are admitted by a policy.",
 		n.admissionPolicy.Current != nil)
+	page.Gauge("state_read_age_seconds", "Time since the last successful response of the state service.",
+		n.election.TimeSinceStoreSuccess(n.now).Seconds())
+	page.Gauge("queue_depth", "Commands that wait for the owner.", float64(n.ownerQueue.Depth))
+	page.Gauge("queue_wait_seconds", "Longest wait of a command in the last interval.",
+		n.ownerQueue.LongestWait.Seconds())
+	page.Gauge("health_check_wait_seconds", "Longest wait of a health check in the last interval.",
+		n.ownerQueue.HealthCheckDelay.Seconds())
+	page.RejectionCounters(n.rejections.Totals())
 	p.recoveryMetrics(page)
 	if n.holdsLeaderLease() {
 		n.leader.writeMetrics(page)
--- a/internal/controller/submissions.go
+++ b/internal/controller/submissions.go
@@ -8,6 +8,7 @@
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/fleet"
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/rejection"
 	"hitchdoor/internal/storage"
 	"hitchdoor/internal/submissions"
 )
@@ -87,8 +88,12 @@
 // record yet. The user gets the response after the write. Any node may write submissions, because the
 // leader watches the open jobs. asLeader is the leader that received the submission, or nil on a follower.
 func (n *Node) submitToStore(request Request, asLeader *leader) {
-	if !n.catalog.Known() || n.election.StoreUnavailable() {
-		n.replyUnavailable(request.Origin)
+	if !n.catalog.Known() {
+		n.reject(request, rejection.CatalogUnknown)
+		return
+	}
+	if n.election.StoreUnavailable() {
+		n.reject(request, rejection.StoreUnavailable)
 		return
 	}
 	submission := n.newSubmission(request, asLeader)
@@ -100,9 +105,9 @@
 	if len(unconfirmed) > maxDirectJobReads && asLeader == nil && n.forwardSubmissionOnce(request) {
 		return // the leader has most of the dependencies in memory
 	}
-	n.jobReader.ReadAcceptance(unconfirmed, func(ok, allAccepted bool) {
+	n.jobReader.ReadAcceptance(unconfirmed, func(allAccepted bool, err error) {
 		switch {
-		case !ok:
+		case err != nil:
 			n.replyFromStore(request, asLeader, retryLater)
 		case !allAccepted:
 			n.replyFromStore(request, asLeader, unknownDependency)
@@ -164,10 +169,10 @@
 		n.rejectForCapacity(submission)
 	case submissions.StoreRefused:
 		if submission.leader != nil || !n.forwardSubmissionOnce(submission.request) {
-			n.replyUnavailable(submission.request.Origin)
+			n.reject(submission.request, rejection.StoreUnavailable)
 		}
 	case submissions.Failed:
-		n.replyUnavailable(submission.request.Origin)
+		n.reject(submission.request, rejection.StoreFailed)
 	}
 }
 
--- a/internal/controller/user_requests.go
+++ b/internal/controller/user_requests.go
@@ -8,6 +8,7 @@
 	"hitchdoor/internal/forwarding"
 	"hitchdoor/internal/jobstore"
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/rejection"
 	"hitchdoor/internal/storage"
 )
 
@@ -44,7 +45,7 @@
 	}
 	if request.Origin.Peer != "" {
 		// The peer believes that this node leads. On this response the peer uses the key-value store itself.
-		n.replyUnavailable(request.Origin)
+		n.reject(request, rejection.NotLeader)
 		return
 	}
 	if request.Kind == protocol.RequestSubmit {
@@ -90,7 +91,12 @@
 // too many forwarded requests are pending.
 func (n *Node) forwardToLeader(request Request) bool {
 	leaderPeer := n.leaderPeer()
-	if leaderPeer == nil || n.forwards.Count() >= n.maxPendingRequests() {
+	if leaderPeer == nil {
+		n.rejections.Add(request.Kind, rejection.NoLeader)
+		return false
+	}
+	if n.forwards.Count() >= n.maxPendingRequests() {
+		n.rejections.Add(request.Kind, rejection.ForwardLimit)
 		return false
 	}
 	n.forwardToPeer(leaderPeer, request, n.workerLease()/30)
@@ -109,7 +115,7 @@
 		request.Heartbeat, err = protocol.ParseWorkerHeartbeat(message.Body)
 	}
 	if err != nil {
-		n.replyUnavailable(request.Origin)
+		n.reject(request, rejection.Malformed)
 		return
 	}
 	n.onRequest(request)
@@ -137,7 +143,7 @@
 	if n.now >= forward.Deadline {
 		// The response is too late, because it was delayed or this process was paused, and the worker
 		// would discard it. Count the heartbeat as not served and reply 503 instead.
-		n.serveWithoutLeader(request)
+		n.onForwardExpired(request)
 		return
 	}
 	n.replyWithForwardedResponse(request.Origin, response)
@@ -148,6 +154,9 @@
 	if response.Status == http.StatusOK || response.Status == http.StatusCreated {
 		n.jobReader.RecordAccepted(request.JobID)
 	}
+	if response.Status == http.StatusServiceUnavailable {
+		n.rejections.Add(request.Kind, rejection.ForwardRejected)
+	}
 	if response.Status == http.StatusServiceUnavailable && request.Kind != protocol.RequestCancel {
 		// The leader can't serve the request, but the key-value store may be able to.
 		n.serveWithoutLeader(request)
@@ -156,8 +165,14 @@
 	n.replyWithForwardedResponse(request.Origin, response)
 }
 
+// onForwardExpired serves a forwarded request without the leader, which has not responded in time.
+func (n *Node) onForwardExpired(request Request) {
+	n.rejections.Add(request.Kind, rejection.ForwardTimeout)
+	n.serveWithoutLeader(request)
+}
+
 // serveWithoutLeader serves a submission or a query from the key-value store alone, and rejects any
-// other request.
+// other request. The caller has counted why the leader does not serve the request.
 func (n *Node) serveWithoutLeader(request Request) {
 	switch request.Kind {
 	case protocol.RequestSubmit:
@@ -186,11 +201,12 @@
 // has no record of the job. If the record can't be read, the user is told to retry. An open job is added
 // to the state of asLeader, if that leader still holds its leader lease when the record arrives.
 func (n *Node) replyFromStore(request Request, asLeader *leader, ifUnknown errorResponse) {
-	onState := func(ok bool, openItem *storage.Item, terminal *storage.TerminalRecord) {
+	onState := func(openItem *storage.Item, terminal *storage.TerminalRecord, err error) {
 		switch {
-		case !ok && ifUnknown.retryAfterSeconds == 0:
-			n.replyUnavailable(request.Origin)
-		case !ok || (openItem == nil && terminal == nil && ifUnknown.retryAfterSeconds > 0):
+		case err != nil && ifUnknown.retryAfterSeconds == 0:
+			n.rejectUnreadable(request, err)
+		case err != nil || (openItem == nil && terminal == nil && ifUnknown.retryAfterSeconds > 0):
+			n.rejections.Add(request.Kind, readFailureReason(err))
 			n.reply(request.Origin, http.StatusServiceUnavailable, ifUnknown.retryAfterSeconds, ifUnknown)
 		case terminal != nil:
 			n.reply(request.Origin, http.StatusOK, 0, jobstore.TerminalState(request.JobID, *terminal))
--- a/internal/controller/worker_requests.go
+++ b/internal/controller/worker_requests.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/rejection"
 	"hitchdoor/internal/workerrouting"
 )
 
@@ -21,6 +22,7 @@
 		return
 	}
 	if request.Origin.Peer != "" {
+		n.rejections.Add(request.Kind, rejection.NotLeader)
 		n.reply(request.Origin, http.StatusServiceUnavailable, 0, nil)
 		return
 	}
@@ -40,7 +42,7 @@
 	case workerrouting.RelayToLeader:
 		n.forwardToPeer(leaderPeer, request, n.workerRouter.RelayTimeout())
 	case workerrouting.RejectHeartbeat:
-		n.replyUnavailable(request.Origin)
+		n.reject(request, rejection.NoLeader)
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,38 +18,27 @@
 
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/controller"
+	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/rejection"
 	"hitchdoor/internal/tracing"
 	"hitchdoor/internal/transport"
 )
 
-// Sizes of the owner's queue and batches.
-const (
-	// commandsPerConnection is the length of the command queue per connection. All workers may
-	// send a heartbeat at once, some of them through other controllers.
-	commandsPerConnection = 4
-	// maxBatchSize is the maximum number of commands that the node processes in one step.
-	maxBatchSize = 256
-	// queryDivisor limits queries, so that they don't delay other commands. Their queue has
-	// 1/queryDivisor of the command queue's length, and they fill at most 1/queryDivisor of a batch.
-	queryDivisor = 4
-	// ticksPerHeartbeat is how often, within a heartbeat interval of the workers, the owner runs a
-	// step of the node even if no command is queued.
-	ticksPerHeartbeat = 24
-)
+// ticksPerHeartbeat is how often, within a heartbeat interval of the workers, the owner runs a step of
+// the node even if no command is queued.
+const ticksPerHeartbeat = 24
 
 // daemon connects the node with the transports. Only the owner goroutine (runOwner) uses the node.
 type daemon struct {
-	startedAt    time.Time
-	commandQueue chan controller.Command
-	server       *transport.Server
-	// queryQueue holds read-only requests. During an overload there are many of them, and
-	// heartbeats, lease renewals, submissions and cancellations must not be queued behind them.
-	queryQueue chan controller.Command
+	startedAt  time.Time
+	queue      *ownerQueue
+	server     *transport.Server
 	node       *controller.Node
 	clients    map[controller.Target]*transport.Client
 	startCall  func(controller.ServiceCall) // starts a call and returns; the result is queued later
 	peerLinks  *transport.PeerLinks
 	traces     *tracing.Recorder // nil: tracing is disabled
+	rejections *rejection.Counters
 
 	mu             sync.Mutex                       // guards the fields below
 	pendingReplies map[uint64]chan controller.Reply // by request ID
@@ -80,14 +69,14 @@
 	budget := budgetConnections(cluster)
 	d := &daemon{
 		startedAt:      time.Now(),
-		commandQueue:   make(chan controller.Command, commandQueueLength(cluster)),
-		queryQueue:     make(chan controller.Command, commandQueueLength(cluster)/queryDivisor),
+		queue:          newOwnerQueue(commandsPerConnection * cluster.Resources.MaxConnections),
+		rejections:     rejection.NewCounters(),
 		clients:        newClients(platform, budget, workerLease),
 		pendingReplies: map[uint64]chan controller.Reply{},
 	}
 	d.node = controller.New(controller.Options{
 		Platform: platform, Settings: settings, Build: build, Log: log, StartTime: d.startedAt,
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Rejections: d.rejections,
 	})
 	if settings.MaxTraceSteps > 0 {
 		d.traces = tracing.NewRecorder(platform.Node, settings.MaxTraceSteps)
@@ -97,6 +86,7 @@
 	}, d.receivePeerMessage)
 	d.server = transport.NewServer(d, transport.ServerOptions{
 		MaxConnections: budget.server, IdleTimeout: 2 * workerLease, RequestTimeout: workerLease / 4,
+		Rejections: d.rejections,
 	})
 	return d
 }
@@ -158,24 +148,11 @@
 	transports.Go(func() { serverErrors <- d.peerLinks.Serve(transportContext, open.peers) })
 	transports.Go(func() { d.peerLinks.Maintain(transportContext) })
 	d.startCall = func(call controller.ServiceCall) {
-		transports.Go(func() { d.enqueue(transportContext, d.clients[call.Target].Do(call)) })
+		transports.Go(func() { d.queue.add(transportContext, d.clients[call.Target].Do(call)) })
 	}
 	return d.runOwner(ctx, tickInterval, serverErrors)
 }
 
-// enqueue queues a command. It waits while the queue is full, and drops the command if ctx ends.
-func (d *daemon) enqueue(ctx context.Context, command controller.Command) {
-	select {
-	case d.commandQueue <- command:
-	case <-ctx.Done():
-	}
-}
-
-// commandQueueLength returns the number of commands that the command queue can hold.
-func commandQueueLength(cluster *config.Cluster) int {
-	return commandsPerConnection * cluster.Resources.MaxConnections
-}
-
 // responseMemoryDivisor limits a response of the key-value store or the cloud to
 // 1/responseMemoryDivisor of the memory, because several responses may arrive at once.
 const responseMemoryDivisor = 16
@@ -218,12 +195,14 @@
 	for {
 		batch = batch[:0]
 		select {
-		case command := <-d.commandQueue:
-			batch = append(batch, command)
-		case command := <-d.queryQueue:
-			batch = append(batch, command)
+		case queued := <-d.queue.commands:
+			batch = append(batch, d.queue.dequeue(queued))
+		case queued := <-d.queue.queries:
+			batch = append(batch, d.queue.dequeue(queued))
 		case <-ticker.C:
-			batch = append(batch, d.server.ConnectionLoad())
+			load := d.server.ConnectionLoad()
+			load.Queue = d.queue.takeLoad()
+			batch = append(batch, load)
 		case <-shutdownRequested:
 			shutdownRequested, handoverDone = nil, time.After(d.node.DrainDuration())
 			batch = append(batch, controller.Drain{})
@@ -232,35 +211,22 @@
 		case err := <-serverErrors:
 			return err
 		}
-		batch = d.fillBatch(batch)
+		batch = d.queue.fillBatch(batch)
 		for _, effect := range d.node.Step(time.Since(d.startedAt), batch) {
 			d.execute(effect)
 		}
 	}
 }
 
-// fillBatch adds queued commands to a batch, and then a limited number of queries.
-func (d *daemon) fillBatch(batch []controller.Command) []controller.Command {
-	for len(batch) < maxBatchSize && len(d.commandQueue) > 0 {
-		batch = append(batch, <-d.commandQueue)
-	}
-	limit := min(maxBatchSize, len(batch)+maxBatchSize/queryDivisor)
-	for len(batch) < limit && len(d.queryQueue) > 0 {
-		batch = append(batch, <-d.queryQueue)
-	}
-	return batch
-}
-
 // receivePeerMessage queues a message of another controller. It rejects a forwarded query at once if
 // the query queue is full.
 func (d *daemon) receivePeerMessage(ctx context.Context, message controller.InboundMessage) {
 	if !message.IsReadOnly() {
-		d.enqueue(ctx, message)
+		d.queue.add(ctx, message)
 		return
 	}
-	select {
-	case d.queryQueue <- message:
-	default:
+	if !d.queue.tryAddQuery(message) {
+		d.rejections.Add(protocol.RequestQuery, rejection.QueueFull)
 		response := message.UnavailableResponse()
 		d.peerLinks.Send(response.To, response.Message)
 	}
@@ -308,13 +274,8 @@
 	unavailable := controller.Reply{Status: 503, RetryAfter: 1}
 	requestID, replies := d.registerRequest()
 	request.Origin = controller.Origin{RequestID: requestID}
-	queue := d.commandQueue
-	if request.IsReadOnly() {
-		queue = d.queryQueue
-	}
-	select {
-	case queue <- request:
-	default:
+	if !d.queue.tryAddRequest(request) {
+		d.rejections.Add(request.Kind, rejection.QueueFull)
 		d.discardRequest(requestID)
 		return unavailable
 	}
@@ -324,6 +285,7 @@
 	case reply := <-replies:
 		return reply
 	case <-timer.C:
+		d.rejections.Add(request.Kind, rejection.ReplyTimeout)
 	case <-ctx.Done():
 	}
 	d.discardRequest(requestID)
--- a/internal/election/store_availability.go
+++ b/internal/election/store_availability.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"hitchdoor/internal/clock"
 )
@@ -39,6 +40,12 @@
 	return a.lastSuccess != clock.Never && !a.StoreFailing()
 }
 
+// TimeSinceStoreSuccess returns the time since the last successful response of the store, or since the
+// process started if there was none.
+func (a *storeAvailability) TimeSinceStoreSuccess(now clock.Instant) time.Duration {
+	return now - max(a.lastSuccess, 0)
+}
+
 // maxToleratedStoreFailures is the number of consecutive failed requests that do not yet count as an
 // outage of the store. A single lost packet makes one request fail.
 const maxToleratedStoreFailures = 1
--- a/internal/jobstore/accepted_jobs.go
+++ b/internal/jobstore/accepted_jobs.go
@@ -1,6 +1,7 @@
 package jobstore
 
 import (
+	"cmp"
 	"slices"
 
 	"hitchdoor/internal/storage"
@@ -26,20 +27,20 @@
 }
 
 // ReadAcceptance reads whether all of the given jobs were accepted, by any node. It reads from the
-// key-value store, because another node may have accepted a job a moment ago. ok is false if a job could not be
-// read.
-func (r *Reader) ReadAcceptance(ids []string, onRead func(ok, allAccepted bool)) {
-	pendingReads, readable, allAccepted := len(ids), true, true
+// key-value store, because another node may have accepted a job a moment ago. err is the *ReadError of a job that
+// could not be read.
+func (r *Reader) ReadAcceptance(ids []string, onRead func(allAccepted bool, err error)) {
+	pendingReads, allAccepted, firstError := len(ids), true, error(nil)
 	if pendingReads == 0 {
-		onRead(true, true)
+		onRead(true, nil)
 		return
 	}
 	for _, id := range ids {
-		r.ReadJob(id, func(ok bool, openItem *storage.Item, terminal *storage.TerminalRecord) {
-			readable = readable && ok
+		r.ReadJob(id, func(openItem *storage.Item, terminal *storage.TerminalRecord, err error) {
+			firstError = cmp.Or(firstError, err)
 			allAccepted = allAccepted && (openItem != nil || terminal != nil)
 			if pendingReads--; pendingReads == 0 {
-				onRead(readable, allAccepted)
+				onRead(allAccepted, firstError)
 			}
 		})
 	}
--- a/internal/jobstore/reader.go
+++ b/internal/jobstore/reader.go
@@ -10,9 +10,16 @@
 	"hitchdoor/internal/clock"
 	"hitchdoor/internal/json"
 	"hitchdoor/internal/ratelimit"
+	"hitchdoor/internal/rejection"
 	"hitchdoor/internal/storage"
 )
 
+// ReadError is the error of a read that did not find out what is stored.
+type ReadError struct{ Reason rejection.Reason }
+
+// Error returns the reason as text.
+func (e *ReadError) Error() string { return "read of a stored job: " + string(e.Reason) }
+
 // Reader reads the records of jobs from the key-value store, on behalf of users and of the leader. It
 // caches what never changes: the records of terminal jobs, and which jobs were accepted.
 type Reader struct {
@@ -45,8 +52,8 @@
 }
 
 // Callback receives the stored record of a job: its open record or its terminal record, or neither if
-// the job is unknown. ok is false if the record could not be read.
-type Callback func(ok bool, openItem *storage.Item, terminal *storage.TerminalRecord)
+// the job is unknown. err is a *ReadError if the record could not be read, and nil otherwise.
+type Callback func(openItem *storage.Item, terminal *storage.TerminalRecord, err error)
 
 // NewReader returns a reader with empty caches. It makes at most readsPerSecond reads on behalf
 // of users.
@@ -83,29 +90,35 @@
 // to terminal and never back, so a job can't be missed between the two reads.
 func (r *Reader) ReadJob(jobID string, onRead Callback) {
 	if record, ok := r.TerminalRecord(jobID); ok {
-		onRead(true, nil, &record)
+		onRead(nil, &record, nil)
 		return
 	}
-	if r.host.StoreUnavailable() || !r.readBudget.Take(r.host.Now(), 2) {
-		onRead(false, nil, nil)
+	if r.host.StoreUnavailable() {
+		onRead(nil, nil, &ReadError{rejection.StoreUnavailable})
+		return
+	}
+	if !r.readBudget.Take(r.host.Now(), 2) {
+		onRead(nil, nil, &ReadError{rejection.ReadBudget})
 		return
 	}
 	r.ReadItem(storage.JobKey(jobID), func(status int, item *storage.Item) {
 		switch {
 		case item != nil:
 			r.RecordAccepted(jobID)
-			onRead(true, item, nil)
+			onRead(item, nil, nil)
 		case status == http.StatusNotFound:
-			r.ReadTerminalRecord(jobID, func(ok bool, terminal *storage.TerminalRecord) { onRead(ok, nil, terminal) })
+			r.ReadTerminalRecord(jobID, func(terminal *storage.TerminalRecord, err error) {
+				onRead(nil, terminal, err)
+			})
 		default:
-			onRead(false, nil, nil)
+			onRead(nil, nil, &ReadError{rejection.StoreFailed})
 		}
 	})
 }
 
 // ReadTerminalRecord reads and caches a job's terminal record. The callback gets nil if there is none,
-// or, with ok false, if it could not be read.
-func (r *Reader) ReadTerminalRecord(jobID string, onRead func(ok bool, terminal *storage.TerminalRecord)) {
+// or, with a *ReadError, if it could not be read.
+func (r *Reader) ReadTerminalRecord(jobID string, onRead func(terminal *storage.TerminalRecord, err error)) {
 	r.ReadItem(storage.TerminalKey(jobID), func(status int, item *storage.Item) {
 		if item != nil {
 			r.cacheTerminalItem(*item)
@@ -113,11 +126,13 @@
 		terminal, known := r.TerminalRecord(jobID)
 		switch {
 		case known:
-			onRead(true, &terminal)
+			onRead(&terminal, nil)
 		case status == http.StatusNotFound:
-			onRead(true, nil)
+			onRead(nil, nil)
+		case item != nil:
+			onRead(nil, &ReadError{rejection.UnreadableRecord})
 		default:
-			onRead(false, nil)
+			onRead(nil, &ReadError{rejection.StoreFailed})
 		}
 	})
 }
--- a/internal/statuspage/metrics_page.go
+++ b/internal/statuspage/metrics_page.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"hitchdoor/internal/cluster"
+	"hitchdoor/internal/rejection"
 )
 
 // MetricsPage builds a page in the Prometheus text format.
@@ -35,6 +36,15 @@
 	})
 }
 
+// RejectionCounters adds a counter of the requests that were not served, by kind and reason.
+func (p *MetricsPage) RejectionCounters(counts []rejection.Count) {
+	const name = "hitchdoor_requests_not_served_total"
+	fmt.Fprintf(p, "# HELP %s Requests not served, by kind and reason.\n# TYPE %s counter\n", name, name)
+	for _, count := range counts {
+		fmt.Fprintf(p, "%s{kind=%q,reason=%q} %d\n", name, count.Kind, count.Reason, count.Value)
+	}
+}
+
 // ClusterGauges adds the gauges of a leader's jobs, tasks and machines. A machine whose type is not in the
 // catalogue adds no cores.
 func (p *MetricsPage) ClusterGauges(state *cluster.State) {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -4,6 +4,7 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -16,6 +17,7 @@
 	"hitchdoor/internal/controller"
 	"hitchdoor/internal/json"
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/rejection"
 	"hitchdoor/internal/tracing"
 )
 
@@ -33,6 +35,8 @@
 	MaxConnections int
 	IdleTimeout    time.Duration // how long a connection may be idle, or reading a request may take
 	RequestTimeout time.Duration // how long to wait for the handler's reply
+	// Rejections counts the requests that the server rejects itself. Nil means that nothing reads them.
+	Rejections *rejection.Counters
 }
 
 // Server is the HTTP server for users, workers, the load balancer and operators.
@@ -49,6 +53,7 @@
 
 // NewServer returns a server that passes requests to a handler.
 func NewServer(handler RequestHandler, options ServerOptions) *Server {
+	options.Rejections = cmp.Or(options.Rejections, rejection.NewCounters())
 	requestContext, cancelRequests := context.WithCancel(context.Background())
 	server := &Server{handler: handler, options: options, connections: newConnectionSet(),
 		requestContext: requestContext, cancelRequests: cancelRequests}
@@ -84,15 +89,22 @@
 	return sendError(c, code, err.Error())
 }
 
+// Paths of the requests of users, workers and the load balancer.
+const (
+	jobsPath      = "/work"
+	heartbeatPath = "/v1/report"
+	healthPath    = "/healthz"
+)
+
 // registerRoutes registers the handlers of all paths. Every request passes through admitConnection
 // first.
 func (s *Server) registerRoutes() {
 	s.app.Use(s.admitConnection)
-	s.app.Post("/work", s.submitJob)
-	s.app.Get("/work/:id", s.queryJob)
-	s.app.Post("/work/:id/cancel", s.cancelJob)
-	s.app.Post("/v1/report", s.acceptHeartbeat)
-	s.app.Get("/healthz", s.handlerForKind(protocol.RequestHealth))
+	s.app.Post(jobsPath, s.submitJob)
+	s.app.Get(jobsPath+"/:id", s.queryJob)
+	s.app.Post(jobsPath+"/:id/cancel", s.cancelJob)
+	s.app.Post(heartbeatPath, s.acceptHeartbeat)
+	s.app.Get(healthPath, s.handlerForKind(protocol.RequestHealth))
 	s.app.Get("/status", s.handlerForKind(protocol.RequestStatus))
 	s.app.Get("/metrics", s.serveMetrics)
 	s.app.Get("/admission", s.handlerForKind(protocol.RequestAdmission))
@@ -140,15 +152,31 @@
 // node's connections.
 func (s *Server) admitConnection(c *fiber.Ctx) error {
 	load := s.ConnectionLoad()
-	if c.Context().ConnRequestNum() > 1 || c.Path() == "/healthz" ||
+	if c.Context().ConnRequestNum() > 1 || c.Path() == healthPath ||
 		load.Open <= load.Limit-max(1, load.Limit/healthReserveDivisor) {
 		return c.Next()
 	}
+	s.options.Rejections.Add(requestKind(c), rejection.ConnectionLimit)
 	c.Context().SetConnectionClose()
 	c.Set(fiber.HeaderRetryAfter, "1")
 	return sendError(c, fiber.StatusServiceUnavailable, "too many connections")
 }
 
+// requestKind returns the kind of a request of a user or a worker by its method and path, for requests
+// that are rejected before their route is known. Operators' requests count as queries.
+func requestKind(c *fiber.Ctx) protocol.RequestKind {
+	switch path := c.Path(); {
+	case path == heartbeatPath:
+		return protocol.RequestHeartbeat
+	case c.Method() == fiber.MethodGet:
+		return protocol.RequestQuery
+	case path == jobsPath:
+		return protocol.RequestSubmit
+	default:
+		return protocol.RequestCancel
+	}
+}
+
 // Serve serves the listener's connections until the context is cancelled or the listener fails. It
 // closes the listener and all connections, and returns when no request is being handled any more. It
 // must be called at most once.
