--- a/review/_programs/platform.go
+++ b/review/_programs/platform.go
@@ -51,6 +51,7 @@
 	runSeconds     func(task string) float64
 	fails          func(task, machine string) bool
 	onRent         func(pedido string)
+	adjust         func(m *machine, seconds float64) (float64, bool) // run time on a machine, and whether the task fails
 	outage         bool
 	mu             sync.Mutex
 	last           int
@@ -79,6 +80,7 @@
 	id, state, reason string
 	attempt           uint64
 	fetchedAt, endsAt time.Time
+	fails             bool
 }
 
 type machine struct {
@@ -278,7 +280,7 @@
 			m.p.event(m, "start", t, "")
 		}
 		if t.state == "running" && now.After(t.endsAt) {
-			if m.p.fails(t.id, m.name) {
+			if t.fails || m.p.fails(t.id, m.name) {
 				m.exit(t, "error")
 			} else {
 				m.exit(t, "done")
@@ -438,7 +440,11 @@
 	}
 	now := time.Now()
 	t.fetchedAt = now.Add(100 * time.Millisecond)
-	t.endsAt = t.fetchedAt.Add(time.Duration(m.p.runSeconds(id) * float64(time.Second)))
+	seconds := m.p.runSeconds(id)
+	if m.p.adjust != nil {
+		seconds, t.fails = m.p.adjust(m, seconds)
+	}
+	t.endsAt = t.fetchedAt.Add(time.Duration(seconds * float64(time.Second)))
 	if m.p.completed[id] {
 		t.endsAt = t.fetchedAt
 	}
