--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -67,7 +67,7 @@
 // jobTable holds the open jobs and the resources that their tasks use.
 type jobTable struct {
 	Jobs         map[string]*Job
-	RunnableJobs map[string]*Job           // open jobs without pending dependencies
+	RunnableJobs map[string]*Job           // open jobs without pending dependencies that allow some machine
 	EndedJobs    map[string]bool           // jobs that became terminal in this term
 	TeamUsage    map[string]*ResourceUsage // by team
 	UsedSlots    [2]SlotUnits              // slots that attempts occupy: batch, latency-sensitive
--- a/internal/controller/invariants_test.go
+++ b/internal/controller/invariants_test.go
@@ -391,7 +391,7 @@
 // placementViolation returns why the next task of a job may not start on a machine now, or "".
 func (sim *simulation) placementViolation(job *protocol.Job, worker *fakeWorker) string {
 	switch {
-	case len(job.MachineTypes) > 0 && !slices.Contains(job.MachineTypes, worker.machineType):
+	case job.MachineTypes != nil && !slices.Contains(job.MachineTypes, worker.machineType):
 		return "machine type " + worker.machineType
 	case job.Zone != "" && job.Zone != worker.zone:
 		return "zone " + worker.zone
@@ -524,6 +524,12 @@
 			sim.jobSpecs["j-2"] = job
 			startTask(sim, "m-000001", "j-2/0")
 		},
+		"wrong_place  ": func(sim *simulation) {
+			job := jobSpec("j-2", 1)
+			job.MachineTypes = []string{}
+			sim.jobSpecs["j-2"] = job
+			startTask(sim, "m-000001", "j-2/0")
+		},
 		"wrong_place ": func(sim *simulation) {
 			job := jobSpec("j-2", 2)
 			job.SameZone = true
--- a/internal/controller/user_requests.go
+++ b/internal/controller/user_requests.go
@@ -69,7 +69,7 @@
 	message := protocol.ForwardedRequest{ID: id, Kind: request.Kind, JobID: request.JobID}
 	switch request.Kind {
 	case protocol.RequestSubmit:
-		message.Body = storage.Encode(request.Job)
+		message.Body = storage.Encode(request.Job.Forwarded())
 	case protocol.RequestHeartbeat:
 		message.Body = storage.Encode(request.Heartbeat)
 	}
--- a/internal/dependency/graph.go
+++ b/internal/dependency/graph.go
@@ -106,8 +106,14 @@
 	return min(g.host.InstantFromUnixMilli(terminal.EndedAtMillis), g.state.Clock.Now())
 }
 
-// releaseJob makes a job without pending dependencies available for scheduling.
+// releaseJob makes a job without pending dependencies available for scheduling. A job that allows no machine is
+// never scheduled: it must neither get machines nor hold other jobs back.
 func (g *Graph) releaseJob(job *cluster.Job) {
+	if job.Spec.AllowsNoMachine() {
+		job.BlockedBy = cluster.WaitCapacity
+		g.state.Log.Warn("job allows no machine type, so none of its tasks starts", "job", job.Spec.ID)
+		return
+	}
 	g.state.RunnableJobs[job.Spec.ID] = job
 	job.PendingSince = g.state.Clock.Now()
 	g.state.SchedulingNeeded = true
--- a/internal/fleet/offering.go
+++ b/internal/fleet/offering.go
@@ -19,7 +19,7 @@
 // FitsType reports whether a task of a job fits on an empty machine of a type, in a zone where the
 // type is offered. A type that names no zones is taken to be offered in every zone.
 func FitsType(job *protocol.Job, machineType *protocol.MachineType) bool {
-	if len(job.MachineTypes) > 0 && !slices.Contains(job.MachineTypes, machineType.Name) {
+	if !job.AllowsMachineType(machineType.Name) {
 		return false
 	}
 	if job.Zone != "" && len(machineType.Zones) > 0 && !slices.Contains(machineType.Zones, job.Zone) {
@@ -32,13 +32,11 @@
 // Fits reports whether a task of a job may run on an empty machine of the offering. machineType is
 // the offering's type; if it is nil (not in the catalog), no job fits.
 func (o Offering) Fits(job *protocol.Job, machineType *protocol.MachineType) bool {
-	return machineType != nil && FitsType(job, machineType) &&
-		(job.Zone == "" || job.Zone == o.Zone) && (job.SpotAllowed || !o.Spot)
+	return machineType != nil && FitsType(job, machineType) && o.MatchesConstraints(job)
 }
 
 // MatchesConstraints reports whether the type, zone and spot constraints of a job allow the
 // offering, regardless of the machine's size.
 func (o Offering) MatchesConstraints(job *protocol.Job) bool {
-	return (len(job.MachineTypes) == 0 || slices.Contains(job.MachineTypes, o.Type)) &&
-		(job.Zone == "" || job.Zone == o.Zone) && (job.SpotAllowed || !o.Spot)
+	return job.AllowsMachineType(o.Type) && (job.Zone == "" || job.Zone == o.Zone) && (job.SpotAllowed || !o.Spot)
 }
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -50,7 +50,7 @@
 	MemoryGB                  float64  `json:"ramGb"`        // memory per task
 	Image                     string   `json:"molde"`        // name of the image that a task needs; empty: none
 	ImageGB                   float64  `json:"pullGb"`       // size of the image
-	MachineTypes              []string `json:"portes"`       // names of the allowed machine types; empty: all
+	MachineTypes              []string `json:"portes"`       // names of the allowed types; nil: all, empty: none
 	Zone                      string   `json:"praca"`        // the only allowed zone; empty: any
 	SameZone                  bool     `json:"samePlace"`    // all tasks must run in one zone
 	Spread                    bool     `json:"apart"`        // no zone may run more than half of the tasks, rounded up
@@ -161,6 +161,26 @@
 	return nil
 }
 
+// AllowsMachineType reports whether the job's tasks may run on machines of the named type.
+func (j *Job) AllowsMachineType(name string) bool {
+	return j.MachineTypes == nil || slices.Contains(j.MachineTypes, name)
+}
+
+// AllowsNoMachine reports whether the job's tasks may run on no machine at all, whatever the cloud offers. Such
+// a submission is rejected, but earlier versions accepted it.
+func (j *Job) AllowsNoMachine() bool { return j.MachineTypes != nil && len(j.MachineTypes) == 0 }
+
+// Forwarded returns the job as it is forwarded to the leader. Earlier versions take an empty list of machine types
+// for all types, so it is replaced by the empty name, which no type has.
+func (j *Job) Forwarded() *Job {
+	if !j.AllowsNoMachine() {
+		return j
+	}
+	forwarded := *j
+	forwarded.MachineTypes = []string{""}
+	return &forwarded
+}
+
 // JobStatus is the response to a submission, a query and a cancellation.
 type JobStatus struct {
 	ID           string   `json:"uid"`               // job id
--- a/internal/recoverygate/gate.go
+++ b/internal/recoverygate/gate.go
@@ -239,8 +239,8 @@
 	if totals.AllReconciled || job.RecordRevision > g.leaderRevision || job.ReleasedThisTerm {
 		return false
 	}
-	if totals.UnreconciledTypeUnknown {
-		return true
+	if totals.UnreconciledTypeUnknown || job.Spec.AllowsNoMachine() {
+		return true // an earlier version may have started tasks of a job that allows no machine
 	}
 	for offering := range totals.UnreconciledOfferings {
 		// Only the constraints are checked, because the sizes in the catalog may have been
--- a/internal/recoverygate/gate_test.go
+++ b/internal/recoverygate/gate_test.go
@@ -96,6 +96,7 @@
 		"all machines reconciled":    {func(gate *Gate, _ *cluster.Job) { reconcileMachines(gate, gateMinMachines) }, false},
 		"in another zone":            {func(_ *Gate, job *cluster.Job) { job.Spec.Zone = "b" }, false},
 		"of another machine type":    {func(_ *Gate, job *cluster.Job) { job.Spec.MachineTypes = []string{"large"} }, false},
+		"of no machine type":         {func(_ *Gate, job *cluster.Job) { job.Spec.MachineTypes = []string{} }, true},
 		"larger than any in catalog": {func(_ *Gate, job *cluster.Job) { job.Spec.Cores = 999 }, true},
 		"in another zone, type unknown": {func(gate *Gate, job *cluster.Job) {
 			job.Spec.Zone = "b"
--- a/internal/statuspage/metrics_page.go
+++ b/internal/statuspage/metrics_page.go
@@ -53,6 +53,12 @@
 		runningTasks += len(job.Attempts)
 		pendingTasks += job.PendingTasks
 	}
+	waitingJobs := 0
+	for _, job := range state.Jobs {
+		if job.PendingDependencies > 0 {
+			waitingJobs++
+		}
+	}
 	machinesUp, coresHeld := 0, 0.0
 	for _, machine := range state.Machines {
 		if machine.Up {
@@ -63,8 +69,7 @@
 		}
 	}
 	p.Gauge("jobs_open", "Jobs that are not over.", float64(len(state.Jobs)))
-	p.Gauge("jobs_waiting", "Those of them that wait for others to be done.",
-		float64(len(state.Jobs)-len(state.RunnableJobs)))
+	p.Gauge("jobs_waiting", "Those of them that wait for others to be done.", float64(waitingJobs))
 	p.Gauge("tasks_active", "Tasks on machines.", float64(runningTasks))
 	p.Gauge("tasks_pending", "Tasks that wait.", float64(pendingTasks))
 	p.Gauge("machines", "Machines held.", float64(len(state.Machines)))
