An empty zone allows no machine

In records and in requests that controllers forward, "praca":"" is how all versions write null, so there it still means any zone: forwarded submissions have their own entry, ParseForwardedJob. A job that an earlier version accepted with an empty zone runs on, and its repeated submission gets 200.

--- a/internal/controller/machine_constraints_test.go
+++ b/internal/controller/machine_constraints_test.go
@@ -46,9 +46,39 @@
 	return sim.submit(node, *job).Status
 }
 
+// Guards against a value of a field that is taken for another one: absent, null, empty and unknown differ.
+func TestValuesOfEachSubmissionField(t *testing.T) {
+	sim := newSimulation(t, 3)
+	leaderNode := sim.waitForLeader()
+	for field, want := range map[string]struct{ absent, null, empty, unknown int }{
+		"uid": {400, 400, 400, 400}, "lote": {400, 400, 400, 201}, "dono": {400, 400, 400, 422},
+		"feitio": {400, 400, 400, 400}, "vez": {400, 400, 400, 400}, "pecas": {400, 400, 400, 400},
+		"cores": {400, 400, 400, 400}, "accelerators": {400, 400, 400, 400}, "ramGb": {400, 400, 400, 400},
+		"molde": {400, 400, 201, 201}, "pullGb": {400, 400, 400, 400}, "portes": {201, 201, 422, 422},
+		"praca": {201, 201, 422, 422}, "samePlace": {400, 400, 400, 400}, "apart": {400, 400, 400, 400},
+		"avulsas": {400, 400, 400, 400}, "previstoS": {400, 400, 400, 400}, "marcoS": {400, 400, 400, 400},
+		"guardaS": {400, 400, 400, 400}, "prazoS": {201, 201, 400, 400}, "aguarda": {201, 201, 201, 422},
+	} {
+		empty, unknown := `""`, `"j_unknown"`
+		if field == "portes" || field == "aguarda" {
+			empty, unknown = `[]`, `["j-unknown"]`
+		}
+		for name, c := range map[string]struct {
+			value  string
+			status int
+		}{"absent": {"", want.absent}, "null": {"null", want.null}, "empty": {empty, want.empty},
+			"unknown": {unknown, want.unknown}} {
+			id := "j-" + field + "-" + name
+			if got := sim.submitBody(leaderNode.name, submissionBody(t, id, field, c.value)); got != c.status {
+				t.Errorf("submission with %s %s: got status %d, want %d", name, field, got, c.status)
+			}
+		}
+	}
+}
+
 // Guards against the start of a job that allows no machine, whichever controller its submission reaches.
 func TestJobsThatAllowNoMachineAreRejected(t *testing.T) {
-	for field, values := range map[string][]string{"portes": {`[]`, `["other"]`, `[""]`, `[null]`}, "praca": {`"other"`}} {
+	for field, values := range map[string][]string{"portes": {`[]`, `["other"]`, `[""]`, `[null]`}, "praca": {`""`, `"other"`}} {
 		for _, way := range []string{"leader", "follower", "follower that the store refuses"} {
 			t.Run(field+" at the "+way, func(t *testing.T) {
 				sim := newSimulation(t, 3)
@@ -129,7 +159,7 @@
 // Guards against a leader of an earlier version that accepts a forwarded job which allows no machine: it takes
 // an empty list of types for all types.
 func TestForwardedJobAllowsNoMachineInEarlierVersions(t *testing.T) {
-	for field, value := range map[string]string{"portes": `[]`} {
+	for field, value := range map[string]string{"portes": `[]`, "praca": `""`} {
 		sim := newSimulation(t, 3)
 		sim.waitForLeader()
 		follower := sim.followers()[0]
@@ -179,6 +209,9 @@
 			if got := sim.submitBody(name, submissionBody(t, "j-none", "portes", "[]")); got != 200 {
 				t.Errorf("repeated submission at %s: got status %d, want 200", name, got)
 			}
+			if got := sim.submitBody(name, submissionBody(t, "j-any", "praca", `""`)); got != 200 {
+				t.Errorf("repeated submission with an empty zone at %s: got status %d, want 200", name, got)
+			}
 		}
 		if !sim.advanceUntil(5*time.Minute, func() bool { return len(sim.cloud.hosts) == 0 }) {
 			t.Errorf("%d machines are held for a job that allows none", len(sim.cloud.hosts))
--- a/internal/controller/user_requests.go
+++ b/internal/controller/user_requests.go
@@ -110,7 +110,7 @@
 	var err error
 	switch message.Kind {
 	case protocol.RequestSubmit:
-		request.Job, err = protocol.ParseJob(message.Body)
+		request.Job, err = protocol.ParseForwardedJob(message.Body)
 	case protocol.RequestHeartbeat:
 		request.Heartbeat, err = protocol.ParseWorkerHeartbeat(message.Body)
 	}
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -217,7 +217,7 @@
 // submitJob submits a job to a node, without retries. If the node does not respond, the status is 0.
 func (c *testCluster) submitJob(node string, job protocol.Job) (status int, retryAfter time.Duration) {
 	c.t.Helper()
-	raw, err := json.Marshal(job)
+	raw, err := protocol.EncodeSubmission(&job)
 	if err != nil {
 		c.t.Errorf("encoding job %s: %v", job.ID, err)
 		return 0, 0
--- a/internal/emulator/fault_users.go
+++ b/internal/emulator/fault_users.go
@@ -77,7 +77,7 @@
 func (u *faultUsers) followJob(ctx context.Context, job protocol.Job, rng *rand.Rand) {
 	u.fleet.UploadJob(job)
 	u.history.Record(history.Event{Kind: history.JobSubmitted, Job: job.ID, TaskCount: job.TaskCount})
-	body, err := json.Marshal(job)
+	body, err := protocol.EncodeSubmission(&job)
 	if err != nil || !u.submit(ctx, job.ID, body) {
 		return
 	}
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -133,7 +133,7 @@
 // submitJob submits a job, with retries during protocol.SubmissionRetryWindow, and returns whether it
 // was accepted.
 func (g *loadGenerator) submitJob(ctx context.Context, job protocol.Job, rng *rand.Rand) bool {
-	raw, err := json.Marshal(job)
+	raw, err := protocol.EncodeSubmission(&job)
 	if err != nil {
 		return false
 	}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -51,7 +51,7 @@
 	Image                     string   `json:"molde"`        // name of the image that a task needs; empty: none
 	ImageGB                   float64  `json:"pullGb"`       // size of the image
 	MachineTypes              []string `json:"portes"`       // names of the allowed types; nil: all, empty: none
-	Zone                      string   `json:"praca"`        // the only allowed zone; empty: any
+	Zone                      string   `json:"praca"`        // the only allowed zone; empty: any (see ParseJob)
 	SameZone                  bool     `json:"samePlace"`    // all tasks must run in one zone
 	Spread                    bool     `json:"apart"`        // no zone may run more than half of the tasks, rounded up
 	SpotAllowed               bool     `json:"avulsas"`      // tasks may run on spot machines
@@ -75,33 +75,67 @@
 var requiredFields = []string{"uid", "lote", "dono", "feitio", "vez", "pecas", "cores", "accelerators", "ramGb",
 	"molde", "pullGb", "samePlace", "apart", "avulsas", "previstoS", "marcoS", "guardaS"}
 
-// ParseJob decodes a submission, validates all that does not depend on the settings, and reduces the
-// amounts to their limits. The caller
-// responds to any error with status 400. The error is an *InvalidBodyError, an *InvalidFieldError or a
-// *NegativeAmountError.
+// ParseJob decodes a user's submission, validates all that does not depend on the settings, and reduces the
+// amounts to their limits. The caller responds to any error with status 400. The error is an
+// *InvalidBodyError, an *InvalidFieldError or a *NegativeAmountError.
+//
+// An empty zone names no zone, so that the job allows no machine. Job.Zone can't tell it from null, hence the job
+// gets an empty list of machine types instead. It is not an error, because earlier versions accepted such jobs, and a
+// repeated submission of an accepted job must not be rejected.
 func ParseJob(body []byte) (*Job, error) {
+	job, fields, err := decodeJob(body)
+	if err != nil {
+		return nil, err
+	}
+	if zone, given := fields["praca"]; given && string(zone) != "null" && job.Zone == "" {
+		job.MachineTypes = []string{}
+	}
+	return job, nil
+}
+
+// ParseForwardedJob is ParseJob for a submission that another controller forwards. There an empty zone stands for
+// null: Job.Zone is encoded that way.
+func ParseForwardedJob(body []byte) (*Job, error) {
+	job, _, err := decodeJob(body)
+	return job, err
+}
+
+// EncodeSubmission encodes a job as its user submits it, for ParseJob: the zone is null if any is allowed.
+func EncodeSubmission(job *Job) ([]byte, error) {
+	submission := struct {
+		*Job
+		Zone *string `json:"praca"`
+	}{Job: job}
+	if job.Zone != "" {
+		submission.Zone = &job.Zone
+	}
+	return json.Marshal(submission)
+}
+
+// decodeJob decodes and validates a submission. It also returns the submission's fields, by name on the wire.
+func decodeJob(body []byte) (*Job, map[string]json.RawMessage, error) {
 	if len(body) > MaxBodyBytes {
-		return nil, &InvalidBodyError{Reason: "body over 64 KiB"}
+		return nil, nil, &InvalidBodyError{Reason: "body over 64 KiB"}
 	}
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
-		return nil, &InvalidBodyError{Reason: "not a JSON object", Err: err}
+		return nil, nil, &InvalidBodyError{Reason: "not a JSON object", Err: err}
 	}
 	for _, name := range requiredFields {
 		if raw, ok := fields[name]; !ok || string(raw) == "null" {
-			return nil, &InvalidFieldError{Field: name, Reason: "missing"}
+			return nil, nil, &InvalidFieldError{Field: name, Reason: "missing"}
 		}
 	}
 	var job Job
 	if err := json.Unmarshal(body, &job); err != nil {
-		return nil, &InvalidBodyError{Reason: "a field has the wrong type", Err: err}
+		return nil, nil, &InvalidBodyError{Reason: "a field has the wrong type", Err: err}
 	}
 	if err := job.Validate(); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	job.LimitAmounts()
 	job.Dependencies = withoutDuplicates(job.Dependencies)
-	return &job, nil
+	return &job, fields, nil
 }
 
 // withoutDuplicates removes repeated ids. It keeps the first occurrence of each id, and their order.
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -34,6 +34,24 @@
 	}
 }
 
+// Guards against a user's submission without a zone that is encoded with an empty one, which allows no machine.
+func TestEncodeSubmission(t *testing.T) {
+	for _, zone := range []string{"", "b"} {
+		want, err := ParseJob([]byte(validSubmission))
+		if err != nil {
+			t.Fatal(err)
+		}
+		want.Zone = zone
+		body, err := EncodeSubmission(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if job, err := ParseJob(body); err != nil || !reflect.DeepEqual(job, want) {
+			t.Errorf("submission %s: got %+v, error %v; want %+v", body, job, err, want)
+		}
+	}
+}
+
 // otherFields are unknown fields whose names differ from those of a submission only in case.
 const otherFields = `,"UID":"j-000999","Lote":"other","DONO":"other","Feitio":"other","VEZ":"low","Pecas":1,"CORES":1,
  "Accelerators":9,"RAMGB":1,"ramGB":1,"Molde":"other","pullGB":9,"PORTES":["other"],"Praca":"other","sameplace":false,
