Test that late copies of start commands change nothing

Another service saw a task on two machines, and a cancelled task run again, when a late copy of a start command reached a machine once more. Here a start command reaches a worker only in the response to its heartbeat, directly or through a follower that forwards both; no controller calls a worker (testdata/calls.txt). So a copy can be taken up only

- by a follower that matches the copy of a forwarded response with a later request, or
- by a leader that takes the copy of a heartbeat for a new one and responds to it.

The simulation checks in all its tests from now on that no machine carries out the start command of one attempt twice in an epoch.

The IDs begin at a random number per process, which is why the fault does not exist here.

--- a/internal/controller/invariants_test.go
+++ b/internal/controller/invariants_test.go
@@ -31,6 +31,7 @@
 	lastReplyAt        map[string]clock.Instant     // time of the last successful reply, by job
 	completedTasks     map[string]bool              // keys of tasks that have completed on some machine
 	firstStartAt       map[string]clock.Instant     // time of the first task start, by job
+	startedAttempts    map[startedAttempt]bool      // attempts whose start commands machines have carried out
 	faultsEndedAt      clock.Instant                // clock.Never while there are faults
 	waitingSince       map[string]clock.Instant     // since when a job is pending although there is room for it
 	lastWaitingCheck   clock.Instant
@@ -42,6 +43,12 @@
 	helperMarked       bool                                     // checkInvariants has called t.Helper
 }
 
+// startedAttempt is a task attempt on a machine. A machine loses its tasks with each epoch of its worker.
+type startedAttempt struct {
+	machine, taskKey string
+	epoch, attempt   uint64
+}
+
 // machineLoad lists the tasks that run on the machines, and what they use. It is rebuilt when a task
 // starts or ends, and not at each step.
 type machineLoad struct {
@@ -73,6 +80,7 @@
 		terminalAt:     map[string]clock.Instant{}, cancelRequested: map[string]bool{},
 		lastReplyAt:    map[string]clock.Instant{},
 		completedTasks: map[string]bool{}, firstStartAt: map[string]clock.Instant{}, load: newMachineLoad(),
+		startedAttempts:    map[startedAttempt]bool{},
 		acceptancesByEpoch: map[uint64]int{}, faultsEndedAt: clock.Never, waitingSince: map[string]clock.Instant{}}
 }
 
@@ -90,6 +98,7 @@
 //   - not_done: a job is reported as done before all its tasks have completed
 //   - orphaned: a job is still open when the limit after the cancellation of a dependency has passed
 //   - ran_twice: a task runs on two machines
+//   - started again: a machine carries out the start command of an attempt that has ended there
 //   - ran_cancelled: a task of a cancelled job still runs when the limit has passed
 //   - too_early: a task starts before the dependencies of its job are done
 //   - wrong_place: a task starts on a machine that its job does not allow
@@ -422,6 +431,16 @@
 	return ""
 }
 
+// checkStartCommand checks that a machine carries out a start command for the first time.
+func (sim *simulation) checkStartCommand(worker *fakeWorker, command protocol.Command) {
+	sim.t.Helper()
+	started := startedAttempt{worker.name, command.TaskID, worker.epoch, command.Attempt}
+	if sim.startedAttempts[started] {
+		sim.reportViolation("started again", "attempt %d of %s on %s", command.Attempt, command.TaskID, worker.name)
+	}
+	sim.startedAttempts[started] = true
+}
+
 // checkTaskStart checks the start of a task on a machine. A response to a heartbeat takes at most
 // four seconds. If a task starts later than that after the confirmation of a cancellation, its start
 // command was therefore sent after the confirmation.
@@ -513,6 +532,12 @@
 			sim.terminalStates["j-1"], sim.terminalAt["j-1"] = protocol.JobCancelled, sim.now-5*time.Second
 			startTask(sim, "m-000001", "j-1/0")
 		},
+		"started again": func(sim *simulation) {
+			startTask(sim, "m-000001", "j-1/0")
+			sim.workers["m-000001"].executeCommand(
+				protocol.Command{Kind: protocol.CommandForget, TaskID: "j-1/0", Attempt: 99})
+			startTask(sim, "m-000001", "j-1/0")
+		},
 		"too_early": func(sim *simulation) {
 			job := dependentSpec("j-2", 1, "j-1")
 			sim.jobSpecs["j-2"] = job
--- a/internal/controller/simulated_cloud_test.go
+++ b/internal/controller/simulated_cloud_test.go
@@ -328,6 +328,7 @@
 			return
 		}
 		worker.simulation.startCounts[command.TaskID]++
+		worker.simulation.checkStartCommand(worker, command)
 		worker.simulation.checkTaskStart(worker, command.TaskID)
 		endsAt := worker.simulation.now
 		// A task that has completed before ends at once, since its result was kept.
