controller: the forwarder of requests is a type of its own

The eight that forward requests, and the table of forwarded requests, are now requestForwarder, in a file of its own. A move, with the shorter names that the type allows; no change of behaviour.

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -19,7 +19,6 @@
 	"hitchdoor/internal/clock"
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/election"
-	"hitchdoor/internal/forwarding"
 	"hitchdoor/internal/jobstore"
 	"hitchdoor/internal/records"
 	"hitchdoor/internal/recovery"
@@ -41,7 +40,7 @@
 
 	election     *election.Election
 	peers        map[string]*peer
-	forwards     *forwarding.Table[Request] // requests forwarded to the leader
+	forwards     *requestForwarder
 	workerRouter *workerrouting.Router
 	connectivity connectivity
 
@@ -112,11 +111,7 @@
 	node.workerRouter = workerrouting.NewRouter(node, cluster, peerNames)
 	node.initElection()
 	node.connectivity = newConnectivity(node.cfg.Node, node.peers)
-	// The response to a request that an earlier process of this node forwarded may still arrive,
-	// because the leader answers a cancellation only once it is durable. Forward IDs therefore
-	// start at a random number per process; if every process counted from one, a late response
-	// would be delivered to an unrelated request.
-	node.forwards = forwarding.NewTable[Request](node.processID)
+	node.forwards = newRequestForwarder(node)
 	return node
 }
 
@@ -136,7 +131,7 @@
 func (n *Node) tick() {
 	n.election.Tick()
 	n.catalog.Tick()
-	n.forwards.Expire(n.now, n.onForwardExpired)
+	n.forwards.Expire(n.now, n.forwards.onExpired)
 	n.workerRouter.ExpireRoutes()
 	n.submissionQueue.WritePending()
 	n.jobReader.LoadTerminalJobs()
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -27,9 +27,9 @@
 			n.leader.admission.AddNodeLoad(message)
 		}
 	case protocol.ForwardedRequest:
-		n.onForwardedRequest(sender, message)
+		n.forwards.onRequest(sender, message)
 	case protocol.ForwardedResponse:
-		n.onForwardedResponse(message)
+		n.forwards.onResponse(message)
 	}
 }
 
--- a/internal/controller/submissions.go
+++ b/internal/controller/submissions.go
@@ -102,7 +102,7 @@
 		return
 	}
 	unconfirmed := n.jobReader.WithoutKnownAccepted(request.Job.Dependencies)
-	if len(unconfirmed) > maxDirectJobReads && asLeader == nil && n.forwardSubmissionOnce(request) {
+	if len(unconfirmed) > maxDirectJobReads && asLeader == nil && n.forwards.sendSubmissionOnce(request) {
 		return // the leader has most of the dependencies in memory
 	}
 	n.jobReader.ReadAcceptance(unconfirmed, func(allAccepted bool, err error) {
@@ -168,7 +168,7 @@
 	case submissions.OverCapacity:
 		n.rejectForCapacity(submission)
 	case submissions.StoreRefused:
-		if submission.leader != nil || !n.forwardSubmissionOnce(submission.request) {
+		if submission.leader != nil || !n.forwards.sendSubmissionOnce(submission.request) {
 			n.reject(submission.request, rejection.StoreUnavailable)
 		}
 	case submissions.Failed:
--- a/internal/controller/user_requests.go
+++ b/internal/controller/user_requests.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"strconv"
 
-	"hitchdoor/internal/forwarding"
 	"hitchdoor/internal/jobstore"
 	"hitchdoor/internal/protocol"
 	"hitchdoor/internal/rejection"
@@ -50,127 +49,16 @@
 	}
 	if request.Kind == protocol.RequestSubmit {
 		// Any node may write a submission, because the leader watches the open jobs.
-		if !n.election.StoreFailing() || !n.forwardSubmissionOnce(request) {
+		if !n.election.StoreFailing() || !n.forwards.sendSubmissionOnce(request) {
 			n.serveWithoutLeader(request)
 		}
 		return
 	}
-	if !n.forwardToLeader(request) {
+	if !n.forwards.sendToLeader(request) {
 		n.serveWithoutLeader(request)
 	}
 }
 
-// forwardToPeer forwards a request to a peer. If no response arrives in time, the request is served without
-// the leader.
-func (n *Node) forwardToPeer(target *peer, request Request) {
-	id := n.forwards.Add(request, n.now+forwardTimeout(request.Kind, n.workerLease()))
-	// The body is encoded again from the parsed value, because the original may contain line
-	// breaks, which would break the framing of messages between peers.
-	message := protocol.ForwardedRequest{ID: id, Kind: request.Kind, JobID: request.JobID}
-	switch request.Kind {
-	case protocol.RequestSubmit:
-		message.Body = storage.Encode(request.Job.Forwarded())
-	case protocol.RequestHeartbeat:
-		message.Body = storage.Encode(request.Heartbeat)
-	}
-	n.send(target.Name, message)
-}
-
-// forwardSubmissionOnce forwards to the leader a submission that this node can't write. This can help,
-// because the key-value store may refuse one node while it serves the others. It reports
-// false if the submission was forwarded before or can't be forwarded.
-func (n *Node) forwardSubmissionOnce(request Request) bool {
-	if request.Origin.Peer != "" || request.forwarded {
-		return false
-	}
-	request.forwarded = true
-	return n.forwardToLeader(request)
-}
-
-// forwardToLeader forwards a user's request to the leader. It reports false if no leader is known or
-// too many forwarded requests are pending.
-func (n *Node) forwardToLeader(request Request) bool {
-	leaderPeer := n.leaderPeer()
-	if leaderPeer == nil {
-		n.rejections.Add(request.Kind, rejection.NoLeader)
-		return false
-	}
-	if n.forwards.Count() >= n.maxPendingRequests() {
-		n.rejections.Add(request.Kind, rejection.ForwardLimit)
-		return false
-	}
-	n.forwardToPeer(leaderPeer, request)
-	return true
-}
-
-// onForwardedRequest handles a request that a peer forwarded.
-func (n *Node) onForwardedRequest(sender *peer, message protocol.ForwardedRequest) {
-	request := Request{Origin: Origin{RequestID: message.ID, Peer: sender.Name}, Kind: message.Kind,
-		JobID: message.JobID}
-	var err error
-	switch message.Kind {
-	case protocol.RequestSubmit:
-		request.Job, err = protocol.ParseForwardedJob(message.Body)
-	case protocol.RequestHeartbeat:
-		request.Heartbeat, err = protocol.ParseWorkerHeartbeat(message.Body)
-	}
-	if err != nil {
-		n.reject(request, rejection.Malformed)
-		return
-	}
-	n.onRequest(request)
-}
-
-// onForwardedResponse handles the leader's response to a forwarded request.
-func (n *Node) onForwardedResponse(response protocol.ForwardedResponse) {
-	forward, found := n.forwards.Take(response.ID)
-	if !found {
-		return
-	}
-	if forward.Request.Kind == protocol.RequestHeartbeat {
-		n.onRelayedHeartbeatResponse(forward, response)
-		return
-	}
-	n.onForwardedUserResponse(forward.Request, response)
-}
-
-// onRelayedHeartbeatResponse passes the leader's response to a worker's heartbeat on to the worker.
-func (n *Node) onRelayedHeartbeatResponse(forward forwarding.Forward[Request], response protocol.ForwardedResponse) {
-	request := forward.Request
-	if response.Status == http.StatusOK {
-		n.workerRouter.RecordServed(request.Heartbeat.Machine)
-	}
-	if n.now >= forward.Deadline {
-		// The response is too late, because it was delayed or this process was paused, and the worker
-		// would discard it. Count the heartbeat as not served and reply 503 instead.
-		n.onForwardExpired(request)
-		return
-	}
-	n.replyWithForwardedResponse(request.Origin, response)
-}
-
-// onForwardedUserResponse passes the leader's response to a user's request on to the user.
-func (n *Node) onForwardedUserResponse(request Request, response protocol.ForwardedResponse) {
-	if response.Status == http.StatusOK || response.Status == http.StatusCreated {
-		n.jobReader.RecordAccepted(request.JobID)
-	}
-	if response.Status == http.StatusServiceUnavailable {
-		n.rejections.Add(request.Kind, rejection.ForwardRejected)
-	}
-	if response.Status == http.StatusServiceUnavailable && request.Kind != protocol.RequestCancel {
-		// The leader can't serve the request, but the key-value store may be able to.
-		n.serveWithoutLeader(request)
-		return
-	}
-	n.replyWithForwardedResponse(request.Origin, response)
-}
-
-// onForwardExpired serves a forwarded request without the leader, which has not responded in time.
-func (n *Node) onForwardExpired(request Request) {
-	n.rejections.Add(request.Kind, rejection.ForwardTimeout)
-	n.serveWithoutLeader(request)
-}
-
 // serveWithoutLeader serves a submission or a query from the key-value store alone, and rejects any
 // other request. The caller has counted why the leader does not serve the request.
 func (n *Node) serveWithoutLeader(request Request) {
--- a/internal/controller/worker_requests.go
+++ b/internal/controller/worker_requests.go
@@ -40,7 +40,7 @@
 	case workerrouting.RedirectToLeader:
 		n.redirectWorker(request, leaderName)
 	case workerrouting.RelayToLeader:
-		n.forwardToPeer(leaderPeer, request)
+		n.forwards.sendToPeer(leaderPeer, request)
 	case workerrouting.RejectHeartbeat:
 		n.reject(request, rejection.NoLeader)
 	}
