controller: the handler of submissions is a type of its own

The eight methods of Node that validate, evaluate, store and answer submissions, and their queue, are now submissionHandler. Methods move to a new receiver and get the shorter names that it allows; no change of behaviour.

--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -29,7 +29,7 @@
 }
 
 // SubmissionsPerSecond returns the rate at which the whole cluster may write submissions.
-func (h admissionHost) SubmissionsPerSecond() float64 { return h.node.submissionQueue.ClusterRate() }
+func (h admissionHost) SubmissionsPerSecond() float64 { return h.node.submissions.queue.ClusterRate() }
 
 // PoliciesAllowed reports whether the operators enable policies and every node understands them. The
 // level in a peer's heartbeat reveals a node that was downgraded after it had written its version
@@ -54,49 +54,49 @@
 	l.admission.LoadStoredPolicy(items, l.loader.JobsRevision())
 }
 
-// evaluateSubmission queues a submission to be written if the admission policy admits it. Otherwise,
+// evaluate queues a submission to be written if the admission policy admits it. Otherwise,
 // or if the stored policy is invalid, it tells the user when to retry.
-func (n *Node) evaluateSubmission(submission *userSubmission) {
-	policy := n.admissionPolicy
+func (h *submissionHandler) evaluate(submission *userSubmission) {
+	policy := h.node.admissionPolicy
 	if policy.Invalid {
-		n.replyFromStore(submission.request, submission.leader, retryLater)
+		h.node.replyFromStore(submission.request, submission.leader, retryLater)
 		return
 	}
 	job := submission.request.Job
 	group := admissioncontrol.GroupOf(job)
 	verdict := policy.Current.Evaluate(group, job.ID)
-	n.traceStep(job.ID, stepAdmissionVerdict, verdictNote(verdict))
+	h.node.traceStep(job.ID, stepAdmissionVerdict, verdictNote(verdict))
 	if verdict.Admit {
 		submission.write.PolicyRevision = policy.RecordRevision
-		n.submissionQueue.Add(submission.write)
+		h.queue.Add(submission.write)
 		return
 	}
 	policy.CountPolicyRejection(group)
-	n.policyRejections.Put(job.ID, group)
-	n.rejectByPolicy(submission, admissionDeferred(policy.RetryAfterSeconds(verdict)))
+	h.node.policyRejections.Put(job.ID, group)
+	h.rejectByPolicy(submission, admissionDeferred(policy.RetryAfterSeconds(verdict)))
 }
 
 // rejectByPolicy rejects a submission that the policy does not admit yet, unless the key-value store
 // has a record of the job already. If less than half of the budget for reads on behalf of users is
 // left, it rejects the submission without looking for a record; the user retries.
-func (n *Node) rejectByPolicy(submission *userSubmission, response errorResponse) {
-	if !n.jobReader.HasSpareReads() {
-		n.rejections.Add(protocol.RequestSubmit, rejection.Deferred)
-		n.reply(submission.request.Origin, response.status, response.retryAfterSeconds, response)
+func (h *submissionHandler) rejectByPolicy(submission *userSubmission, response errorResponse) {
+	if !h.node.jobReader.HasSpareReads() {
+		h.node.rejections.Add(protocol.RequestSubmit, rejection.Deferred)
+		h.node.reply(submission.request.Origin, response.status, response.retryAfterSeconds, response)
 		return
 	}
-	n.replyFromStore(submission.request, submission.leader, response)
+	h.node.replyFromStore(submission.request, submission.leader, response)
 }
 
 // rejectForCapacity rejects an admitted submission that can't be written in time; the user retries. The
 // rejection counts as load, except while the key-value store is unavailable.
-func (n *Node) rejectForCapacity(submission *userSubmission) {
+func (h *submissionHandler) rejectForCapacity(submission *userSubmission) {
 	job := submission.request.Job
-	if !n.election.StoreUnavailable() {
-		n.admissionPolicy.CountCapacityRejection(job, submission.write.PolicyRevision)
+	if !h.node.election.StoreUnavailable() {
+		h.node.admissionPolicy.CountCapacityRejection(job, submission.write.PolicyRevision)
 	}
-	n.traceStep(job.ID, stepRejected, "")
-	n.reject(submission.request, rejection.OverCapacity)
+	h.node.traceStep(job.ID, stepRejected, "")
+	h.node.reject(submission.request, rejection.OverCapacity)
 }
 
 // tickAdmission reads the admission policy if a peer knows a newer one. It also reports to the leader
--- a/internal/controller/job_requests.go
+++ b/internal/controller/job_requests.go
@@ -29,7 +29,7 @@
 			l.replyJobState(request, job)
 			return
 		}
-		n.submitToStore(request, l)
+		n.submissions.submit(request, l)
 	case protocol.RequestQuery:
 		if job := l.Jobs[request.JobID]; job != nil {
 			l.replyJobState(request, job)
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -23,7 +23,6 @@
 	"hitchdoor/internal/records"
 	"hitchdoor/internal/recovery"
 	"hitchdoor/internal/rejection"
-	"hitchdoor/internal/submissions"
 	"hitchdoor/internal/workerrouting"
 )
 
@@ -56,7 +55,7 @@
 	leader                    *leader
 	protocolLevels            *protocolLevels
 
-	submissionQueue *submissions.Queue
+	submissions *submissionHandler
 
 	rejections         *rejection.Counters
 	rejectionsLoggedAt clock.Instant
@@ -97,8 +96,8 @@
 	node.jobReader = jobstore.NewReader(jobReaderHost{node}, cluster.Store.RequestsPerS*followerReadShare,
 		node.workerLease()/pollsPerWorkerLease)
 	budgets, submissionBudget := newServiceBudgets(&node.timing, cluster, node.log)
-	node.submissionQueue = submissions.NewQueue(submissionHost{node}, cluster, submissionBudget)
-	budgets.submissionWrites = node.submissionQueue
+	node.submissions = newSubmissionHandler(node, cluster, submissionBudget)
+	budgets.submissionWrites = node.submissions.queue
 	node.serviceBudgets = budgets
 	node.protocolLevels = newProtocolLevels(nodeProtocolLevelsHost{node}, options,
 		node.workerLease()/pollsPerWorkerLease)
@@ -133,7 +132,7 @@
 	n.catalog.Tick()
 	n.forwards.Expire(n.now, n.forwards.onExpired)
 	n.workerRouter.ExpireRoutes()
-	n.submissionQueue.WritePending()
+	n.submissions.queue.WritePending()
 	n.jobReader.LoadTerminalJobs()
 	n.protocolLevels.tick()
 	n.tickAdmission()
--- a/internal/controller/submissions.go
+++ b/internal/controller/submissions.go
@@ -8,6 +8,7 @@
 	"hitchdoor/internal/config"
 	"hitchdoor/internal/fleet"
 	"hitchdoor/internal/protocol"
+	"hitchdoor/internal/ratelimit"
 	"hitchdoor/internal/rejection"
 	"hitchdoor/internal/storage"
 	"hitchdoor/internal/submissions"
@@ -56,6 +57,18 @@
 	return false
 }
 
+// submissionHandler handles the submissions of users: it validates them, applies the admission policy and queues the
+// writes of their records. Followers handle submissions as the leader does.
+type submissionHandler struct {
+	node  *Node
+	queue *submissions.Queue
+}
+
+// newSubmissionHandler returns the handler of a node. budget limits the writes.
+func newSubmissionHandler(node *Node, cluster *config.Cluster, budget ratelimit.TokenBucket) *submissionHandler {
+	return &submissionHandler{node: node, queue: submissions.NewQueue(submissionHost{node}, cluster, budget)}
+}
+
 // userSubmission is a user's submission that this node handles.
 type userSubmission struct {
 	request Request
@@ -84,69 +97,69 @@
 // key-value store itself. It forwards a submission with more of them to the leader.
 const maxDirectJobReads = 4
 
-// submitToStore validates a submission and queues it to be written on condition that the job has no
+// submit validates a submission and queues it to be written on condition that the job has no
 // record yet. The user gets the response after the write. Any node may write submissions, because the
 // leader watches the open jobs. asLeader is the leader that received the submission, or nil on a follower.
-func (n *Node) submitToStore(request Request, asLeader *leader) {
-	if !n.catalog.Known() {
-		n.reject(request, rejection.CatalogUnknown)
+func (h *submissionHandler) submit(request Request, asLeader *leader) {
+	if !h.node.catalog.Known() {
+		h.node.reject(request, rejection.CatalogUnknown)
 		return
 	}
-	if n.election.StoreUnavailable() {
-		n.reject(request, rejection.StoreUnavailable)
+	if h.node.election.StoreUnavailable() {
+		h.node.reject(request, rejection.StoreUnavailable)
 		return
 	}
-	submission := n.newSubmission(request, asLeader)
-	if rejection := n.validateSubmission(request.Job, submission.write.Writes); rejection != nil {
-		n.replyFromStore(request, asLeader, *rejection)
+	submission := h.newSubmission(request, asLeader)
+	if rejection := h.validate(request.Job, submission.write.Writes); rejection != nil {
+		h.node.replyFromStore(request, asLeader, *rejection)
 		return
 	}
-	unconfirmed := n.jobReader.WithoutKnownAccepted(request.Job.Dependencies)
-	if len(unconfirmed) > maxDirectJobReads && asLeader == nil && n.forwards.sendSubmissionOnce(request) {
+	unconfirmed := h.node.jobReader.WithoutKnownAccepted(request.Job.Dependencies)
+	if len(unconfirmed) > maxDirectJobReads && asLeader == nil && h.node.forwards.sendSubmissionOnce(request) {
 		return // the leader has most of the dependencies in memory
 	}
-	n.jobReader.ReadAcceptance(unconfirmed, func(allAccepted bool, err error) {
+	h.node.jobReader.ReadAcceptance(unconfirmed, func(allAccepted bool, err error) {
 		switch {
 		case err != nil:
-			n.replyFromStore(request, asLeader, retryLater)
+			h.node.replyFromStore(request, asLeader, retryLater)
 		case !allAccepted:
-			n.replyFromStore(request, asLeader, unknownDependency)
+			h.node.replyFromStore(request, asLeader, unknownDependency)
 		default:
-			n.evaluateSubmission(submission)
+			h.evaluate(submission)
 		}
 	})
 }
 
 // newSubmission returns a submission with the record to write for it.
-func (n *Node) newSubmission(request Request, asLeader *leader) *userSubmission {
-	record := storage.JobRecord{Spec: *request.Job, AcceptedAtMillis: n.nowUnixMilli()}
+func (h *submissionHandler) newSubmission(request Request, asLeader *leader) *userSubmission {
+	record := storage.JobRecord{Spec: *request.Job, AcceptedAtMillis: h.node.nowUnixMilli()}
 	submission := &userSubmission{request: request, leader: asLeader}
 	submission.write = &submissions.Write{
 		Record:   record,
-		Writes:   storage.JobWrites(record, n.cfg.Cluster.Store.MaxValueBytes()),
-		Deadline: n.now + n.workerLease()/10,
-		OnResult: func(result submissions.Result) { n.onSubmissionResult(submission, result) },
+		Writes:   storage.JobWrites(record, h.node.cfg.Cluster.Store.MaxValueBytes()),
+		Deadline: h.node.now + h.node.workerLease()/10,
+		OnResult: func(result submissions.Result) { h.onResult(submission, result) },
 	}
 	return submission
 }
 
-// validateSubmission returns why a job can't be accepted, or nil if it can. A job that was accepted
+// validate returns why a job can't be accepted, or nil if it can. A job that was accepted
 // once stays accepted, even if the catalog or the limits have shrunk since, or if this node knows
 // less than the one that accepted it. The caller therefore returns each error to the user only if
 // the job has no record.
-func (n *Node) validateSubmission(job *protocol.Job, writes []storage.Write) *errorResponse {
-	limits := &n.cfg.Cluster.Store
-	schedulable := isSchedulable(job, &n.cfg.Cluster, n.catalog.Types)
+func (h *submissionHandler) validate(job *protocol.Job, writes []storage.Write) *errorResponse {
+	limits := &h.node.cfg.Cluster.Store
+	schedulable := isSchedulable(job, &h.node.cfg.Cluster, h.node.catalog.Types)
 	switch {
 	case !storage.FitsTxn(writes, limits.MaxValueBytes(), limits.MaxTxnOps()):
 		return &jobTooLarge // no record can hold it, so a retry can't succeed
-	case !schedulable && !n.catalog.Confirmed:
+	case !schedulable && !h.node.catalog.Confirmed:
 		return &retryLater // the stored catalog may be outdated
 	case !schedulable:
 		return &jobUnschedulable
 	case slices.Contains(job.Dependencies, job.ID):
 		return &unknownDependency
-	case len(job.Dependencies) > 0 && !n.clusterSupports(protocolLevelDependencies):
+	case len(job.Dependencies) > 0 && !h.node.clusterSupports(protocolLevelDependencies):
 		// A leader of an earlier version would ignore the dependencies and start the job at once.
 		// The user retries until the version record of every node shows that it supports them.
 		return &retryLater
@@ -154,40 +167,40 @@
 	return nil
 }
 
-// onSubmissionResult handles the outcome of the write of a submission and responds to the user.
-func (n *Node) onSubmissionResult(submission *userSubmission, result submissions.Result) {
+// onResult handles the outcome of the write of a submission and responds to the user.
+func (h *submissionHandler) onResult(submission *userSubmission, result submissions.Result) {
 	switch result.Outcome {
 	case submissions.Accepted:
-		n.onSubmissionAccepted(submission, result.Revision)
+		h.onAccepted(submission, result.Revision)
 	case submissions.PolicyChanged:
-		n.admissionPolicy.Read(func() { n.evaluateSubmission(submission) })
+		h.node.admissionPolicy.Read(func() { h.evaluate(submission) })
 	case submissions.JobMayExist:
-		n.replyFromStore(submission.request, submission.leader, retryLater)
+		h.node.replyFromStore(submission.request, submission.leader, retryLater)
 	case submissions.TooLarge:
-		n.replyFromStore(submission.request, submission.leader, jobTooLarge)
+		h.node.replyFromStore(submission.request, submission.leader, jobTooLarge)
 	case submissions.OverCapacity:
-		n.rejectForCapacity(submission)
+		h.rejectForCapacity(submission)
 	case submissions.StoreRefused:
-		if submission.leader != nil || !n.forwards.sendSubmissionOnce(submission.request) {
-			n.reject(submission.request, rejection.StoreUnavailable)
+		if submission.leader != nil || !h.node.forwards.sendSubmissionOnce(submission.request) {
+			h.node.reject(submission.request, rejection.StoreUnavailable)
 		}
 	case submissions.Failed:
-		n.reject(submission.request, rejection.StoreFailed)
+		h.node.reject(submission.request, rejection.StoreFailed)
 	}
 }
 
-// onSubmissionAccepted responds to the user whose job has a durable record. If a leader received the
+// onAccepted responds to the user whose job has a durable record. If a leader received the
 // submission and still leads, it first adds the job to that leader's state.
-func (n *Node) onSubmissionAccepted(submission *userSubmission, revision uint64) {
+func (h *submissionHandler) onAccepted(submission *userSubmission, revision uint64) {
 	jobID := submission.request.Job.ID
-	n.jobReader.RecordAccepted(jobID)
-	n.traceStep(jobID, stepStored, "")
-	if submission.leader != nil && n.leader == submission.leader {
+	h.node.jobReader.RecordAccepted(jobID)
+	h.node.traceStep(jobID, stepStored, "")
+	if submission.leader != nil && h.node.leader == submission.leader {
 		for _, write := range submission.write.Writes {
 			submission.leader.writer.SetModRevision(write.Key(), revision)
 		}
 		submission.leader.jobRecords.Add(submission.write.Record, revision)
 	}
-	n.replyJobStatus(submission.request.Origin, http.StatusCreated,
+	h.node.replyJobStatus(submission.request.Origin, http.StatusCreated,
 		protocol.JobStatus{ID: jobID, State: protocol.JobQueued})
 }
--- a/internal/controller/user_requests.go
+++ b/internal/controller/user_requests.go
@@ -64,7 +64,7 @@
 func (n *Node) serveWithoutLeader(request Request) {
 	switch request.Kind {
 	case protocol.RequestSubmit:
-		n.submitToStore(request, nil)
+		n.submissions.submit(request, nil)
 	case protocol.RequestQuery:
 		n.replyToQueryFromStore(request, nil)
 	case protocol.RequestHeartbeat:
