--- a/internal/controller/machine_constraints_test.go
+++ b/internal/controller/machine_constraints_test.go
@@ -246,3 +246,21 @@
 	sim.waitForJobState("j-1", protocol.JobDone, time.Minute)
 	sim.checkStartedOnce()
 }
+
+// Guards against machines that are rented for a dependent that allows none, shortly before it would be released.
+func TestNoCapacityForDependentThatAllowsNoMachine(t *testing.T) {
+	sim, leaderNode := newRunningSimulation(t, 1, 20*time.Second, 2, 4)
+	dependent := dependentSpec("j-none", 8, "j-1")
+	dependent.MachineTypes = []string{}
+	sim.store.putValue(storage.JobKey("j-none"), storage.JobRecord{Spec: dependent, AcceptedAtMillis: 1_000_000_000})
+	sim.crashNode(leaderNode.name)
+	sim.restartNode(leaderNode.name)
+	leader := sim.waitForLeader().leader
+	if leader.Jobs["j-none"] == nil || !sim.advanceUntil(20*time.Second,
+		func() bool { return len(leader.Jobs["j-1"].Attempts) == 4 }) {
+		t.Fatal("the leader does not know the dependent, or the tasks of j-1")
+	}
+	if soon := leader.dependencies.SoonReleasedDependents(leader.Jobs["j-1"], time.Hour); len(soon) > 0 {
+		t.Errorf("dependents for which machines are prepared: got %d, want none", len(soon))
+	}
+}
--- a/internal/dependency/graph.go
+++ b/internal/dependency/graph.go
@@ -198,7 +198,7 @@
 		}
 	}
 	return slices.DeleteFunc(slices.Clone(dependents), func(dependent *cluster.Job) bool {
-		return dependent.Terminal || dependent.PendingDependencies > 1
+		return dependent.Terminal || dependent.PendingDependencies > 1 || dependent.Spec.AllowsNoMachine()
 	})
 }
 
