fakes: a machine that is removed carries out no more commands

Cause, in the stand-in: a worker carried out the commands of a response that arrived after its machine had been taken. The tasks started on a machine that no longer existed and could never end.

Change: a worker drops a response if its machine is no longer in the fleet.

--- a/internal/fakes/worker.go
+++ b/internal/fakes/worker.go
@@ -267,6 +267,9 @@
 	receivedAt := time.Now()
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
+	if fleet.workers[w.name] != w {
+		return true // the machine was removed while the response was on its way
+	}
 	epoch := w.epoch
 	if w.advanceToNow(); w.epoch != epoch {
 		status = 0 // the lease has expired meanwhile, and responses to earlier heartbeats are dropped
