emulator: a known failure of the fault tests, seed 362

The long run by hand found it: done is reported later than 3 s after the last task, by up to 1.8 s.

Their next heartbeats fall into a cut of the workers from the leader (27.72 to 28.55 s); the workers wait 4 s for a response and one second more. At 33.46 s, 5.4 s after the last heartbeat and within the worker lease of 6 s, the leader returns the machines as silent. Tasks that had ended on them at 30.0 to 31.4 s start again elsewhere at 33.6 to 35.8 s.

Check, bound and seed are as they were. The loop of TestGuaranteesHoldUnderRandomFaults is a function now; its checks are the same.

--- a/internal/emulator/faults_test.go
+++ b/internal/emulator/faults_test.go
@@ -13,26 +13,39 @@
 	for _, seed := range []uint64{1, 2} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			summary := &bytes.Buffer{}
-			options := FaultTestOptions{FaultDuration: 20 * time.Second,
-				Options: Options{Machines: 40, Controllers: 3, Seed: seed, Load: 0.5, SummaryOutput: summary}}
-			result, err := RunFaultTest(t.Context(), options)
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, violation := range result.Violations {
-				t.Error(violation)
-			}
-			if result.Jobs == 0 {
-				t.Error("no job was accepted")
-			}
-			if t.Failed() {
-				t.Log(summary)
-			}
+			runFaults(t, FaultTestOptions{FaultDuration: 20 * time.Second,
+				Options: Options{Machines: 40, Controllers: 3, Seed: seed, Load: 0.5}})
 		})
 	}
 }
 
+// Guards against lost results, and jobs that are done too late for it, after workers were cut from their controller for
+// a moment: each waits for the response to its heartbeat for so long that its machine is returned as silent.
+func TestResultsSurviveShortCutOfWorkers(t *testing.T) {
+	runFaults(t, FaultTestOptions{FaultDuration: 30 * time.Second,
+		Options: Options{Machines: 60, Controllers: 3, Seed: 362, Load: 0.5}})
+}
+
+// runFaults runs a fault test and reports its violations.
+func runFaults(t *testing.T, options FaultTestOptions) {
+	t.Helper()
+	summary := &bytes.Buffer{}
+	options.SummaryOutput = summary
+	result, err := RunFaultTest(t.Context(), options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, violation := range result.Violations {
+		t.Error(violation)
+	}
+	if result.Jobs == 0 {
+		t.Error("no job was accepted")
+	}
+	if t.Failed() {
+		t.Log(summary)
+	}
+}
+
 // Guards against a seed that no longer stands for one schedule, by which failures are reported.
 func TestSeedDeterminesSchedule(t *testing.T) {
 	lease, duration := 6*time.Second, time.Minute
