--- a/internal/controller/late_commands_test.go
+++ b/internal/controller/late_commands_test.go
@@ -32,13 +32,9 @@
 	sim.onHeartbeat = func(_ *fakeWorker, heartbeat *protocol.WorkerHeartbeat) {
 		copies.heartbeats = append(copies.heartbeats, *heartbeat)
 	}
-	sim.onEffects = func(n *simNode, effects []Effect) {
-		for _, effect := range effects {
-			if outbound, ok := effect.(OutboundMessage); ok {
-				copies.addMessage(copiedMessage{n.name, outbound.To, outbound.Message})
-			}
-		}
-	}
+	sim.observeMessages(func(from string, outbound OutboundMessage) {
+		copies.addMessage(copiedMessage{from, outbound.To, outbound.Message})
+	})
 	return copies
 }
 
@@ -81,15 +77,12 @@
 // with the same ID, if there is one, before its own response arrives.
 func (c *networkCopies) deliverBeforeResponses() {
 	c.sim.onHeartbeat = nil
-	c.sim.onEffects = func(n *simNode, effects []Effect) {
-		for _, effect := range effects {
-			outbound, _ := effect.(OutboundMessage)
-			request, isRequest := outbound.Message.(protocol.ForwardedRequest)
-			if copied, ok := c.responses[request.ID]; ok && isRequest && copied.to == n.name {
-				c.send(copied)
-			}
+	c.sim.observeMessages(func(from string, outbound OutboundMessage) {
+		request, isRequest := outbound.Message.(protocol.ForwardedRequest)
+		if copied, ok := c.responses[request.ID]; ok && isRequest && copied.to == from {
+			c.send(copied)
 		}
-	}
+	})
 }
 
 // deliverFor delivers all copies again and again while the simulation runs for a duration. The invariant checker
--- a/internal/controller/machine_constraints_test.go
+++ b/internal/controller/machine_constraints_test.go
@@ -112,15 +112,11 @@
 func (sim *simulation) forwardToLeader(follower, id, body string) int {
 	sim.t.Helper()
 	status := 0
-	sim.onEffects = func(_ *simNode, effects []Effect) {
-		for _, effect := range effects {
-			if message, ok := effect.(OutboundMessage); ok && message.To == follower {
-				if response, ok := message.Message.(protocol.ForwardedResponse); ok {
-					status = response.Status
-				}
-			}
+	sim.observeMessages(func(_ string, outbound OutboundMessage) {
+		if response, ok := outbound.Message.(protocol.ForwardedResponse); ok && outbound.To == follower {
+			status = response.Status
 		}
-	}
+	})
 	leaderNode := sim.nodes[sim.leaderName()]
 	leaderNode.inbox = append(leaderNode.inbox, InboundMessage{From: follower, Message: protocol.ForwardedRequest{
 		ID: 1, Kind: protocol.RequestSubmit, JobID: id, Body: json.RawMessage(body)}})
@@ -166,16 +162,15 @@
 		sim.store.refusedNodes[follower] = true
 		sim.advance(time.Second)
 		var forwarded protocol.Job
-		sim.onEffects = func(_ *simNode, effects []Effect) {
-			for _, effect := range effects {
-				message, _ := effect.(OutboundMessage)
-				if request, ok := message.Message.(protocol.ForwardedRequest); ok && request.Kind == protocol.RequestSubmit {
-					if err := json.Unmarshal(request.Body, &forwarded); err != nil {
-						t.Fatal(err)
-					}
-				}
+		sim.observeMessages(func(_ string, outbound OutboundMessage) {
+			request, ok := outbound.Message.(protocol.ForwardedRequest)
+			if !ok || request.Kind != protocol.RequestSubmit {
+				return
 			}
-		}
+			if err := json.Unmarshal(request.Body, &forwarded); err != nil {
+				t.Fatal(err)
+			}
+		})
 		sim.submitBody(follower, submissionBody(t, "j-1", field, value))
 		if len(forwarded.MachineTypes) == 0 || slices.Contains(forwarded.MachineTypes, "c4") {
 			t.Errorf("%s %s is forwarded with the machine types %q, want a list without a known type", field, value,
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -410,6 +410,17 @@
 	}
 }
 
+// observeMessages calls onMessage with each message that a node sends to another from now on. It replaces onEffects.
+func (sim *simulation) observeMessages(onMessage func(from string, outbound OutboundMessage)) {
+	sim.onEffects = func(n *simNode, effects []Effect) {
+		for _, effect := range effects {
+			if outbound, ok := effect.(OutboundMessage); ok {
+				onMessage(n.name, outbound)
+			}
+		}
+	}
+}
+
 // roundTripMessage returns a message as its receiver decodes it.
 func roundTripMessage(t *testing.T, m protocol.PeerMessage) protocol.PeerMessage {
 	raw, err := protocol.EncodePeerMessage(m)
